Add the design, the wire messages and the module skeleton

Cause: nothing exists yet; later work needs fixed interfaces to go side by side. Conclusion: the modules can now be built independently behind these headers.

--- /dev/null
+++ b/modules/base/include/rattanloft/base/Log.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace rattanloft {
+
+enum class LogLevel
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+// Lines below this level are dropped. Safe to call from any thread.
+void
+SetLogLevel(LogLevel aLevel);
+
+bool
+LogEnabled(LogLevel aLevel);
+
+// Writes one line to standard error in a single write:
+// 2026-01-31T12:00:00.000Z I route: message
+void
+WriteLogLine(LogLevel aLevel, std::string_view aPart, std::string_view aText);
+
+template<typename... Args>
+void
+Log(LogLevel aLevel,
+    std::string_view aPart,
+    fmt::format_string<Args...> aFormat,
+    Args&&... aArgs)
+{
+  if (LogEnabled(aLevel)) {
+    WriteLogLine(
+      aLevel, aPart, fmt::format(aFormat, std::forward<Args>(aArgs)...));
+  }
+}
+
+template<typename... Args>
+void
+LogDebug(std::string_view aPart,
+         fmt::format_string<Args...> aFormat,
+         Args&&... aArgs)
+{
+  Log(LogLevel::kDebug, aPart, aFormat, std::forward<Args>(aArgs)...);
+}
+
+template<typename... Args>
+void
+LogInfo(std::string_view aPart,
+        fmt::format_string<Args...> aFormat,
+        Args&&... aArgs)
+{
+  Log(LogLevel::kInfo, aPart, aFormat, std::forward<Args>(aArgs)...);
+}
+
+template<typename... Args>
+void
+LogWarning(std::string_view aPart,
+           fmt::format_string<Args...> aFormat,
+           Args&&... aArgs)
+{
+  Log(LogLevel::kWarning, aPart, aFormat, std::forward<Args>(aArgs)...);
+}
+
+template<typename... Args>
+void
+LogError(std::string_view aPart,
+         fmt::format_string<Args...> aFormat,
+         Args&&... aArgs)
+{
+  Log(LogLevel::kError, aPart, aFormat, std::forward<Args>(aArgs)...);
+}
+
+} // namespace rattanloft
--- /dev/null
+++ b/modules/base/src/Assert.cpp
@@ -0,0 +1,16 @@
+#include "rattanloft/base/Assert.h"
+
+#include <cstdlib>
+
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft {
+
+void
+AssertFailed(const char* aCondition, const char* aFile, int aLine)
+{
+  LogError("assert", "{} failed at {}:{}", aCondition, aFile, aLine);
+  std::abort();
+}
+
+} // namespace rattanloft
--- /dev/null
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "raft.pb.h"
+#include "rattanloft/base/Time.h"
+#include "rattanloft/consensus/StateMachine.h"
+
+namespace rattanloft::storage {
+class LogStore;
+class SnapshotStore;
+} // namespace rattanloft::storage
+
+namespace rattanloft::consensus {
+
+enum class Role
+{
+  kLearner,
+  kFollower,
+  kCandidate,
+  kLeader,
+};
+
+enum class LogErrorCode
+{
+  // This replica is not the leader; nothing was appended.
+  kNotLeader,
+  // Leadership was lost after the append; the command may still commit.
+  kLeadershipLost,
+  // Too many proposals wait; nothing was appended.
+  kBusy,
+  // The store refuses writes, for example on a full disk; nothing was appended.
+  kStorage,
+  kInvalid,
+};
+
+struct LogError
+{
+  LogErrorCode m_code;
+  std::string m_message;
+};
+
+struct LogStatus
+{
+  Role m_role = Role::kFollower;
+  uint64_t m_replicaId = 0;
+  uint64_t m_term = 0;
+  // Replica id of the known leader, 0 for none.
+  uint64_t m_leaderId = 0;
+  uint64_t m_lastIndex = 0;
+  uint64_t m_commitIndex = 0;
+  uint64_t m_appliedIndex = 0;
+  uint64_t m_firstIndex = 0;
+  wire::GroupConfig m_config;
+};
+
+struct ReplicatedLogOptions
+{
+  uint64_t m_replicaId = 0;
+  // Used only while the store is empty: the founding members, all with the
+  // same list. Empty for a replica that will be added as a learner.
+  wire::GroupConfig m_bootstrap;
+  uint64_t m_seed = 1;
+  Duration m_heartbeat = Milliseconds(100);
+  Duration m_electionMin = Milliseconds(400);
+  Duration m_electionMax = Milliseconds(800);
+  // Applied entries between snapshots.
+  uint64_t m_snapshotInterval = 10'000;
+};
+
+// Runs the Raft core over a store and a transport and applies committed
+// commands. Owned by the control instance; every method is called on its
+// control thread and takes the current time.
+class ReplicatedLog
+{
+public:
+  using ProposeCallback =
+    std::function<void(tl::expected<uint64_t, LogError> aIndex)>;
+  using BarrierCallback = std::function<void(tl::expected<void, LogError>)>;
+
+  static tl::expected<std::unique_ptr<ReplicatedLog>, LogError> Make(
+    const ReplicatedLogOptions& aOptions,
+    storage::LogStore& aLogStore,
+    storage::SnapshotStore& aSnapshotStore,
+    StateMachine& aStateMachine,
+    Transport& aTransport,
+    TimePoint aNow);
+
+  virtual ~ReplicatedLog() = default;
+
+  // To be called at least every 20 ms.
+  virtual void Tick(TimePoint aNow) = 0;
+  virtual void Receive(const wire::RaftMessage& aMessage, TimePoint aNow) = 0;
+
+  // Appends a command. The callback runs once, after the command was applied
+  // here, with its index, or with an error.
+  virtual void Propose(std::string aCommand,
+                       TimePoint aNow,
+                       ProposeCallback aCallback) = 0;
+
+  // The callback succeeds once this replica has proved by a quorum round that
+  // began after this call that it is the leader, and has applied everything
+  // committed before.
+  virtual void ReadBarrier(TimePoint aNow, BarrierCallback aCallback) = 0;
+
+  // Membership changes, one server at a time; refused while one is in progress.
+  virtual void ProposeConfig(wire::GroupConfig aConfig,
+                             TimePoint aNow,
+                             ProposeCallback aCallback) = 0;
+
+  // Asks the most advanced follower to take over. No effect on a follower.
+  virtual void TransferLeadership(TimePoint aNow) = 0;
+
+  virtual LogStatus Status() const = 0;
+};
+
+} // namespace rattanloft::consensus
--- /dev/null
+++ b/modules/consensus/include/rattanloft/consensus/StateMachine.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "raft.pb.h"
+
+namespace rattanloft::consensus {
+
+// What the replicated log drives. Called on the control thread only.
+class StateMachine
+{
+public:
+  virtual ~StateMachine() = default;
+
+  // Called once for each committed command, in index order.
+  virtual void Apply(uint64_t aIndex, std::string_view aCommand) = 0;
+
+  // Serialized state after the last applied command.
+  virtual std::string TakeSnapshot() const = 0;
+
+  // Replaces the state. An error text means that the snapshot is not readable.
+  virtual tl::expected<void, std::string> RestoreSnapshot(
+    std::string_view aSnapshot) = 0;
+};
+
+// Sends messages to other replicas. Messages may be lost, repeated or
+// reordered. Must not block and must not call back into the log.
+class Transport
+{
+public:
+  virtual ~Transport() = default;
+  virtual void Send(const wire::RaftMessage& aMessage) = 0;
+  // Called when the group configuration changes, so that new addresses are
+  // known.
+  virtual void SetMembers(const wire::GroupConfig& aConfig) = 0;
+};
+
+} // namespace rattanloft::consensus
--- /dev/null
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control.pb.h"
+#include "rattanloft/base/Shard.h"
+#include "rattanloft/base/Time.h"
+#include "rattanloft/routing/Catalogue.h"
+#include "rattanloft/routing/RouteTable.h"
+
+namespace rattanloft::routing {
+
+// Age of the last confirmed Sync from which a node refuses requests, since it
+// cannot know whether its catalogue is still current.
+constexpr Duration kStaleAfter = Seconds(6);
+
+// What the traffic thread needs from the control thread. Immutable.
+struct View
+{
+  std::shared_ptr<const RouteTable> m_routes;
+  std::shared_ptr<const Catalogue> m_catalogue;
+  // Number of this node's own backend server, 0 while not registered.
+  uint32_t m_backend = 0;
+  // Grants may be used before this point only.
+  TimePoint m_leaseEnd;
+  // When the last confirmed Sync was sent.
+  TimePoint m_confirmedAt;
+  bool m_draining = false;
+
+  bool IsStale(TimePoint aNow) const
+  {
+    return aNow - m_confirmedAt >= kStaleAfter;
+  }
+  // True if this node's backend server owns the shard, the lease holds and no
+  // release is asked for.
+  bool MayServe(std::string_view aService,
+                ShardNumber aShard,
+                TimePoint aNow) const;
+};
+
+struct NodeAgentOptions
+{
+  std::string m_nodeId;
+  uint64_t m_session = 0;
+  std::string m_zone;
+  std::string m_peerAddress;
+};
+
+// The control-plane side of a node: lease, catalogue and routes. Pure; owned by
+// the node's control thread.
+class NodeAgent
+{
+public:
+  explicit NodeAgent(NodeAgentOptions aOptions);
+
+  // The latest announcement of the backend server. An older incarnation than a
+  // known one that was replaced is refused: false.
+  bool SetBackend(const wire::Backend& aBackend);
+  void SetBackendHealthy(bool aHealthy);
+  void SetDraining(bool aDraining);
+  void SetLoad(wire::NodeLoad aLoad);
+  // The traffic thread has stopped serving the shard under this epoch.
+  void MarkReleased(std::string_view aService,
+                    ShardNumber aShard,
+                    uint64_t aEpoch);
+
+  wire::SyncRequest MakeRequest();
+
+  // aSentAt is when the request with this sequence was sent. Returns true if
+  // the view changed.
+  bool OnReply(const wire::SyncReply& aReply,
+               TimePoint aSentAt,
+               TimePoint aNow);
+
+  // Shards of the own backend server for which a release is asked.
+  struct OwnShard
+  {
+    std::string m_service;
+    ShardNumber m_shard = 0;
+    uint64_t m_epoch = 0;
+  };
+  std::vector<OwnShard> ShardsToRelease() const;
+  // Shards that the own backend server owns, for the grant to it.
+  std::vector<OwnShard> OwnedShards() const;
+  bool OwnsAnyShard() const;
+
+  std::shared_ptr<const View> CurrentView() const { return m_view; }
+
+private:
+  NodeAgentOptions m_options;
+  uint64_t m_sequence = 0;
+  std::optional<wire::Backend> m_backend;
+  std::vector<uint64_t> m_replacedIncarnations;
+  bool m_healthy = true;
+  bool m_draining = false;
+  wire::NodeLoad m_load;
+  std::vector<OwnShard> m_released;
+  std::shared_ptr<const View> m_view;
+};
+
+} // namespace rattanloft::routing
--- /dev/null
+++ b/tools/rattanloft/Main.cpp
@@ -0,0 +1,8 @@
+#include <cstdio>
+
+int
+main()
+{
+  std::fputs("rattanloft: no sub-command\n", stderr);
+  return 2;
+}
