Add routing, admission and idempotency cores

Cause: the node links against these three pure modules. Change: route table, catalogue copy and node agent; the schedulers deadline and fifo; the table of at-most-once records.

--- /dev/null
+++ b/modules/admission/src/DeadlineScheduler.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "QueueScheduler.h"
+
+namespace rattanloft::admission {
+
+// Earliest deadline first within class priority. Refuses jobs early whose
+// deadline cannot be met, and keeps slots free for short work.
+class DeadlineScheduler final : public QueueScheduler
+{
+protected:
+  int64_t KeyOf(const QueuedJob& aJob) const override
+  {
+    return aJob.m_deadline.m_ms;
+  }
+  bool Admits(const Entry& aEntry,
+              const QueuedJob& aJob,
+              TimePoint aNow,
+              Duration& aRetryAfter) const override;
+  bool IsLate(const Entry& aEntry,
+              const QueuedJob& aJob,
+              TimePoint aNow) const override;
+  Entry* Pick(TimePoint aNow) override;
+  void OnTick(TimePoint aNow, std::vector<Action>& aActions) override;
+  void OnLearned() override;
+  Duration RetryAfter(const Entry& aEntry, TimePoint aNow) const override;
+
+private:
+  // Milliseconds that a job needs, from the learned times.
+  double NeedOf(const Entry& aEntry, const QueuedJob& aJob) const;
+  bool MayProbe(const Entry& aEntry, TimePoint aNow) const;
+  // Milliseconds until a job of this entry with this deadline would start.
+  double ExpectedWait(const Entry& aEntry,
+                      TimePoint aDeadline,
+                      TimePoint aNow) const;
+  double Backlog(const Entry& aEntry,
+                 TimePoint aDeadline,
+                 TimePoint aNow) const;
+  double Servers(const Entry& aEntry, TimePoint aNow) const;
+  uint32_t LongLimit() const;
+  uint32_t LongRunning() const;
+  bool IsLongTurn(TimePoint aNow) const;
+
+  // Slots that the present rate of short work needs, updated each tick.
+  uint32_t m_neededByShort = 0;
+  // When the latest long job ended its turn, for a backend server with one
+  // slot.
+  TimePoint m_longStartedAt;
+};
+
+} // namespace rattanloft::admission
--- /dev/null
+++ b/modules/admission/src/FifoScheduler.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "QueueScheduler.h"
+
+namespace rattanloft::admission {
+
+// Baseline for comparison: order of arrival, and no use of deadlines but that
+// an expired job is not started.
+class FifoScheduler final : public QueueScheduler
+{
+protected:
+  int64_t KeyOf(const QueuedJob&) const override { return 0; }
+  bool Admits(const Entry& aEntry,
+              const QueuedJob& aJob,
+              TimePoint aNow,
+              Duration& aRetryAfter) const override;
+  bool IsLate(const Entry& aEntry,
+              const QueuedJob& aJob,
+              TimePoint aNow) const override;
+  Entry* Pick(TimePoint aNow) override;
+  Duration RetryAfter(const Entry& aEntry, TimePoint aNow) const override;
+};
+
+} // namespace rattanloft::admission
--- /dev/null
+++ b/modules/admission/src/ServiceTimes.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::admission {
+
+// Learned service times of one catalogue entry, in milliseconds. Zero until the
+// first sample, so that nothing is refused before something is known.
+class ServiceTimes
+{
+public:
+  void Add(Duration aSample);
+
+  bool IsKnown() const { return m_count > 0; }
+  double Mean() const { return m_mean; }
+  // The 95 % quantile of the latest samples.
+  double Upper() const { return m_upper; }
+
+private:
+  // 64 samples give a usable 95 % quantile and forget an old one quickly.
+  static constexpr size_t kWindow = 64;
+  static constexpr uint64_t kUpdateEvery = 8;
+
+  void UpdateUpper();
+
+  std::array<uint32_t, kWindow> m_samples{};
+  uint64_t m_count = 0;
+  double m_mean = 0;
+  double m_upper = 0;
+};
+
+} // namespace rattanloft::admission
--- a/modules/idempotency/include/rattanloft/idempotency/RecordTable.h
+++ b/modules/idempotency/include/rattanloft/idempotency/RecordTable.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -74,16 +76,22 @@
 // At-most-once records of requests by idempotency key. Pure; owned by the
 // traffic thread. Holds records that this node owns and copies for others
 // alike. No record is dropped before its retention has passed, except by Abort.
+// The retention counts from Begin, so it must exceed the longest deadline. The
+// caller bounds the length of keys.
 class RecordTable
 {
 public:
   explicit RecordTable(RecordTableOptions aOptions);
+  ~RecordTable();
+  RecordTable(const RecordTable&) = delete;
+  RecordTable& operator=(const RecordTable&) = delete;
 
   BeginResult Begin(std::string_view aService,
                     ShardNumber aShard,
                     std::string_view aKey,
                     uint64_t aFingerprint,
                     TimePoint aNow);
+  // The body is dropped if it is too large to keep.
   void Complete(std::string_view aService,
                 std::string_view aKey,
                 StoredAnswer aAnswer,
@@ -102,15 +110,43 @@
   // On taking over a shard: started records of its former owner become unknown.
   void TakeOver(std::string_view aService, ShardNumber aShard);
 
+  // Takes time in proportion to the number of records that it drops.
   void Expire(TimePoint aNow);
   size_t Size() const;
   size_t AnswerBytes() const;
 
 private:
   struct Stored;
+  using Records = std::unordered_map<std::string, Stored>;
+
+  Stored* Lookup(std::string_view aService, std::string_view aKey);
+  Stored* Insert(std::string_view aService,
+                 ShardNumber aShard,
+                 std::string_view aKey,
+                 TimePoint aExpiresAt);
+  void Erase(Stored* aStored);
+  void Schedule(Stored* aStored, TimePoint aExpiresAt);
+  void Unschedule(Stored* aStored);
+  void LinkShard(Stored* aStored);
+  void UnlinkShard(Stored* aStored);
+  void SetState(Stored* aStored, RecordState aState);
+  bool AnswerFits(const Stored* aStored, size_t aBytes) const;
+  void StoreAnswer(Stored* aStored, StoredAnswer aAnswer);
+  uint64_t ShardKey(std::string_view aService, ShardNumber aShard) const;
+  uint32_t ServiceNumber(std::string_view aService);
+
   RecordTableOptions m_options;
-  std::unordered_map<std::string, Stored> m_records;
+  Records m_records;
+  // Names of the services seen. Bounded by the catalogue.
+  std::vector<std::string> m_services;
+  // First record of each shard's list, by service number and shard.
+  std::unordered_map<uint64_t, Stored*> m_shards;
+  // Records by the second in which their retention ends, so that expiry does
+  // not look at others.
+  std::map<int64_t, std::vector<Stored*>> m_expiry;
   size_t m_answerBytes = 0;
+  // Records in state started. Each has room for one answer reserved.
+  size_t m_started = 0;
 };
 
 } // namespace rattanloft::idempotency
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -19,6 +19,14 @@
 // cannot know whether its catalogue is still current.
 constexpr Duration kStaleAfter = Seconds(6);
 
+// A shard of the own backend server and the epoch of its grant.
+struct OwnShard
+{
+  std::string m_service;
+  ShardNumber m_shard = 0;
+  uint64_t m_epoch = 0;
+};
+
 // What the traffic thread needs from the control thread. Immutable.
 struct View
 {
@@ -31,6 +39,9 @@
   // When the last confirmed Sync was sent.
   TimePoint m_confirmedAt;
   bool m_draining = false;
+  // Shards reported as released whose routes do not show it yet, sorted by
+  // service and shard.
+  std::shared_ptr<const std::vector<OwnShard>> m_released;
 
   bool IsStale(TimePoint aNow) const
   {
@@ -77,29 +88,44 @@
                TimePoint aSentAt,
                TimePoint aNow);
 
-  // Shards of the own backend server for which a release is asked.
-  struct OwnShard
-  {
-    std::string m_service;
-    ShardNumber m_shard = 0;
-    uint64_t m_epoch = 0;
-  };
+  using OwnShard = routing::OwnShard;
+  // Shards of the own backend server for which a release is asked and not yet
+  // reported.
   std::vector<OwnShard> ShardsToRelease() const;
-  // Shards that the own backend server owns, for the grant to it.
+  // Shards that the own backend server owns and has not released, for the grant
+  // to it.
   std::vector<OwnShard> OwnedShards() const;
   bool OwnsAnyShard() const;
 
   std::shared_ptr<const View> CurrentView() const { return m_view; }
 
 private:
+  bool ApplyCatalogue(const wire::CatalogueUpdate& aUpdate, View& aView);
+  bool ApplyRoutes(const wire::RouteUpdate& aUpdate, View& aView);
+  void ApplyLease(const wire::SyncReply& aReply,
+                  TimePoint aSentAt,
+                  TimePoint aNow,
+                  View& aView);
+  bool IsOwnNumber(uint32_t aNumber, const View& aView) const;
+  void EndLease(View& aView, TimePoint aNow, std::string_view aReason);
+  void DropSettledReleases(View& aView);
+  void Publish(View aView);
+
   NodeAgentOptions m_options;
   uint64_t m_sequence = 0;
   std::optional<wire::Backend> m_backend;
+  // The latest 64. An announcement of one of these comes from a process that
+  // was replaced.
   std::vector<uint64_t> m_replacedIncarnations;
+  // Numbers up to this one belong to replaced incarnations.
+  uint32_t m_replacedNumber = 0;
+  // When the newest request whose reply set or ended the number was sent. Older
+  // replies cannot set it again.
+  TimePoint m_numberSentAt;
+  bool m_numberEnded = false;
   bool m_healthy = true;
-  bool m_draining = false;
+  bool m_wantFullRoutes = false;
   wire::NodeLoad m_load;
-  std::vector<OwnShard> m_released;
   std::shared_ptr<const View> m_view;
 };
 
--- a/modules/routing/include/rattanloft/routing/RouteTable.h
+++ b/modules/routing/include/rattanloft/routing/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -10,10 +11,18 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "rattanloft/base/Hash.h"
 #include "rattanloft/base/Shard.h"
 
 namespace rattanloft::routing {
 
+// Lets maps with string keys be searched by string_view.
+struct StringHash
+{
+  using is_transparent = void;
+  size_t operator()(std::string_view aText) const { return Hash64(aText); }
+};
+
 struct ShardRoute
 {
   // Backend number, 0 for none.
@@ -28,8 +37,9 @@
 {
 public:
   static std::shared_ptr<const RouteTable> MakeEmpty();
-  // A new table with the update applied. A delta must start at this revision;
-  // otherwise null, and the node asks for a full update.
+  // A new table with the update applied. Null if the update is older than this
+  // table or malformed; then the node asks for a full update. A delta must have
+  // been made for this revision or an older one.
   std::shared_ptr<const RouteTable> With(
     const wire::RouteUpdate& aUpdate) const;
 
@@ -47,10 +57,20 @@
 
 private:
   struct Service;
+  class Editor;
+
+  const Service* FindService(std::string_view aService) const;
+
   uint64_t m_revision = 0;
   // Copy on write: an update copies only the services that it touches.
-  std::unordered_map<std::string, std::shared_ptr<const Service>> m_services;
-  std::unordered_map<uint32_t, wire::Backend> m_backends;
+  std::unordered_map<std::string,
+                     std::shared_ptr<const Service>,
+                     StringHash,
+                     std::equal_to<>>
+    m_services;
+  using Backends = std::unordered_map<uint32_t, wire::Backend>;
+  // Copied only by updates that contain backends. Null while there are none.
+  std::shared_ptr<const Backends> m_backends;
 };
 
 } // namespace rattanloft::routing
--- /dev/null
+++ b/modules/routing/src/NodeAgent.cpp
@@ -0,0 +1,418 @@
+#include "rattanloft/routing/NodeAgent.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::routing {
+
+namespace {
+
+constexpr size_t kMaxReplacedIncarnations = 64;
+
+// Clocks of nodes and control instances may drift apart by 1 %; the result is
+// rounded towards the earlier end.
+Duration
+LessDrift(Duration aLease)
+{
+  return aLease - Milliseconds((aLease.m_ms + 99) / 100);
+}
+
+std::tuple<std::string_view, ShardNumber>
+Place(const OwnShard& aShard)
+{
+  return { aShard.m_service, aShard.m_shard };
+}
+
+const OwnShard*
+FindReleased(const View& aView, std::string_view aService, ShardNumber aShard)
+{
+  if (!aView.m_released) {
+    return nullptr;
+  }
+  const auto place = std::tuple(aService, aShard);
+  const auto at =
+    std::lower_bound(aView.m_released->begin(),
+                     aView.m_released->end(),
+                     place,
+                     [](const OwnShard& aLeft, const auto& aRight) {
+                       return Place(aLeft) < aRight;
+                     });
+  return at != aView.m_released->end() && Place(*at) == place ? &*at : nullptr;
+}
+
+bool
+IsReleased(const View& aView,
+           std::string_view aService,
+           ShardNumber aShard,
+           uint64_t aEpoch)
+{
+  const OwnShard* released = FindReleased(aView, aService, aShard);
+  return released != nullptr && released->m_epoch >= aEpoch;
+}
+
+// A backend server belongs to one service, so only that one's shards count.
+template<typename Visit>
+void
+ForEachOwned(const View& aView,
+             const std::optional<wire::Backend>& aBackend,
+             Visit aVisit)
+{
+  if (aView.m_backend == 0 || !aBackend) {
+    return;
+  }
+  const std::string& service = aBackend->service();
+  const auto shards = aView.m_routes->Shards(service);
+  for (ShardNumber i = 0; i < shards.size(); ++i) {
+    if (shards[i].m_owner == aView.m_backend &&
+        !IsReleased(aView, service, i, shards[i].m_epoch)) {
+      aVisit(OwnShard{ service, i, shards[i].m_epoch },
+             shards[i].m_moveTarget != 0);
+    }
+  }
+}
+
+} // namespace
+
+bool
+View::MayServe(std::string_view aService,
+               ShardNumber aShard,
+               TimePoint aNow) const
+{
+  if (m_backend == 0 || aNow >= m_leaseEnd) {
+    return false;
+  }
+  const ShardRoute* route = m_routes->Find(aService, aShard);
+  return route != nullptr && route->m_owner == m_backend &&
+         route->m_moveTarget == 0 &&
+         !IsReleased(*this, aService, aShard, route->m_epoch);
+}
+
+NodeAgent::NodeAgent(NodeAgentOptions aOptions)
+  : m_options(std::move(aOptions))
+{
+  View view;
+  view.m_routes = RouteTable::MakeEmpty();
+  view.m_catalogue = Catalogue::Make(0, {});
+  // No reply yet: stale from the start.
+  view.m_confirmedAt = TimePoint{} - kStaleAfter;
+  Publish(std::move(view));
+}
+
+bool
+NodeAgent::SetBackend(const wire::Backend& aBackend)
+{
+  const uint64_t incarnation = aBackend.incarnation();
+  const auto& replaced = m_replacedIncarnations;
+  if (std::find(replaced.begin(), replaced.end(), incarnation) !=
+      replaced.end()) {
+    LogWarning("lease", "refused replaced incarnation {:x}", incarnation);
+    return false;
+  }
+  if (m_backend && m_backend->incarnation() != incarnation) {
+    if (m_replacedIncarnations.size() >= kMaxReplacedIncarnations) {
+      m_replacedIncarnations.erase(m_replacedIncarnations.begin());
+    }
+    m_replacedIncarnations.push_back(m_backend->incarnation());
+    View view = *m_view;
+    m_replacedNumber = std::max(m_replacedNumber, view.m_backend);
+    // Grants belong to the old incarnation.
+    view.m_backend = 0;
+    view.m_leaseEnd = TimePoint{};
+    view.m_released = nullptr;
+    Publish(std::move(view));
+    LogInfo("lease", "ended: new incarnation {:x}", incarnation);
+  }
+  m_backend = aBackend;
+  m_backend->set_number(0);
+  m_backend->set_node_id(m_options.m_nodeId);
+  m_backend->set_zone(m_options.m_zone);
+  m_backend->set_peer_address(m_options.m_peerAddress);
+  return true;
+}
+
+void
+NodeAgent::SetBackendHealthy(bool aHealthy)
+{
+  m_healthy = aHealthy;
+}
+
+void
+NodeAgent::SetDraining(bool aDraining)
+{
+  View view = *m_view;
+  view.m_draining = aDraining;
+  Publish(std::move(view));
+}
+
+void
+NodeAgent::SetLoad(wire::NodeLoad aLoad)
+{
+  m_load = std::move(aLoad);
+}
+
+void
+NodeAgent::MarkReleased(std::string_view aService,
+                        ShardNumber aShard,
+                        uint64_t aEpoch)
+{
+  const ShardRoute* route = m_view->m_routes->Find(aService, aShard);
+  if (m_view->m_backend == 0 || route == nullptr ||
+      route->m_owner != m_view->m_backend || route->m_epoch != aEpoch ||
+      IsReleased(*m_view, aService, aShard, aEpoch)) {
+    return;
+  }
+  auto released =
+    m_view->m_released
+      ? std::make_shared<std::vector<OwnShard>>(*m_view->m_released)
+      : std::make_shared<std::vector<OwnShard>>();
+  OwnShard shard{ std::string(aService), aShard, aEpoch };
+  const auto byPlace = [](const OwnShard& aLeft, const OwnShard& aRight) {
+    return Place(aLeft) < Place(aRight);
+  };
+  const auto at =
+    std::lower_bound(released->begin(), released->end(), shard, byPlace);
+  if (at != released->end() && Place(*at) == Place(shard)) {
+    *at = std::move(shard);
+  } else {
+    released->insert(at, std::move(shard));
+  }
+  View view = *m_view;
+  view.m_released = std::move(released);
+  Publish(std::move(view));
+}
+
+wire::SyncRequest
+NodeAgent::MakeRequest()
+{
+  wire::SyncRequest request;
+  request.set_node_id(m_options.m_nodeId);
+  request.set_sequence(++m_sequence);
+  request.set_session(m_options.m_session);
+  if (m_backend) {
+    *request.mutable_backend() = *m_backend;
+  }
+  request.set_backend_healthy(m_healthy);
+  request.set_draining(m_view->m_draining);
+  request.set_catalogue_revision(m_view->m_catalogue->Revision());
+  request.set_route_revision(m_wantFullRoutes ? 0
+                                              : m_view->m_routes->Revision());
+  if (m_view->m_released) {
+    for (const OwnShard& shard : *m_view->m_released) {
+      wire::ShardRef* ref = request.add_released();
+      ref->set_service(shard.m_service);
+      ref->set_shard(shard.m_shard);
+    }
+  }
+  *request.mutable_load() = m_load;
+  return request;
+}
+
+bool
+NodeAgent::OnReply(const wire::SyncReply& aReply,
+                   TimePoint aSentAt,
+                   TimePoint aNow)
+{
+  View view = *m_view;
+  if (aReply.status() == wire::SYNC_STATUS_INCARNATION_GONE) {
+    if (view.m_backend != 0) {
+      EndLease(view, aNow, "incarnation gone");
+    }
+    view.m_backend = 0;
+    view.m_released = nullptr;
+    m_numberSentAt = std::max(m_numberSentAt, aSentAt);
+    m_numberEnded = true;
+    Publish(std::move(view));
+    return true;
+  }
+  if (aReply.status() != wire::SYNC_STATUS_OK) {
+    return false;
+  }
+  if (aReply.has_catalogue()) {
+    ApplyCatalogue(aReply.catalogue(), view);
+  }
+  if (aReply.has_routes()) {
+    ApplyRoutes(aReply.routes(), view);
+  }
+  ApplyLease(aReply, aSentAt, aNow, view);
+  // A reply confirms the catalogue only if this node has what the reply says is
+  // current.
+  if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
+    view.m_confirmedAt = std::max(view.m_confirmedAt, aSentAt);
+  }
+  DropSettledReleases(view);
+  Publish(std::move(view));
+  return true;
+}
+
+bool
+NodeAgent::ApplyCatalogue(const wire::CatalogueUpdate& aUpdate, View& aView)
+{
+  // Replies can be reordered; an older catalogue must not come back.
+  if (aUpdate.revision() <= aView.m_catalogue->Revision()) {
+    return false;
+  }
+  std::map<std::string, wire::CatalogueEntry> entries;
+  if (!aUpdate.full()) {
+    for (const wire::CatalogueEntry& entry : aView.m_catalogue->Entries()) {
+      entries.insert_or_assign(entry.name(), entry);
+    }
+  }
+  for (const std::string& name : aUpdate.removed()) {
+    entries.erase(name);
+  }
+  for (const wire::CatalogueEntry& entry : aUpdate.entries()) {
+    entries.insert_or_assign(entry.name(), entry);
+  }
+  std::vector<wire::CatalogueEntry> list;
+  list.reserve(entries.size());
+  for (auto& [name, entry] : entries) {
+    list.push_back(std::move(entry));
+  }
+  LogInfo("route",
+          "catalogue revision {} with {} entries",
+          aUpdate.revision(),
+          list.size());
+  aView.m_catalogue = Catalogue::Make(aUpdate.revision(), std::move(list));
+  return true;
+}
+
+bool
+NodeAgent::ApplyRoutes(const wire::RouteUpdate& aUpdate, View& aView)
+{
+  if (aUpdate.revision() <= aView.m_routes->Revision() &&
+      !(m_wantFullRoutes && aUpdate.full() &&
+        aUpdate.revision() == aView.m_routes->Revision())) {
+    return false;
+  }
+  auto routes = aView.m_routes->With(aUpdate);
+  if (!routes) {
+    LogWarning("route",
+               "update to revision {} refused, asking for a full one",
+               aUpdate.revision());
+    m_wantFullRoutes = true;
+    return false;
+  }
+  LogDebug("route", "revision {}", aUpdate.revision());
+  m_wantFullRoutes = m_wantFullRoutes && !aUpdate.full();
+  aView.m_routes = std::move(routes);
+  return true;
+}
+
+void
+NodeAgent::ApplyLease(const wire::SyncReply& aReply,
+                      TimePoint aSentAt,
+                      TimePoint aNow,
+                      View& aView)
+{
+  const uint32_t number = aReply.backend_number();
+  const bool late =
+    m_numberEnded ? aSentAt <= m_numberSentAt : aSentAt < m_numberSentAt;
+  if (number != aView.m_backend) {
+    // Which of the two is current cannot be known from a late reply, so the
+    // lease ends in either case.
+    EndLease(aView, aNow, "reply names another backend");
+    if (late) {
+      return;
+    }
+    aView.m_backend = 0;
+    aView.m_released = nullptr;
+  }
+  if (late || !IsOwnNumber(number, aView)) {
+    return;
+  }
+  if (number != aView.m_backend) {
+    LogInfo("lease", "registered as backend {}", number);
+    aView.m_backend = number;
+    aView.m_leaseEnd = TimePoint{};
+  }
+  m_numberSentAt = aSentAt;
+  m_numberEnded = false;
+  if (aReply.lease_ms() > 0) {
+    aView.m_leaseEnd = std::max(
+      aView.m_leaseEnd, aSentAt + LessDrift(Milliseconds(aReply.lease_ms())));
+  }
+}
+
+bool
+NodeAgent::IsOwnNumber(uint32_t aNumber, const View& aView) const
+{
+  // Numbers grow and are never reused, so that a late reply about a replaced
+  // incarnation is told apart.
+  if (!m_backend || aNumber == 0 || aNumber <= m_replacedNumber) {
+    return false;
+  }
+  const wire::Backend* known = aView.m_routes->FindBackend(aNumber);
+  return known == nullptr ||
+         (known->incarnation() == m_backend->incarnation() &&
+          known->node_id() == m_options.m_nodeId);
+}
+
+void
+NodeAgent::EndLease(View& aView, TimePoint aNow, std::string_view aReason)
+{
+  if (aView.m_backend != 0 && aView.m_leaseEnd > aNow) {
+    LogInfo("lease", "of backend {} ended: {}", aView.m_backend, aReason);
+  }
+  aView.m_leaseEnd = std::min(aView.m_leaseEnd, aNow);
+}
+
+void
+NodeAgent::DropSettledReleases(View& aView)
+{
+  if (!aView.m_released) {
+    return;
+  }
+  auto kept = std::make_shared<std::vector<OwnShard>>();
+  for (const OwnShard& shard : *aView.m_released) {
+    const ShardRoute* route =
+      aView.m_routes->Find(shard.m_service, shard.m_shard);
+    if (route != nullptr && route->m_owner == aView.m_backend &&
+        route->m_epoch == shard.m_epoch) {
+      kept->push_back(shard);
+    }
+  }
+  if (kept->size() == aView.m_released->size()) {
+    return;
+  }
+  aView.m_released = kept->empty() ? nullptr : std::move(kept);
+}
+
+void
+NodeAgent::Publish(View aView)
+{
+  m_view = std::make_shared<const View>(std::move(aView));
+}
+
+std::vector<OwnShard>
+NodeAgent::ShardsToRelease() const
+{
+  std::vector<OwnShard> shards;
+  ForEachOwned(*m_view, m_backend, [&](OwnShard aShard, bool aReleaseAsked) {
+    if (aReleaseAsked) {
+      shards.push_back(std::move(aShard));
+    }
+  });
+  return shards;
+}
+
+std::vector<OwnShard>
+NodeAgent::OwnedShards() const
+{
+  std::vector<OwnShard> shards;
+  ForEachOwned(*m_view, m_backend, [&](OwnShard aShard, bool) {
+    shards.push_back(std::move(aShard));
+  });
+  return shards;
+}
+
+bool
+NodeAgent::OwnsAnyShard() const
+{
+  return !OwnedShards().empty();
+}
+
+} // namespace rattanloft::routing
--- /dev/null
+++ b/modules/routing/src/RouteTable.cpp
@@ -0,0 +1,224 @@
+#include "rattanloft/routing/RouteTable.h"
+
+#include <algorithm>
+
+namespace rattanloft::routing {
+
+struct RouteTable::Service
+{
+  std::vector<ShardRoute> m_shards;
+  std::unordered_map<std::string, ShardNumber, StringHash, std::equal_to<>>
+    m_hotKeys;
+  // Sorted.
+  std::vector<uint32_t> m_backends;
+};
+
+namespace {
+
+constexpr ShardNumber kMaxShards = kHashedShards + kMaxHotKeys;
+
+bool
+IsWellFormed(const wire::ServiceRoutes& aRoutes)
+{
+  const int count = aRoutes.owners_size();
+  if (aRoutes.epochs_size() != count ||
+      (aRoutes.shards_size() != count && aRoutes.shards_size() != 0) ||
+      (aRoutes.move_targets_size() != count &&
+       aRoutes.move_targets_size() != 0)) {
+    return false;
+  }
+  if (aRoutes.shards_size() == 0) {
+    return static_cast<ShardNumber>(count) <= kMaxShards;
+  }
+  return std::all_of(aRoutes.shards().begin(),
+                     aRoutes.shards().end(),
+                     [](uint32_t aShard) { return aShard < kMaxShards; });
+}
+
+bool
+IsWellFormed(const wire::RouteUpdate& aUpdate)
+{
+  const auto isHotShard = [](const wire::HotKey& aKey) {
+    return aKey.shard() >= kHashedShards && aKey.shard() < kMaxShards;
+  };
+  return std::all_of(aUpdate.services().begin(),
+                     aUpdate.services().end(),
+                     [](const wire::ServiceRoutes& aRoutes) {
+                       return IsWellFormed(aRoutes);
+                     }) &&
+         std::all_of(
+           aUpdate.hot_keys().begin(), aUpdate.hot_keys().end(), isHotShard);
+}
+
+void
+ApplyRoutes(std::vector<ShardRoute>& aShards,
+            const wire::ServiceRoutes& aRoutes)
+{
+  for (int i = 0; i < aRoutes.owners_size(); ++i) {
+    const ShardNumber shard = aRoutes.shards_size() == 0
+                                ? static_cast<ShardNumber>(i)
+                                : aRoutes.shards(i);
+    if (shard >= aShards.size()) {
+      aShards.resize(std::max<size_t>(shard + 1, kHashedShards));
+    }
+    const uint32_t target =
+      aRoutes.move_targets_size() == 0 ? 0 : aRoutes.move_targets(i);
+    aShards[shard] = { aRoutes.owners(i), target, aRoutes.epochs(i) };
+  }
+}
+
+} // namespace
+
+// Copies each service at most once per update.
+class RouteTable::Editor
+{
+public:
+  explicit Editor(RouteTable* aTable)
+    : m_table(aTable)
+  {
+  }
+
+  Service& Edit(const std::string& aService)
+  {
+    auto& copy = m_copies[aService];
+    if (!copy) {
+      const auto found = m_table->m_services.find(aService);
+      copy = found == m_table->m_services.end()
+               ? std::make_shared<Service>()
+               : std::make_shared<Service>(*found->second);
+      m_table->m_services.insert_or_assign(aService, copy);
+    }
+    return *copy;
+  }
+
+  void SetBackend(const wire::Backend& aBackend)
+  {
+    Backends& backends = EditBackends();
+    if (aBackend.state() == wire::BACKEND_STATE_GONE) {
+      backends.erase(aBackend.number());
+    } else {
+      backends.insert_or_assign(aBackend.number(), aBackend);
+    }
+    auto& numbers = Edit(aBackend.service()).m_backends;
+    const auto at =
+      std::lower_bound(numbers.begin(), numbers.end(), aBackend.number());
+    const bool present = at != numbers.end() && *at == aBackend.number();
+    if (aBackend.state() == wire::BACKEND_STATE_GONE) {
+      if (present) {
+        numbers.erase(at);
+      }
+    } else if (!present) {
+      numbers.insert(at, aBackend.number());
+    }
+  }
+
+private:
+  Backends& EditBackends()
+  {
+    if (!m_backends) {
+      m_backends = m_table->m_backends
+                     ? std::make_shared<Backends>(*m_table->m_backends)
+                     : std::make_shared<Backends>();
+      m_table->m_backends = m_backends;
+    }
+    return *m_backends;
+  }
+
+  RouteTable* m_table;
+  std::shared_ptr<Backends> m_backends;
+  std::unordered_map<std::string, std::shared_ptr<Service>> m_copies;
+};
+
+std::shared_ptr<const RouteTable>
+RouteTable::MakeEmpty()
+{
+  return std::make_shared<RouteTable>();
+}
+
+std::shared_ptr<const RouteTable>
+RouteTable::With(const wire::RouteUpdate& aUpdate) const
+{
+  // Elements of an update are absolute. Applying one that is older than the
+  // table would bring back routes that were replaced since.
+  if (aUpdate.revision() < m_revision || !IsWellFormed(aUpdate)) {
+    return nullptr;
+  }
+  auto table = aUpdate.full() ? std::make_shared<RouteTable>()
+                              : std::make_shared<RouteTable>(*this);
+  table->m_revision = aUpdate.revision();
+  Editor editor(table.get());
+  for (const wire::Backend& backend : aUpdate.backends()) {
+    editor.SetBackend(backend);
+  }
+  for (const wire::HotKey& key : aUpdate.removed_hot_keys()) {
+    editor.Edit(key.service()).m_hotKeys.erase(key.key());
+  }
+  for (const wire::HotKey& key : aUpdate.hot_keys()) {
+    editor.Edit(key.service())
+      .m_hotKeys.insert_or_assign(key.key(), key.shard());
+  }
+  for (const wire::ServiceRoutes& routes : aUpdate.services()) {
+    ApplyRoutes(editor.Edit(routes.service()).m_shards, routes);
+  }
+  return table;
+}
+
+uint64_t
+RouteTable::Revision() const
+{
+  return m_revision;
+}
+
+const RouteTable::Service*
+RouteTable::FindService(std::string_view aService) const
+{
+  const auto found = m_services.find(aService);
+  return found == m_services.end() ? nullptr : found->second.get();
+}
+
+ShardNumber
+RouteTable::ShardOf(std::string_view aService, std::string_view aKey) const
+{
+  if (const Service* service = FindService(aService)) {
+    const auto found = service->m_hotKeys.find(aKey);
+    if (found != service->m_hotKeys.end()) {
+      return found->second;
+    }
+  }
+  return HashedShard(aKey);
+}
+
+const ShardRoute*
+RouteTable::Find(std::string_view aService, ShardNumber aShard) const
+{
+  const auto shards = Shards(aService);
+  return aShard < shards.size() ? &shards[aShard] : nullptr;
+}
+
+std::span<const ShardRoute>
+RouteTable::Shards(std::string_view aService) const
+{
+  const Service* service = FindService(aService);
+  return service == nullptr ? std::span<const ShardRoute>()
+                            : std::span<const ShardRoute>(service->m_shards);
+}
+
+const wire::Backend*
+RouteTable::FindBackend(uint32_t aNumber) const
+{
+  if (!m_backends) {
+    return nullptr;
+  }
+  const auto found = m_backends->find(aNumber);
+  return found == m_backends->end() ? nullptr : &found->second;
+}
+
+std::span<const uint32_t>
+RouteTable::BackendsOf(std::string_view aService) const
+{
+  const Service* service = FindService(aService);
+  return service == nullptr ? std::span<const uint32_t>()
+                            : std::span<const uint32_t>(service->m_backends);
+}
+
+} // namespace rattanloft::routing
