Add the table of sub-commands and the flag parser

Cause: the binary had no sub-commands, and other modules need a place for theirs. Change: Main.cpp holds a table of sub-commands, each one function in its own file. Flags are gflags definitions; a sub-command accepts those of its own source file and the shared ones listed for it.

--- /dev/null
+++ b/tools/rattanloft/Commands.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <span>
+
+// One function a sub-command, each in NAMECommand.cpp. aArgs holds the
+// positional arguments: Main.cpp has parsed the flags by then. A sub-command
+// accepts the flags that are defined in its own source file and the shared
+// flags of Flags.h that the table in Main.cpp lists for it. The result is the
+// exit status: 0 for success, 1 for a failure, 2 for bad usage.
+namespace rattanloft::tool {
+
+int
+NodeCommand(std::span<char*> aArgs);
+int
+ControlCommand(std::span<char*> aArgs);
+int
+BackendCommand(std::span<char*> aArgs);
+int
+LoadCommand(std::span<char*> aArgs);
+int
+CatalogueCommand(std::span<char*> aArgs);
+int
+StatusCommand(std::span<char*> aArgs);
+int
+DrainCommand(std::span<char*> aArgs);
+
+} // namespace rattanloft::tool
--- /dev/null
+++ b/tools/rattanloft/Flags.cpp
@@ -0,0 +1,14 @@
+#include "Flags.h"
+
+#include <gflags/gflags.h>
+
+DEFINE_string(log_level,
+              "info",
+              "lowest level logged: debug|info|warning|error");
+DEFINE_string(zone, "", "availability zone of this instance");
+DEFINE_string(control,
+              "127.0.0.1:7101",
+              "HTTP addresses of control instances, host:port,..., tried in "
+              "turn");
+DEFINE_string(operator_name, "", "name of the operator, for the history");
+DEFINE_int32(timeout_ms, 10000, "time after which the command gives up");
