--- /dev/null
+++ b/modules/routing/include/rattanloft/routing/Balancer.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "rattanloft/base/Time.h"
+#include "rattanloft/routing/RouteTable.h"
+
+namespace rattanloft::routing {
+
+enum class AttemptResult
+{
+  kAnswered,
+  // Refused without having run: load shed, queue full, not the owner.
+  kRefused,
+  // No connection, broken connection, timeout, or the backend server is down.
+  kFailed,
+  // Ended by the caller; says nothing about the backend.
+  kCancelled,
+};
+
+// Chooses backends for services without keys and learns from the attempts of
+// this entry node which of them fail. Pure; owned by the traffic thread. Holds
+// one record for each backend of the routes, at most 4,096.
+class Balancer
+{
+public:
+  explicit Balancer(std::string aZone);
+
+  // The better of two backends drawn by aRandom (64 uniform bits), or 0 if
+  // there is none. aExcluded lists backends that this request has tried.
+  uint32_t ChooseBackend(const RouteTable& aRoutes,
+                         std::string_view aService,
+                         std::span<const uint32_t> aExcluded,
+                         uint64_t aRandom,
+                         TimePoint aNow);
+
+  // Each started attempt is finished exactly once.
+  void OnStart(uint32_t aBackend, TimePoint aNow);
+  void OnFinish(uint32_t aBackend, AttemptResult aResult, TimePoint aNow);
+
+  // Learns new backends, which then ramp up, and forgets those that the routes
+  // no longer contain. To be called when the routes change. Backends of the
+  // first call count as warm, since nothing tells them apart.
+  void Update(const RouteTable& aRoutes, TimePoint aNow);
+
+  uint32_t InFlight(uint32_t aBackend) const;
+  bool IsEjected(uint32_t aBackend, TimePoint aNow) const;
+  size_t Size() const { return m_records.size(); }
+
+private:
+  struct Record
+  {
+    explicit Record(TimePoint aRampFrom)
+      : m_rampFrom(aRampFrom)
+    {
+    }
+
+    uint32_t m_inFlight = 0;
+    uint32_t m_failuresInRow = 0;
+    // Ejections since the last success. Each doubles the next one.
+    uint32_t m_ejections = 0;
+    TimePoint m_ejectedUntil;
+    // After an ejection, one attempt at a time until one succeeds.
+    bool m_probing = false;
+    // Start of the ramp of a new or recovered backend.
+    TimePoint m_rampFrom;
+    // Failed and refused attempts, decaying. Counted as load, since a backend
+    // that fails fast has few attempts in flight.
+    double m_penalty = 0;
+    TimePoint m_penaltyAt;
+  };
+  enum class Filter
+  {
+    kUsable,
+    kAny,
+  };
+
+  const Record* FindRecord(uint32_t aBackend) const;
+  bool IsCandidate(const RouteTable& aRoutes,
+                   uint32_t aBackend,
+                   std::span<const uint32_t> aExcluded,
+                   Filter aFilter,
+                   TimePoint aNow) const;
+  uint32_t Scan(const RouteTable& aRoutes,
+                std::span<const uint32_t> aBackends,
+                std::span<const uint32_t> aExcluded,
+                Filter aFilter,
+                uint64_t aRandom,
+                TimePoint aNow) const;
+  bool IsBetter(const RouteTable& aRoutes,
+                uint32_t aLeft,
+                uint32_t aRight,
+                TimePoint aNow) const;
+  double LoadOf(const wire::Backend& aBackend, TimePoint aNow) const;
+  static void OnAlive(uint32_t aBackend, Record& aRecord, TimePoint aNow);
+  static void OnFailure(uint32_t aBackend, Record& aRecord, TimePoint aNow);
+  static void AddPenalty(Record& aRecord, TimePoint aNow);
+  static double PenaltyOf(const Record& aRecord, TimePoint aNow);
+
+  std::string m_zone;
+  std::unordered_map<uint32_t, Record> m_records;
+};
+
+} // namespace rattanloft::routing
--- a/modules/routing/include/rattanloft/routing/RouteTable.h
+++ b/modules/routing/include/rattanloft/routing/RouteTable.h
@@ -51,6 +51,9 @@
   // All shards of the service, indexed by number; hot shards may have gaps with
   // owner 0.
   std::span<const ShardRoute> Shards(std::string_view aService) const;
+  using BackendMap = std::unordered_map<uint32_t, wire::Backend>;
+  // By number, without those that are gone.
+  const BackendMap& Backends() const;
   const wire::Backend* FindBackend(uint32_t aNumber) const;
   // Backends of a service that are not gone.
   std::span<const uint32_t> BackendsOf(std::string_view aService) const;
@@ -68,9 +71,8 @@
                      StringHash,
                      std::equal_to<>>
     m_services;
-  using Backends = std::unordered_map<uint32_t, wire::Backend>;
   // Copied only by updates that contain backends. Null while there are none.
-  std::shared_ptr<const Backends> m_backends;
+  std::shared_ptr<const BackendMap> m_backends;
 };
 
 } // namespace rattanloft::routing
--- a/modules/routing/src/RouteTable.cpp
+++ b/modules/routing/src/RouteTable.cpp
@@ -93,7 +93,7 @@
 
   void SetBackend(const wire::Backend& aBackend)
   {
-    Backends& backends = EditBackends();
+    BackendMap& backends = EditBackends();
     if (aBackend.state() == wire::BACKEND_STATE_GONE) {
       backends.erase(aBackend.number());
     } else {
@@ -113,19 +113,19 @@
   }
 
 private:
-  Backends& EditBackends()
+  BackendMap& EditBackends()
   {
     if (!m_backends) {
       m_backends = m_table->m_backends
-                     ? std::make_shared<Backends>(*m_table->m_backends)
-                     : std::make_shared<Backends>();
+                     ? std::make_shared<BackendMap>(*m_table->m_backends)
+                     : std::make_shared<BackendMap>();
       m_table->m_backends = m_backends;
     }
     return *m_backends;
   }
 
   RouteTable* m_table;
-  std::shared_ptr<Backends> m_backends;
+  std::shared_ptr<BackendMap> m_backends;
   std::unordered_map<std::string, std::shared_ptr<Service>> m_copies;
 };
 
@@ -203,14 +203,19 @@
                             : std::span<const ShardRoute>(service->m_shards);
 }
 
+const RouteTable::BackendMap&
+RouteTable::Backends() const
+{
+  static const BackendMap sNone;
+  return m_backends ? *m_backends : sNone;
+}
+
 const wire::Backend*
 RouteTable::FindBackend(uint32_t aNumber) const
 {
-  if (!m_backends) {
-    return nullptr;
-  }
-  const auto found = m_backends->find(aNumber);
-  return found == m_backends->end() ? nullptr : &found->second;
+  const BackendMap& backends = Backends();
+  const auto found = backends.find(aNumber);
+  return found == backends.end() ? nullptr : &found->second;
 }
 
 std::span<const uint32_t>
