--- /dev/null
+++ b/modules/node/src/Announcement.cpp
@@ -0,0 +1,106 @@
+#include "Announcement.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace rattanloft::node {
+
+namespace {
+
+constexpr uint32_t kMaxSlots = 10'000;
+constexpr size_t kIncarnationDigits = 16;
+
+using Json = nlohmann::json;
+
+tl::expected<uint64_t, std::string>
+ParseIncarnation(const Json& aJson)
+{
+  const auto found = aJson.find("incarnation");
+  if (found == aJson.end() || !found->is_string()) {
+    return tl::unexpected<std::string>("incarnation must be a string");
+  }
+  const auto text = found->get<std::string>();
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value, 16);
+  if (text.size() != kIncarnationDigits || result.ptr != end ||
+      result.ec != std::errc() || value == 0) {
+    return tl::unexpected<std::string>(
+      "incarnation must have 16 hexadecimal digits and not be 0");
+  }
+  return value;
+}
+
+tl::expected<std::string, std::string>
+ParseText(const Json& aJson, const char* aField)
+{
+  const auto found = aJson.find(aField);
+  if (found == aJson.end() || !found->is_string() ||
+      found->get<std::string>().empty()) {
+    return tl::unexpected(fmt::format("{} must be a non-empty string", aField));
+  }
+  return found->get<std::string>();
+}
+
+tl::expected<uint32_t, std::string>
+ParseCount(const Json& aJson, const char* aField, uint32_t aDefault)
+{
+  const auto found = aJson.find(aField);
+  if (found == aJson.end()) {
+    return aDefault;
+  }
+  if (!found->is_number_unsigned() || found->get<uint64_t>() == 0 ||
+      found->get<uint64_t>() > kMaxSlots) {
+    return tl::unexpected(
+      fmt::format("{} must be a number from 1 to {}", aField, kMaxSlots));
+  }
+  return found->get<uint32_t>();
+}
+
+} // namespace
+
+tl::expected<Announcement, std::string>
+ParseAnnouncement(std::string_view aJson)
+{
+  const Json json = Json::parse(aJson, nullptr, false);
+  if (!json.is_object()) {
+    return tl::unexpected<std::string>("the body must be a JSON object");
+  }
+  const auto incarnation = ParseIncarnation(json);
+  if (!incarnation) {
+    return tl::unexpected(incarnation.error());
+  }
+  const auto service = ParseText(json, "service");
+  if (!service) {
+    return tl::unexpected(service.error());
+  }
+  const auto address = ParseText(json, "address");
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  const auto slots = ParseCount(json, "slots", 1);
+  if (!slots) {
+    return tl::unexpected(slots.error());
+  }
+  const auto connections = ParseCount(json, "connections", 100);
+  if (!connections) {
+    return tl::unexpected(connections.error());
+  }
+  Announcement result;
+  result.m_backend.set_incarnation(*incarnation);
+  result.m_backend.set_service(*service);
+  result.m_backend.set_slots(*slots);
+  const auto flag = [&](const char* aField) {
+    const auto found = json.find(aField);
+    return found != json.end() && found->is_boolean() && found->get<bool>();
+  };
+  result.m_backend.set_verifies_tokens(flag("verifies_tokens"));
+  result.m_address = *address;
+  result.m_connections = *connections;
+  result.m_draining = flag("draining");
+  return result;
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/BackendMonitor.cpp
@@ -0,0 +1,203 @@
+#include "BackendMonitor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+constexpr Duration kProbeInterval = Milliseconds(500);
+constexpr Duration kProbeTimeout = Milliseconds(700);
+// Without an answer for this long the backend server loses its keys.
+constexpr Duration kSilenceLimit = Milliseconds(1500);
+constexpr Duration kGrantTimeout = Milliseconds(500);
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusConflict = 409;
+
+http::Request
+MakeRequest(const char* aMethod, const char* aTarget, std::string aBody)
+{
+  http::Request request;
+  request.version(11);
+  request.method_string(aMethod);
+  request.target(aTarget);
+  if (!aBody.empty()) {
+    request.set("Content-Type", "application/json");
+  }
+  request.body() = std::move(aBody);
+  request.prepare_payload();
+  return request;
+}
+
+bool
+SameShards(const std::vector<routing::NodeAgent::OwnShard>& aLeft,
+           const std::vector<routing::NodeAgent::OwnShard>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const auto& aOne, const auto& aOther) {
+                      return aOne.m_shard == aOther.m_shard &&
+                             aOne.m_epoch == aOther.m_epoch;
+                    });
+}
+
+std::string
+WholeList(uint64_t aRevision, const GrantList& aGrants)
+{
+  fmt::memory_buffer out;
+  fmt::format_to(std::back_inserter(out),
+                 R"({{"revision":{},"expires_ms":{},"grants":[)",
+                 aRevision,
+                 aGrants.m_expires.m_ms);
+  const char* separator = "";
+  for (const auto& shard : aGrants.m_shards) {
+    fmt::format_to(std::back_inserter(out),
+                   "{}[{},{}]",
+                   separator,
+                   shard.m_shard,
+                   shard.m_epoch);
+    separator = ",";
+  }
+  fmt::format_to(std::back_inserter(out), "]}}");
+  return fmt::to_string(out);
+}
+
+} // namespace
+
+BackendMonitor::BackendMonitor(boost::asio::io_context& aContext,
+                               const Clock& aClock,
+                               HealthCallback aCallback)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_callback(std::move(aCallback))
+  , m_client(http::Client::Make(aContext, {}))
+{
+}
+
+void
+BackendMonitor::Start()
+{
+  boost::asio::co_spawn(m_context, ProbeLoop(), boost::asio::detached);
+}
+
+void
+BackendMonitor::SetAnnouncement(const Announcement& aAnnouncement)
+{
+  const bool isNew =
+    !m_announcement || m_announcement->m_backend.incarnation() !=
+                         aAnnouncement.m_backend.incarnation();
+  m_announcement = aAnnouncement;
+  if (isNew) {
+    m_lastAnswer = m_clock.Now();
+    m_granted.clear();
+    m_grantsConfirmed = false;
+    SetHealthy(true);
+  }
+}
+
+boost::asio::awaitable<bool>
+BackendMonitor::PutGrants(GrantList aGrants)
+{
+  if (!m_announcement || !m_announcement->m_backend.verifies_tokens()) {
+    co_return true;
+  }
+  const uint64_t incarnation = m_announcement->m_backend.incarnation();
+  if (m_grantsConfirmed && SameShards(m_granted, aGrants.m_shards)) {
+    const unsigned status =
+      co_await Put(fmt::format(R"({{"revision":{},"expires_ms":{}}})",
+                               m_grantRevision,
+                               aGrants.m_expires.m_ms));
+    if (status != kStatusConflict) {
+      co_return status == kStatusOk;
+    }
+  }
+  // The clock makes revisions grow over restarts of this node as well.
+  m_grantRevision = std::max<uint64_t>(
+    m_grantRevision + 1, static_cast<uint64_t>(m_clock.Now().m_ms));
+  m_grantsConfirmed = false;
+  m_granted = aGrants.m_shards;
+  const unsigned status = co_await Put(WholeList(m_grantRevision, aGrants));
+  m_grantsConfirmed = status == kStatusOk && m_announcement &&
+                      m_announcement->m_backend.incarnation() == incarnation;
+  if (!m_grantsConfirmed) {
+    LogWarning("lease",
+               "The backend server has not confirmed its grants. status={}",
+               status);
+  }
+  co_return m_grantsConfirmed;
+}
+
+boost::asio::awaitable<void>
+BackendMonitor::SendDrain()
+{
+  if (!m_announcement) {
+    co_return;
+  }
+  co_await m_client->Exchange(m_announcement->m_address,
+                              MakeRequest("POST", "/rattanloft/drain", ""),
+                              kGrantTimeout);
+}
+
+boost::asio::awaitable<void>
+BackendMonitor::ProbeLoop()
+{
+  for (;;) {
+    co_await Sleep(m_context, kProbeInterval);
+    if (!m_announcement) {
+      continue;
+    }
+    if (co_await Probe()) {
+      m_lastAnswer = m_clock.Now();
+      SetHealthy(true);
+    } else if (m_clock.Now() - m_lastAnswer >= kSilenceLimit) {
+      SetHealthy(false);
+    }
+  }
+}
+
+// Over a new connection: an old one may have gone silent while the backend
+// server is well.
+boost::asio::awaitable<bool>
+BackendMonitor::Probe()
+{
+  const std::string address = m_announcement->m_address;
+  m_client->DropIdle(address);
+  const auto reply = co_await m_client->Exchange(
+    address, MakeRequest("GET", "/rattanloft/health", ""), kProbeTimeout);
+  co_return reply && reply->result_int() == kStatusOk;
+}
+
+boost::asio::awaitable<unsigned>
+BackendMonitor::Put(std::string aBody)
+{
+  const auto reply = co_await m_client->Exchange(
+    m_announcement->m_address,
+    MakeRequest("PUT", "/rattanloft/grants", std::move(aBody)),
+    kGrantTimeout);
+  co_return reply ? reply->result_int() : 0;
+}
+
+void
+BackendMonitor::SetHealthy(bool aHealthy)
+{
+  if (m_healthy == aHealthy) {
+    return;
+  }
+  m_healthy = aHealthy;
+  LogInfo("lease",
+          "The backend server is {}. address={}",
+          aHealthy ? "healthy" : "unhealthy",
+          m_announcement->m_address);
+  m_callback(aHealthy);
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/ControlClient.cpp
@@ -0,0 +1,116 @@
+#include "ControlClient.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+
+#include "control.grpc.pb.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+// A Sync is held at most 400 ms; the rest covers the barrier and the way.
+constexpr Duration kCallTimeout = Milliseconds(900);
+constexpr int kKeepaliveMs = 2000;
+constexpr int kKeepaliveTimeoutMs = 1000;
+constexpr int kMinReconnectMs = 100;
+constexpr int kMaxReconnectMs = 500;
+
+std::shared_ptr<grpc::Channel>
+MakeChannel(const std::string& aAddress)
+{
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+  // Without its own pool a new channel would take up the silent connection of
+  // the former one.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return grpc::CreateCustomChannel(
+    aAddress, grpc::InsecureChannelCredentials(), arguments);
+}
+
+class GrpcControlClient final : public ControlClient
+{
+public:
+  GrpcControlClient(boost::asio::io_context& aContext,
+                    const Clock& aClock,
+                    std::vector<std::string> aAddresses)
+    : m_context(aContext)
+    , m_clock(aClock)
+    , m_addresses(std::move(aAddresses))
+  {
+    Connect();
+  }
+
+  void Sync(wire::SyncRequest aRequest, Callback aCallback) override
+  {
+    auto call = std::make_shared<Call>();
+    call->m_request = std::move(aRequest);
+    call->m_callback = std::move(aCallback);
+    call->m_stub = m_stub;
+    call->m_result.m_sentAt = m_clock.Now();
+    call->m_context.set_deadline(std::chrono::system_clock::now() +
+                                 std::chrono::milliseconds(kCallTimeout.m_ms));
+    boost::asio::io_context& context = m_context;
+    m_stub->async()->Sync(&call->m_context,
+                          &call->m_request,
+                          &call->m_result.m_reply,
+                          [call, &context](const grpc::Status& aStatus) {
+                            call->m_result.m_ok = aStatus.ok();
+                            call->m_result.m_error = aStatus.error_message();
+                            boost::asio::post(context, [call] {
+                              call->m_callback(std::move(call->m_result));
+                            });
+                          });
+  }
+
+  void Rotate() override
+  {
+    m_next = (m_next + 1) % m_addresses.size();
+    Connect();
+  }
+
+  const std::string& Address() const override { return m_addresses[m_next]; }
+
+private:
+  struct Call
+  {
+    grpc::ClientContext m_context;
+    wire::SyncRequest m_request;
+    Result m_result;
+    Callback m_callback;
+    std::shared_ptr<wire::ControlSync::Stub> m_stub;
+  };
+
+  void Connect()
+  {
+    m_stub = wire::ControlSync::NewStub(MakeChannel(m_addresses[m_next]));
+  }
+
+  boost::asio::io_context& m_context;
+  const Clock& m_clock;
+  std::vector<std::string> m_addresses;
+  size_t m_next = 0;
+  std::shared_ptr<wire::ControlSync::Stub> m_stub;
+};
+
+} // namespace
+
+std::unique_ptr<ControlClient>
+ControlClient::Make(boost::asio::io_context& aContext,
+                    const Clock& aClock,
+                    std::vector<std::string> aAddresses)
+{
+  return std::make_unique<GrpcControlClient>(
+    aContext, aClock, std::move(aAddresses));
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/EntryHandler.cpp
@@ -0,0 +1,329 @@
+#include "EntryHandler.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "Headers.h"
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+// Nothing ran after a 421, so these attempts cost no backend time.
+constexpr int kMaxMisdirected = 4;
+// A planned move takes tens of milliseconds.
+constexpr Duration kMoveWait = Seconds(1);
+// An unreachable owner is lost or restarting. Longer waits would fill the entry
+// nodes with requests while the lease of a lost owner ends.
+constexpr Duration kUnreachableWait = Milliseconds(500);
+// More requests than this are refused in place of waiting for a route.
+constexpr size_t kMaxWaiting = 1000;
+// The owner's node answers at the deadline; this covers the way back.
+constexpr Duration kForwardMargin = Milliseconds(50);
+constexpr Duration kRetryAfterRoute = Seconds(1);
+constexpr int64_t kHourMs = 3'600'000;
+constexpr int kHoursADay = 24;
+
+Refusal
+NotRun(unsigned aStatus, std::string aReason)
+{
+  return { aStatus, Outcome::kNotRun, std::move(aReason), kRetryAfterRoute };
+}
+
+// Callers must not be able to speak for a node.
+void
+RemoveInternalHeaders(http::Request& aRequest)
+{
+  for (auto field = aRequest.begin(); field != aRequest.end();) {
+    const auto name = field->name_string();
+    const bool internal =
+      name.size() >= header::kPrefix.size() &&
+      boost::beast::iequals(name.substr(0, header::kPrefix.size()),
+                            { header::kPrefix.data(), header::kPrefix.size() });
+    field = internal ? aRequest.erase(field) : std::next(field);
+  }
+}
+
+void
+RemoveHopHeaders(http::Request& aRequest)
+{
+  for (const char* name : { "Connection",
+                            "Keep-Alive",
+                            "Proxy-Connection",
+                            "Transfer-Encoding",
+                            "TE",
+                            "Trailer",
+                            "Upgrade",
+                            "Expect" }) {
+    aRequest.erase(name);
+  }
+}
+
+} // namespace
+
+// One request of a caller with what was tried so far.
+struct EntryHandler::Attempt
+{
+  http::Request m_request;
+  std::string m_requestId;
+  TimePoint m_deadline;
+  ClassifiedRequest m_classified;
+  int m_misdirected = 0;
+  // Backends that have refused or could not be reached.
+  std::vector<uint32_t> m_excluded;
+};
+
+EntryHandler::EntryHandler(TrafficContext& aContext, OwnerHandler& aOwner)
+  : m_context(aContext)
+  , m_owner(aOwner)
+  , m_picker(aContext)
+{
+}
+
+boost::asio::awaitable<http::Response>
+EntryHandler::Handle(http::Request aRequest,
+                     std::shared_ptr<http::CancelToken> aCancel)
+{
+  ++m_context.m_counters.m_received;
+  RemoveInternalHeaders(aRequest);
+  RemoveHopHeaders(aRequest);
+  const TimePoint now = m_context.m_clock.Now();
+  if (m_context.m_view->IsStale(now)) {
+    ++m_context.m_counters.m_refusedStale;
+    http::Response response = MakeResponse(NotRun(503, "stale"));
+    Count(response);
+    co_return response;
+  }
+  const auto classified = Classify(aRequest, m_context.m_view);
+  const auto admitted = classified
+                          ? Admit(*classified)
+                          : tl::expected<void, Refusal>(
+                              tl::unexpected<Refusal>(classified.error()));
+  if (!admitted) {
+    http::Response response = MakeResponse(admitted.error());
+    Count(response);
+    co_return response;
+  }
+  const int hour =
+    static_cast<int>(m_context.m_clock.UnixMs() / kHourMs % kHoursADay);
+  const TimePoint deadline =
+    now + routing::DeadlineAt(classified->m_entry->limits(), hour);
+  http::Response response =
+    co_await Route(std::move(aRequest), deadline, std::move(aCancel));
+  Count(response);
+  co_return response;
+}
+
+tl::expected<void, Refusal>
+EntryHandler::Admit(const ClassifiedRequest& aRequest)
+{
+  const wire::CatalogueEntry& entry = *aRequest.m_entry;
+  if (!m_rates.TryTake(entry.name(),
+                       entry.limits().requests_per_second(),
+                       m_context.m_clock.Now())) {
+    return tl::unexpected(NotRun(429, "rate_limit"));
+  }
+  m_budgets[aRequest.m_service].OnFirstAttempt(m_context.m_clock.Now());
+  return {};
+}
+
+boost::asio::awaitable<http::Response>
+EntryHandler::Route(http::Request aRequest,
+                    TimePoint aDeadline,
+                    std::shared_ptr<http::CancelToken> aCancel)
+{
+  Attempt attempt;
+  attempt.m_request = std::move(aRequest);
+  attempt.m_requestId =
+    fmt::format("{}-{}", m_context.m_nodeId, ++m_lastRequest);
+  attempt.m_deadline = aDeadline;
+  for (;;) {
+    // Catalogue and routes may have changed since the last attempt.
+    auto classified = Classify(attempt.m_request, m_context.m_view);
+    if (!classified) {
+      co_return MakeResponse(classified.error());
+    }
+    attempt.m_classified = std::move(*classified);
+    const uint64_t revision = attempt.m_classified.m_view->m_routes->Revision();
+    const auto target = m_picker.Pick(attempt.m_classified, attempt.m_excluded);
+    if (!target) {
+      if (attempt.m_classified.m_shard &&
+          co_await WaitForRoutes(revision, aDeadline, kUnreachableWait)) {
+        continue;
+      }
+      co_return MakeResponse(NotRun(503, "no_owner"));
+    }
+    LogInfo("route",
+            "Chose a backend server. request={} entry={} key={} backend={} "
+            "node={} epoch={}",
+            attempt.m_requestId,
+            attempt.m_classified.m_entry->name(),
+            attempt.m_classified.m_key,
+            target->m_backend,
+            target->m_nodeId,
+            target->m_epoch);
+    http::Response response = co_await SendTo(*target, attempt, aCancel);
+    if (aCancel->IsCancelled() ||
+        !co_await MayTryAgain(attempt, *target, response)) {
+      if (response.result_int() == kStatusMisdirected) {
+        co_return MakeResponse(NotRun(503, "owner_moving"));
+      }
+      co_return response;
+    }
+  }
+}
+
+boost::asio::awaitable<http::Response>
+EntryHandler::SendTo(const Target& aTarget,
+                     const Attempt& aAttempt,
+                     std::shared_ptr<http::CancelToken> aCancel)
+{
+  TargetPicker::Load load(m_picker, aTarget);
+  http::Response response;
+  if (aTarget.m_own) {
+    // GCC 12 copies a braced temporary in a co_await expression bit by bit, so
+    // the arguments are named objects.
+    OwnerCall call{ aAttempt.m_requestId,
+                    aAttempt.m_deadline,
+                    aTarget.m_epoch };
+    response = co_await m_owner.Handle(
+      aAttempt.m_request, std::move(call), std::move(aCancel));
+  } else {
+    ++m_context.m_counters.m_forwarded;
+    response = co_await Forward(aTarget, aAttempt, std::move(aCancel));
+  }
+  load.SetResult(response);
+  co_return response;
+}
+
+boost::asio::awaitable<http::Response>
+EntryHandler::Forward(const Target& aTarget,
+                      const Attempt& aAttempt,
+                      std::shared_ptr<http::CancelToken> aCancel)
+{
+  const Duration left = aAttempt.m_deadline - m_context.m_clock.Now();
+  if (left <= Milliseconds(0)) {
+    co_return MakeResponse(NotRun(503, "deadline_unreachable"));
+  }
+  http::Request request = aAttempt.m_request;
+  request.set(header::kRequestId, aAttempt.m_requestId);
+  request.set(header::kDeadlineMs, std::to_string(left.m_ms));
+  request.set(header::kEpoch, std::to_string(aTarget.m_epoch));
+  request.keep_alive(true);
+  request.prepare_payload();
+  // A node finishes at-most-once work although its caller has gone, so that a
+  // repeat finds the answer.
+  const bool cancellable = !aAttempt.m_classified.IsAtMostOnce();
+  auto reply =
+    co_await m_context.m_peers->Exchange(aTarget.m_peerAddress,
+                                         std::move(request),
+                                         left + kForwardMargin,
+                                         cancellable ? aCancel : nullptr);
+  if (!reply) {
+    const http::HttpError& error = reply.error();
+    LogInfo("route",
+            "The node has not answered. request={} node={} error={}",
+            aAttempt.m_requestId,
+            aTarget.m_nodeId,
+            error.m_message);
+    if (!error.m_maybeSent) {
+      co_return MakeResponse(NotRun(503, "node_unreachable"));
+    }
+    const bool late = error.m_code == http::HttpErrorCode::kTimeout;
+    co_return MakeResponse({ late ? 504U : 502U,
+                             Outcome::kUnknown,
+                             late ? "deadline_passed" : "connection_failed",
+                             kRetryAfterRoute });
+  }
+  if (!OutcomeOf(*reply)) {
+    co_return MakeResponse(
+      { 502, Outcome::kUnknown, "outcome_not_stated", kRetryAfterRoute });
+  }
+  co_return std::move(*reply);
+}
+
+// True once the routes are newer than the revision.
+boost::asio::awaitable<bool>
+EntryHandler::WaitForRoutes(uint64_t aRevision,
+                            TimePoint aDeadline,
+                            Duration aLimit)
+{
+  const TimePoint end = std::min(aDeadline, m_context.m_clock.Now() + aLimit);
+  while (m_context.m_view->m_routes->Revision() <= aRevision) {
+    const Duration left = end - m_context.m_clock.Now();
+    if (left <= Milliseconds(0) ||
+        m_context.m_viewChanged.Waiting() >= kMaxWaiting) {
+      co_return false;
+    }
+    co_await m_context.m_viewChanged.Wait(left);
+  }
+  co_return true;
+}
+
+boost::asio::awaitable<bool>
+EntryHandler::MayTryAgain(Attempt& aAttempt,
+                          const Target& aTarget,
+                          const http::Response& aResponse)
+{
+  const Outcome outcome = OutcomeOf(aResponse).value_or(Outcome::kUnknown);
+  if (outcome == Outcome::kAnswered) {
+    co_return false;
+  }
+  const ClassifiedRequest& request = aAttempt.m_classified;
+  const uint64_t revision = request.m_view->m_routes->Revision();
+  if (aResponse.result_int() == kStatusMisdirected) {
+    if (++aAttempt.m_misdirected > kMaxMisdirected) {
+      co_return false;
+    }
+    if (!request.m_shard) {
+      aAttempt.m_excluded.push_back(aTarget.m_backend);
+      co_return true;
+    }
+    co_return co_await WaitForRoutes(revision, aAttempt.m_deadline, kMoveWait);
+  }
+  if (outcome == Outcome::kUnknown) {
+    co_return request.m_entry->idempotent() &&
+      m_context.m_clock.Now() < aAttempt.m_deadline&& TakeRetry(aAttempt);
+  }
+  if (aResponse[header::kReason] == "node_unreachable" && request.m_shard) {
+    co_return co_await WaitForRoutes(
+      revision, aAttempt.m_deadline, kUnreachableWait);
+  }
+  const bool elsewhere = !request.m_shard && aResponse.result_int() >= 429;
+  if (!elsewhere || !TakeRetry(aAttempt)) {
+    co_return false;
+  }
+  aAttempt.m_excluded.push_back(aTarget.m_backend);
+  co_return true;
+}
+
+bool
+EntryHandler::TakeRetry(const Attempt& aAttempt)
+{
+  const bool allowed = m_budgets[aAttempt.m_classified.m_service].TryRetry(
+    m_context.m_clock.Now());
+  if (allowed) {
+    ++m_context.m_counters.m_retries;
+  }
+  return allowed;
+}
+
+void
+EntryHandler::Count(const http::Response& aResponse)
+{
+  switch (OutcomeOf(aResponse).value_or(Outcome::kUnknown)) {
+    case Outcome::kAnswered:
+      ++m_context.m_counters.m_answered;
+      break;
+    case Outcome::kNotRun:
+      ++m_context.m_counters.m_notRun;
+      break;
+    case Outcome::kUnknown:
+      ++m_context.m_counters.m_unknown;
+      break;
+  }
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/NodeControl.cpp
@@ -0,0 +1,367 @@
+#include "NodeControl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "rattanloft/base/Log.h"
+#include "rattanloft/base/Random.h"
+
+namespace rattanloft::node {
+
+using OwnShard = routing::NodeAgent::OwnShard;
+
+namespace {
+
+constexpr Duration kSyncRetryDelay = Milliseconds(50);
+constexpr Duration kMaxSyncRetryDelay = Milliseconds(400);
+// One held call and one with news; a third would only add load.
+constexpr uint32_t kMaxSyncsInFlight = 2;
+
+http::Response
+TextResponse(unsigned aStatus, const char* aType, std::string aBody)
+{
+  http::Response response;
+  response.version(11);
+  response.result(aStatus);
+  response.set("Content-Type", aType);
+  response.body() = std::move(aBody);
+  response.prepare_payload();
+  return response;
+}
+
+http::Response
+ErrorResponse(unsigned aStatus, const std::string& aMessage)
+{
+  return TextResponse(aStatus,
+                      "application/json",
+                      nlohmann::json{ { "error", aMessage } }.dump());
+}
+
+bool
+SameShards(const std::vector<OwnShard>& aLeft,
+           const std::vector<OwnShard>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const OwnShard& aOne, const OwnShard& aOther) {
+                      return aOne.m_shard == aOther.m_shard &&
+                             aOne.m_epoch == aOther.m_epoch;
+                    });
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<NodeControl>, NodeError>
+NodeControl::Make(boost::asio::io_context& aContext,
+                  const Clock& aClock,
+                  const NodeOptions& aOptions,
+                  std::string aPeerAddress,
+                  Hooks aHooks)
+{
+  std::unique_ptr<NodeControl> control(new NodeControl(
+    aContext, aClock, aOptions, std::move(aPeerAddress), std::move(aHooks)));
+  http::ServerOptions options;
+  options.m_port = aOptions.m_agentPort;
+  options.m_maxConnections = 50;
+  auto server = http::Server::Make(
+    aContext,
+    options,
+    [self = control.get()](http::Request aRequest,
+                           std::shared_ptr<http::CancelToken>) {
+      return self->HandleAgentRequest(std::move(aRequest));
+    });
+  if (!server) {
+    return tl::unexpected(NodeError{
+      NodeErrorCode::kListen, "agent_port: " + server.error().m_message });
+  }
+  control->m_agentServer = std::move(*server);
+  return control;
+}
+
+NodeControl::NodeControl(boost::asio::io_context& aContext,
+                         const Clock& aClock,
+                         const NodeOptions& aOptions,
+                         std::string aPeerAddress,
+                         Hooks aHooks)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_options(aOptions)
+  , m_peerAddress(std::move(aPeerAddress))
+  , m_hooks(std::move(aHooks))
+  , m_agent({ aOptions.m_nodeId, RandomId(), aOptions.m_zone, m_peerAddress })
+  , m_control(ControlClient::Make(aContext, aClock, aOptions.m_control))
+  , m_backend(aContext, aClock, [this](bool aHealthy) {
+    m_agent.SetBackendHealthy(aHealthy);
+    SyncNow();
+  })
+{
+}
+
+void
+NodeControl::Start()
+{
+  m_backend.Start();
+  SendSync();
+}
+
+void
+NodeControl::ReleaseShard(const OwnShard& aShard)
+{
+  m_agent.MarkReleased(aShard.m_service, aShard.m_shard, aShard.m_epoch);
+  SyncNow();
+}
+
+void
+NodeControl::SetLoad(wire::NodeLoad aLoad)
+{
+  m_agent.SetLoad(std::move(aLoad));
+}
+
+void
+NodeControl::Drain()
+{
+  LogInfo("node", "Draining before the stop.");
+  m_agent.SetDraining(true);
+  SyncNow();
+  PublishView();
+}
+
+boost::asio::awaitable<http::Response>
+NodeControl::HandleAgentRequest(http::Request aRequest)
+{
+  const std::string_view target(aRequest.target().data(),
+                                aRequest.target().size());
+  if (target == "/announce") {
+    if (aRequest.method_string() != "POST") {
+      co_return ErrorResponse(405, "announce takes POST");
+    }
+    co_return HandleAnnounce(aRequest);
+  }
+  if (target == "/status") {
+    co_return HandleStatus();
+  }
+  if (target == "/metrics") {
+    co_return HandleMetrics();
+  }
+  if (target == "/healthz") {
+    co_return TextResponse(200, "text/plain", "ok\n");
+  }
+  co_return ErrorResponse(404, "unknown target");
+}
+
+http::Response
+NodeControl::HandleAnnounce(const http::Request& aRequest)
+{
+  auto announcement = ParseAnnouncement(aRequest.body());
+  if (!announcement) {
+    return ErrorResponse(400, announcement.error());
+  }
+  wire::Backend& backend = announcement->m_backend;
+  backend.set_node_id(m_options.m_nodeId);
+  backend.set_zone(m_options.m_zone);
+  backend.set_peer_address(m_peerAddress);
+  if (!m_agent.SetBackend(backend)) {
+    return ErrorResponse(409, "a newer incarnation has replaced this one");
+  }
+  const bool isNew = backend.incarnation() != m_knownIncarnation;
+  m_knownIncarnation = backend.incarnation();
+  m_backend.SetAnnouncement(*announcement);
+  m_hooks.m_onBackend(*announcement, isNew);
+  if (announcement->m_draining) {
+    m_agent.SetDraining(true);
+  }
+  if (isNew) {
+    LogInfo("node",
+            "The backend server has announced itself. service={} address={} "
+            "incarnation={:016x}",
+            backend.service(),
+            announcement->m_address,
+            backend.incarnation());
+    SyncNow();
+  }
+  return TextResponse(200, "application/json", "{}");
+}
+
+http::Response
+NodeControl::HandleStatus() const
+{
+  const auto view = m_agent.CurrentView();
+  const TimePoint now = m_clock.Now();
+  const nlohmann::json status = {
+    { "node", m_options.m_nodeId },
+    { "zone", m_options.m_zone },
+    { "backend", view->m_backend },
+    { "control", ControlState() },
+    { "control_address", m_control->Address() },
+    { "lease_left_ms", std::max<int64_t>(0, (view->m_leaseEnd - now).m_ms) },
+    { "stale", view->IsStale(now) },
+    { "draining", view->m_draining },
+    { "catalogue_revision", view->m_catalogue->Revision() },
+    { "route_revision", view->m_routes->Revision() },
+    { "owned_shards", m_agent.OwnedShards().size() },
+    { "syncs", m_syncs },
+    { "sync_bytes", m_syncBytes },
+  };
+  return TextResponse(200, "application/json", status.dump());
+}
+
+http::Response
+NodeControl::HandleMetrics() const
+{
+  const auto view = m_agent.CurrentView();
+  const TimePoint now = m_clock.Now();
+  std::string text = m_hooks.m_metrics();
+  const auto add = [&](const char* aName, const char* aType, auto aValue) {
+    text += fmt::format("# TYPE {0} {1}\n{0} {2}\n", aName, aType, aValue);
+  };
+  add("rattanloft_node_lease_left_ms",
+      "gauge",
+      std::max<int64_t>(0, (view->m_leaseEnd - now).m_ms));
+  add("rattanloft_node_stale", "gauge", view->IsStale(now) ? 1 : 0);
+  add("rattanloft_node_owned_shards", "gauge", m_agent.OwnedShards().size());
+  add("rattanloft_node_syncs_total", "counter", m_syncs);
+  add("rattanloft_node_sync_bytes_total", "counter", m_syncBytes);
+  add("rattanloft_node_catalogue_revision",
+      "gauge",
+      view->m_catalogue->Revision());
+  add("rattanloft_node_route_revision", "gauge", view->m_routes->Revision());
+  return TextResponse(200, "text/plain; version=0.0.4", std::move(text));
+}
+
+void
+NodeControl::SendSync()
+{
+  wire::SyncRequest request = m_agent.MakeRequest();
+  const uint64_t sequence = request.sequence();
+  m_latestSequence = sequence;
+  ++m_syncsInFlight;
+  m_syncBytes += request.ByteSizeLong();
+  m_control->Sync(std::move(request),
+                  [this, sequence](ControlClient::Result aResult) {
+                    OnSyncResult(sequence, std::move(aResult));
+                  });
+}
+
+void
+NodeControl::SyncNow()
+{
+  if (m_syncsInFlight < kMaxSyncsInFlight) {
+    SendSync();
+  } else {
+    ScheduleSync(Milliseconds(5));
+  }
+}
+
+void
+NodeControl::OnSyncResult(uint64_t aSequence, ControlClient::Result aResult)
+{
+  --m_syncsInFlight;
+  ++m_syncs;
+  m_syncBytes += aResult.m_reply.ByteSizeLong();
+  if (!aResult.m_ok ||
+      aResult.m_reply.status() == wire::SYNC_STATUS_NO_LEADER) {
+    OnSyncError(aResult);
+    return;
+  }
+  m_noLeaderSeen = false;
+  m_failures = 0;
+  if (aResult.m_reply.status() != wire::SYNC_STATUS_REPLACED &&
+      m_agent.OnReply(aResult.m_reply, aResult.m_sentAt, m_clock.Now())) {
+    PublishView();
+  }
+  if (aSequence == m_latestSequence || m_syncsInFlight == 0) {
+    SendSync();
+  }
+}
+
+void
+NodeControl::OnSyncError(const ControlClient::Result& aResult)
+{
+  m_noLeaderSeen = aResult.m_ok;
+  ++m_failures;
+  if (m_failures == 1) {
+    LogWarning("sync",
+               "A Sync has failed. address={} error={}",
+               m_control->Address(),
+               aResult.m_ok ? "no leader known" : aResult.m_error);
+  }
+  m_control->Rotate();
+  ScheduleSync(std::min(kMaxSyncRetryDelay, kSyncRetryDelay * m_failures));
+}
+
+void
+NodeControl::ScheduleSync(Duration aDelay)
+{
+  if (m_syncScheduled) {
+    return;
+  }
+  m_syncScheduled = true;
+  boost::asio::co_spawn(
+    m_context,
+    [this, aDelay]() -> boost::asio::awaitable<void> {
+      co_await Sleep(m_context, aDelay);
+      m_syncScheduled = false;
+      SyncNow();
+    },
+    boost::asio::detached);
+}
+
+void
+NodeControl::PublishView()
+{
+  if (m_publishing) {
+    m_publishAgain = true;
+    return;
+  }
+  m_publishing = true;
+  boost::asio::co_spawn(m_context, PublishLoop(), boost::asio::detached);
+}
+
+// New grants reach the backend server before the traffic thread uses them, so
+// that no request is refused for an unknown token. Renewals are published at
+// once.
+boost::asio::awaitable<void>
+NodeControl::PublishLoop()
+{
+  do {
+    m_publishAgain = false;
+    const auto view = m_agent.CurrentView();
+    GrantList grants{ m_agent.OwnedShards(), view->m_leaseEnd };
+    std::vector<OwnShard> releases = m_agent.ShardsToRelease();
+    const bool changed = !SameShards(grants.m_shards, m_published);
+    if (!changed) {
+      m_hooks.m_onView(view, releases);
+    } else {
+      LogInfo("place",
+              "This node's shards have changed. owned={} to_release={} "
+              "route_revision={}",
+              grants.m_shards.size(),
+              releases.size(),
+              view->m_routes->Revision());
+      m_published = grants.m_shards;
+    }
+    co_await m_backend.PutGrants(std::move(grants));
+    if (changed) {
+      m_hooks.m_onView(view, std::move(releases));
+    }
+  } while (m_publishAgain);
+  m_publishing = false;
+}
+
+const char*
+NodeControl::ControlState() const
+{
+  if (m_failures == 0) {
+    return "ok";
+  }
+  return m_noLeaderSeen ? "no control quorum" : "cut off";
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/RecordService.cpp
@@ -0,0 +1,321 @@
+#include "RecordService.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Outcome.h"
+#include "RecordCodec.h"
+#include "rattanloft/base/Hash.h"
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+constexpr Duration kCopyTimeout = Milliseconds(300);
+constexpr Duration kFetchTimeout = Milliseconds(1000);
+constexpr Duration kFetchRetryDelay = Milliseconds(100);
+// Two attempts at a copy before the request is refused as not run.
+constexpr size_t kMaxCopyAttempts = 2;
+constexpr size_t kRecordsPerPut = 200;
+
+http::Request
+PostRequest(std::string_view aTarget, std::string aBody)
+{
+  http::Request request;
+  request.version(11);
+  request.method_string("POST");
+  request.target({ aTarget.data(), aTarget.size() });
+  request.set("Content-Type", "application/x-protobuf");
+  request.body() = std::move(aBody);
+  request.prepare_payload();
+  return request;
+}
+
+http::Response
+PlainResponse(unsigned aStatus, std::string aBody)
+{
+  http::Response response;
+  response.version(11);
+  response.result(aStatus);
+  response.body() = std::move(aBody);
+  response.prepare_payload();
+  return response;
+}
+
+bool
+HasAtMostOnceEntry(const routing::Catalogue& aCatalogue,
+                   std::string_view aService)
+{
+  return std::any_of(aCatalogue.Entries().begin(),
+                     aCatalogue.Entries().end(),
+                     [&](const wire::CatalogueEntry& aEntry) {
+                       return aEntry.service() == aService &&
+                              !aEntry.idempotent();
+                     });
+}
+
+} // namespace
+
+RecordService::RecordService(TrafficContext& aContext)
+  : m_context(aContext)
+{
+}
+
+void
+RecordService::OnViewChanged()
+{
+  const routing::View& view = *m_context.m_view;
+  const wire::Backend* own = view.m_routes->FindBackend(view.m_backend);
+  if (own == nullptr ||
+      !HasAtMostOnceEntry(*view.m_catalogue, own->service())) {
+    return;
+  }
+  if (view.m_routes->Revision() == m_seenRevision &&
+      view.m_backend == m_seenBackend) {
+    return;
+  }
+  m_seenRevision = view.m_routes->Revision();
+  m_seenBackend = view.m_backend;
+  ShardEpochs shards = NewlyOwned(own->service());
+  if (shards.empty()) {
+    return;
+  }
+  for (const auto& [shard, epoch] : shards) {
+    m_started[{ own->service(), shard }] = epoch;
+  }
+  boost::asio::co_spawn(m_context.m_context,
+                        TakeOver(own->service(), std::move(shards)),
+                        boost::asio::detached);
+}
+
+bool
+RecordService::IsReady(std::string_view aService,
+                       ShardNumber aShard,
+                       uint64_t aEpoch) const
+{
+  const auto found = m_ready.find({ std::string(aService), aShard });
+  return found != m_ready.end() && found->second == aEpoch;
+}
+
+bool
+RecordService::IsFenced(std::string_view aService,
+                        ShardNumber aShard,
+                        uint64_t aEpoch) const
+{
+  const auto found = m_fences.find({ std::string(aService), aShard });
+  return found != m_fences.end() && aEpoch < found->second;
+}
+
+boost::asio::awaitable<bool>
+RecordService::Copy(wire::RecordPut aPut)
+{
+  const std::string service = aPut.records(0).service();
+  const std::string key = aPut.records(0).key();
+  const std::string body = aPut.SerializeAsString();
+  std::vector<uint32_t> holders = PreferredHolders(service, key);
+  holders.resize(std::min(holders.size(), kMaxCopyAttempts));
+  for (const uint32_t holder : holders) {
+    const wire::Backend* backend =
+      m_context.m_view->m_routes->FindBackend(holder);
+    if (backend == nullptr) {
+      continue;
+    }
+    const auto reply =
+      co_await m_context.m_peers->Exchange(backend->peer_address(),
+                                           PostRequest(kRecordPutTarget, body),
+                                           kCopyTimeout);
+    if (reply && reply->result_int() == 200) {
+      ++m_context.m_counters.m_recordsCopied;
+      co_return true;
+    }
+    if (reply && reply->result_int() == kStatusMisdirected) {
+      co_return false;
+    }
+  }
+  co_return false;
+}
+
+http::Response
+RecordService::HandlePut(const http::Request& aRequest)
+{
+  wire::RecordPut put;
+  if (!put.ParseFromString(aRequest.body())) {
+    return PlainResponse(400, "malformed record put");
+  }
+  const TimePoint now = m_context.m_clock.Now();
+  for (const wire::IdempotencyRecord& record : put.records()) {
+    if (IsFenced(record.service(), record.shard(), put.epoch())) {
+      LogInfo("record",
+              "Refused a copy under an old epoch. service={} shard={} epoch={}",
+              record.service(),
+              record.shard(),
+              put.epoch());
+      return PlainResponse(kStatusMisdirected, "fenced");
+    }
+    if (put.abort()) {
+      m_context.m_records.Abort(record.service(), record.key());
+    } else if (!m_context.m_records.Import(FromWire(record), now)) {
+      return PlainResponse(503, "record table full");
+    }
+  }
+  return PlainResponse(200, "");
+}
+
+http::Response
+RecordService::HandleFetch(const http::Request& aRequest)
+{
+  wire::RecordFetch fetch;
+  if (!fetch.ParseFromString(aRequest.body()) ||
+      fetch.shards_size() != fetch.epochs_size()) {
+    return PlainResponse(400, "malformed record fetch");
+  }
+  const TimePoint now = m_context.m_clock.Now();
+  wire::RecordFetchReply reply;
+  for (int i = 0; i < fetch.shards_size(); ++i) {
+    uint64_t& fence = m_fences[{ fetch.service(), fetch.shards(i) }];
+    fence = std::max<uint64_t>(fence, fetch.epochs(i));
+    for (const idempotency::Record& record :
+         m_context.m_records.Export(fetch.service(), fetch.shards(i), now)) {
+      *reply.add_records() = ToWire(record);
+    }
+  }
+  return PlainResponse(200, reply.SerializeAsString());
+}
+
+RecordService::ShardEpochs
+RecordService::NewlyOwned(const std::string& aService) const
+{
+  const routing::View& view = *m_context.m_view;
+  ShardEpochs shards;
+  const auto routes = view.m_routes->Shards(aService);
+  for (ShardNumber shard = 0; shard < routes.size(); ++shard) {
+    if (routes[shard].m_owner != view.m_backend) {
+      continue;
+    }
+    const auto started = m_started.find({ aService, shard });
+    if (started == m_started.end() ||
+        started->second != routes[shard].m_epoch) {
+      shards.emplace_back(shard, routes[shard].m_epoch);
+    }
+  }
+  return shards;
+}
+
+boost::asio::awaitable<void>
+RecordService::TakeOver(std::string aService, ShardEpochs aShards)
+{
+  wire::RecordFetch fetch;
+  fetch.set_service(aService);
+  for (const auto& [shard, epoch] : aShards) {
+    fetch.add_shards(shard);
+    fetch.add_epochs(epoch);
+  }
+  for (const uint32_t holder : OtherHolders(aService)) {
+    // A holder that does not answer may have the only copy. It is waited for
+    // until it answers or the cluster has declared it gone.
+    while (IsLive(aService, holder) && !co_await FetchFrom(holder, fetch)) {
+      co_await Sleep(m_context.m_context, kFetchRetryDelay);
+    }
+  }
+  for (const auto& [shard, epoch] : aShards) {
+    m_context.m_records.TakeOver(aService, shard);
+    m_ready[{ aService, shard }] = epoch;
+  }
+  LogInfo("record",
+          "Took over the at-most-once records of shards. service={} shards={}",
+          aService,
+          aShards.size());
+  co_await CopyAgain(std::move(aService), std::move(aShards));
+}
+
+boost::asio::awaitable<bool>
+RecordService::FetchFrom(uint32_t aBackend, wire::RecordFetch aFetch)
+{
+  const wire::Backend* backend =
+    m_context.m_view->m_routes->FindBackend(aBackend);
+  if (backend == nullptr) {
+    co_return true;
+  }
+  const auto reply = co_await m_context.m_peers->Exchange(
+    backend->peer_address(),
+    PostRequest(kRecordFetchTarget, aFetch.SerializeAsString()),
+    kFetchTimeout);
+  wire::RecordFetchReply records;
+  if (!reply || reply->result_int() != 200 ||
+      !records.ParseFromString(reply->body())) {
+    co_return false;
+  }
+  for (const wire::IdempotencyRecord& record : records.records()) {
+    if (!m_context.m_records.Import(FromWire(record),
+                                    m_context.m_clock.Now())) {
+      LogWarning("record", "The record table is full during a takeover.");
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// The former owner or holder may be lost, so that only this node has the
+// records.
+boost::asio::awaitable<void>
+RecordService::CopyAgain(std::string aService, ShardEpochs aShards)
+{
+  for (const auto& [shard, epoch] : aShards) {
+    const auto records =
+      m_context.m_records.Export(aService, shard, m_context.m_clock.Now());
+    for (size_t first = 0; first < records.size(); first += kRecordsPerPut) {
+      wire::RecordPut put;
+      put.set_epoch(epoch);
+      const size_t last = std::min(records.size(), first + kRecordsPerPut);
+      for (size_t i = first; i < last; ++i) {
+        *put.add_records() = ToWire(records[i]);
+      }
+      co_await Copy(std::move(put));
+    }
+  }
+}
+
+std::vector<uint32_t>
+RecordService::OtherHolders(std::string_view aService) const
+{
+  const routing::View& view = *m_context.m_view;
+  std::vector<uint32_t> holders;
+  for (const uint32_t number : view.m_routes->BackendsOf(aService)) {
+    if (number != view.m_backend) {
+      holders.push_back(number);
+    }
+  }
+  return holders;
+}
+
+std::vector<uint32_t>
+RecordService::PreferredHolders(std::string_view aService,
+                                std::string_view aKey) const
+{
+  const routing::RouteTable& routes = *m_context.m_view->m_routes;
+  std::vector<uint32_t> holders = OtherHolders(aService);
+  const auto rank = [&](uint32_t aNumber) {
+    const wire::Backend* backend = routes.FindBackend(aNumber);
+    const bool sameZone =
+      backend != nullptr && backend->zone() == m_context.m_zone;
+    return std::make_pair(sameZone, Hash64(aKey, aNumber));
+  };
+  std::sort(
+    holders.begin(), holders.end(), [&](uint32_t aLeft, uint32_t aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
+  return holders;
+}
+
+bool
+RecordService::IsLive(std::string_view aService, uint32_t aBackend) const
+{
+  const auto live = m_context.m_view->m_routes->BackendsOf(aService);
+  return std::find(live.begin(), live.end(), aBackend) != live.end();
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/RecordService.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "TrafficContext.h"
+#include "rattanloft/base/Shard.h"
+#include "record.pb.h"
+
+namespace rattanloft::node {
+
+constexpr std::string_view kRecordPutTarget = "/rattanloft/records/put";
+constexpr std::string_view kRecordFetchTarget = "/rattanloft/records/fetch";
+
+// Keeps at-most-once records on a second node and takes them over with a shard.
+// Owned by the traffic thread.
+class RecordService
+{
+public:
+  explicit RecordService(TrafficContext& aContext);
+
+  // Starts the takeover of shards that this node has newly got. To be called
+  // after each change of the view.
+  void OnViewChanged();
+
+  // True once the records of the shard under this epoch were collected.
+  bool IsReady(std::string_view aService,
+               ShardNumber aShard,
+               uint64_t aEpoch) const;
+
+  // True if another node has taken the shard over under a later epoch.
+  bool IsFenced(std::string_view aService,
+                ShardNumber aShard,
+                uint64_t aEpoch) const;
+
+  // Stores a copy at a second node. False if no node has confirmed it.
+  boost::asio::awaitable<bool> Copy(wire::RecordPut aPut);
+
+  // Peer listener: requests of other nodes.
+  http::Response HandlePut(const http::Request& aRequest);
+  http::Response HandleFetch(const http::Request& aRequest);
+
+private:
+  using ShardKey = std::pair<std::string, ShardNumber>;
+  using ShardEpochs = std::vector<std::pair<ShardNumber, uint64_t>>;
+
+  ShardEpochs NewlyOwned(const std::string& aService) const;
+  boost::asio::awaitable<void> TakeOver(std::string aService,
+                                        ShardEpochs aShards);
+  boost::asio::awaitable<bool> FetchFrom(uint32_t aBackend,
+                                         wire::RecordFetch aFetch);
+  boost::asio::awaitable<void> CopyAgain(std::string aService,
+                                         ShardEpochs aShards);
+  std::vector<uint32_t> OtherHolders(std::string_view aService) const;
+  std::vector<uint32_t> PreferredHolders(std::string_view aService,
+                                         std::string_view aKey) const;
+  bool IsLive(std::string_view aService, uint32_t aBackend) const;
+
+  TrafficContext& m_context;
+  uint64_t m_seenRevision = 0;
+  uint32_t m_seenBackend = 0;
+  // Epoch under which a takeover was started, and under which it was finished.
+  std::map<ShardKey, uint64_t> m_started;
+  std::map<ShardKey, uint64_t> m_ready;
+  // Lowest epoch from which puts are accepted.
+  std::map<ShardKey, uint64_t> m_fences;
+};
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/RequestClassifier.cpp
@@ -0,0 +1,140 @@
+#include "RequestClassifier.h"
+
+#include <string_view>
+#include <utility>
+
+#include "Headers.h"
+#include "rattanloft/base/Hash.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+constexpr size_t kMaxKeyBytes = 512;
+constexpr size_t kMaxIdempotencyKeyBytes = 256;
+
+Refusal
+BadRequest(unsigned aStatus, std::string aReason)
+{
+  return { aStatus, Outcome::kNotRun, std::move(aReason), std::nullopt };
+}
+
+// The path segment after aPath's leading slash; aPath is left at the rest.
+std::string_view
+TakeSegment(std::string_view& aPath)
+{
+  if (!aPath.empty() && aPath.front() == '/') {
+    aPath.remove_prefix(1);
+  }
+  const std::string_view segment = aPath.substr(0, aPath.find('/'));
+  aPath.remove_prefix(segment.size());
+  return segment;
+}
+
+// The quotes are part of the header's form, not of the key.
+std::string_view
+Unquote(std::string_view aValue)
+{
+  if (aValue.size() >= 2 && aValue.front() == '"' && aValue.back() == '"') {
+    return aValue.substr(1, aValue.size() - 2);
+  }
+  return aValue;
+}
+
+std::string_view
+HeaderValue(const http::Request& aRequest, std::string_view aName)
+{
+  const auto found = aRequest.find(aName);
+  if (found == aRequest.end()) {
+    return {};
+  }
+  return { found->value().data(), found->value().size() };
+}
+
+tl::expected<void, Refusal>
+ClassifyKey(ClassifiedRequest& aRequest, std::string_view aKey)
+{
+  if (aKey.empty()) {
+    return tl::unexpected(BadRequest(400, "missing_key"));
+  }
+  if (aKey.size() > kMaxKeyBytes) {
+    return tl::unexpected(BadRequest(400, "key_too_long"));
+  }
+  aRequest.m_key = aKey;
+  aRequest.m_shard =
+    aRequest.m_view->m_routes->ShardOf(aRequest.m_service, aRequest.m_key);
+  return {};
+}
+
+tl::expected<void, Refusal>
+ClassifyIdempotencyKey(ClassifiedRequest& aRequest, std::string_view aValue)
+{
+  const std::string_view key = Unquote(aValue);
+  if (key.empty()) {
+    return tl::unexpected(BadRequest(400, "missing_idempotency_key"));
+  }
+  if (key.size() > kMaxIdempotencyKeyBytes) {
+    return tl::unexpected(BadRequest(400, "idempotency_key_too_long"));
+  }
+  aRequest.m_idempotencyKey = key;
+  if (!aRequest.m_shard) {
+    aRequest.m_shard = HashedShard(key);
+  }
+  return {};
+}
+
+} // namespace
+
+tl::expected<ClassifiedRequest, Refusal>
+Classify(const http::Request& aRequest,
+         std::shared_ptr<const routing::View> aView)
+{
+  ClassifiedRequest result;
+  result.m_view = std::move(aView);
+  std::string_view path(aRequest.target().data(), aRequest.target().size());
+  path = path.substr(0, path.find('?'));
+  result.m_service = TakeSegment(path);
+
+  const routing::Catalogue& catalogue = *result.m_view->m_catalogue;
+  if (!catalogue.HasService(result.m_service)) {
+    return tl::unexpected(BadRequest(404, "unknown_service"));
+  }
+  const std::string_view method(aRequest.method_string().data(),
+                                aRequest.method_string().size());
+  result.m_entry = catalogue.Find(result.m_service, method);
+  if (result.m_entry == nullptr) {
+    return tl::unexpected(BadRequest(405, "method_not_in_catalogue"));
+  }
+  const uint64_t maxBody = result.m_entry->limits().max_body_bytes();
+  if (maxBody > 0 && aRequest.body().size() > maxBody) {
+    return tl::unexpected(BadRequest(413, "body_too_large"));
+  }
+  if (result.m_entry->keyed()) {
+    const auto keyed = ClassifyKey(result, TakeSegment(path));
+    if (!keyed) {
+      return tl::unexpected(keyed.error());
+    }
+  }
+  if (result.IsAtMostOnce()) {
+    const auto once = ClassifyIdempotencyKey(
+      result, HeaderValue(aRequest, header::kIdempotencyKey));
+    if (!once) {
+      return tl::unexpected(once.error());
+    }
+  }
+  return result;
+}
+
+uint64_t
+Fingerprint(const http::Request& aRequest)
+{
+  const uint64_t target = Hash64(
+    std::string_view(aRequest.target().data(), aRequest.target().size()));
+  const uint64_t method =
+    Hash64(std::string_view(aRequest.method_string().data(),
+                            aRequest.method_string().size()),
+           target);
+  return Hash64(aRequest.body(), method);
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/Signal.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <list>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::node {
+
+// Wakes coroutines of one io_context thread that wait for an event. Must
+// outlive every wait.
+class Signal
+{
+public:
+  explicit Signal(boost::asio::io_context& aContext)
+    : m_context(aContext)
+  {
+  }
+
+  // Completes at the next Notify or after the time-out.
+  boost::asio::awaitable<void> Wait(Duration aTimeout)
+  {
+    boost::asio::steady_timer timer(m_context);
+    timer.expires_after(std::chrono::milliseconds(aTimeout.m_ms));
+    const auto place = m_timers.insert(m_timers.end(), &timer);
+    boost::system::error_code error;
+    co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    m_timers.erase(place);
+  }
+
+  void Notify()
+  {
+    for (boost::asio::steady_timer* timer : m_timers) {
+      timer->cancel();
+    }
+  }
+
+  size_t Waiting() const { return m_timers.size(); }
+
+private:
+  boost::asio::io_context& m_context;
+  std::list<boost::asio::steady_timer*> m_timers;
+};
+
+// Completes after the given time.
+inline boost::asio::awaitable<void>
+Sleep(boost::asio::io_context& aContext, Duration aTime)
+{
+  boost::asio::steady_timer timer(aContext);
+  timer.expires_after(std::chrono::milliseconds(aTime.m_ms));
+  boost::system::error_code error;
+  co_await timer.async_wait(
+    boost::asio::redirect_error(boost::asio::use_awaitable, error));
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/src/Traffic.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Announcement.h"
+#include "EntryHandler.h"
+#include "OwnerHandler.h"
+#include "RecordService.h"
+#include "ShardTracker.h"
+#include "TrafficContext.h"
+#include "rattanloft/http/Server.h"
+#include "rattanloft/node/Node.h"
+
+namespace rattanloft::node {
+
+// Everything that serves requests: the caller and peer listeners and the
+// handlers behind them. Lives on the traffic thread; only Metrics may be called
+// from elsewhere.
+class Traffic
+{
+public:
+  struct Hooks
+  {
+    std::function<void(const routing::NodeAgent::OwnShard&)> m_onReleased;
+    std::function<void(wire::NodeLoad)> m_onLoad;
+  };
+
+  static tl::expected<std::unique_ptr<Traffic>, NodeError> Make(
+    boost::asio::io_context& aContext,
+    const Clock& aClock,
+    const NodeOptions& aOptions,
+    std::unique_ptr<admission::Scheduler> aScheduler,
+    Hooks aHooks);
+
+  // Starts the periodic work.
+  void Start();
+
+  void SetView(std::shared_ptr<const routing::View> aView,
+               std::vector<routing::NodeAgent::OwnShard> aReleases);
+  void SetBackend(const Announcement& aAnnouncement, bool aIsNew);
+
+  uint16_t CallerPort() const { return m_callers->Port(); }
+  uint16_t PeerPort() const { return m_peers->Port(); }
+
+  // Ends both listeners once their running requests are answered.
+  boost::asio::awaitable<void> Stop();
+  // Requests that run at the backend server.
+  uint64_t Running() const { return m_context.m_counters.m_running.load(); }
+
+  std::string Metrics() const;
+
+private:
+  Traffic(boost::asio::io_context& aContext,
+          const Clock& aClock,
+          const NodeOptions& aOptions,
+          std::unique_ptr<admission::Scheduler> aScheduler,
+          Hooks aHooks);
+
+  tl::expected<void, NodeError> Listen(const NodeOptions& aOptions);
+  boost::asio::awaitable<http::Response> HandlePeer(
+    http::Request aRequest,
+    std::shared_ptr<http::CancelToken> aCancel);
+  boost::asio::awaitable<void> TickLoop();
+  boost::asio::awaitable<void> ReportLoop();
+  wire::NodeLoad TakeLoad(Duration aInterval);
+  void ApplyLimits();
+
+  TrafficContext m_context;
+  Hooks m_hooks;
+  ShardTracker m_shards;
+  RecordService m_records;
+  OwnerHandler m_owner;
+  EntryHandler m_entry;
+  std::unique_ptr<http::Server> m_callers;
+  std::unique_ptr<http::Server> m_peers;
+  uint64_t m_limitsRevision = 0;
+  uint64_t m_lastRequests = 0;
+};
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/tests/AnnouncementTest.cpp
@@ -0,0 +1,55 @@
+#include "Announcement.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::node {
+
+namespace {
+
+constexpr const char* kValid =
+  R"({"incarnation":"00000000000000af","service":"catalogue",)"
+  R"("address":"127.0.0.1:9001","slots":12,"verifies_tokens":true})";
+
+} // namespace
+
+TEST_CASE("A complete announcement is taken over")
+{
+  const auto parsed = ParseAnnouncement(kValid);
+  REQUIRE(parsed);
+  REQUIRE(parsed->m_backend.incarnation() == 0xaf);
+  REQUIRE(parsed->m_backend.service() == "catalogue");
+  REQUIRE(parsed->m_backend.slots() == 12);
+  REQUIRE(parsed->m_backend.verifies_tokens());
+  REQUIRE(parsed->m_address == "127.0.0.1:9001");
+  REQUIRE_FALSE(parsed->m_draining);
+}
+
+// Guards against a backend server that registers with values that placement
+// and fencing cannot work with.
+TEST_CASE("A bad announcement is refused with the name of the field")
+{
+  const struct
+  {
+    const char* m_json;
+    const char* m_field;
+  } cases[] = {
+    { "not json", "JSON object" },
+    { R"({"incarnation":17})", "incarnation" },
+    { R"({"incarnation":"0000000000000000"})", "incarnation" },
+    { R"({"incarnation":"00000000000000zz"})", "incarnation" },
+    { R"({"incarnation":"00000000000000af"})", "service" },
+    { R"({"incarnation":"00000000000000af","service":"a"})", "address" },
+    { R"({"incarnation":"00000000000000af","service":"a","address":"x:1",)"
+      R"("slots":0})",
+      "slots" },
+  };
+  for (const auto& one : cases) {
+    const auto parsed = ParseAnnouncement(one.m_json);
+    REQUIRE_FALSE(parsed);
+    REQUIRE(parsed.error().find(one.m_field) != std::string::npos);
+  }
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/tests/EntryHandlerTest.cpp
@@ -0,0 +1,144 @@
+#include "EntryHandler.h"
+
+#include <catch2/catch.hpp>
+
+#include "TrafficFixture.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+http::Response
+NodeAnswer(unsigned aStatus, const char* aOutcome, const char* aReason)
+{
+  auto response = AnswerOf(aStatus, "x");
+  response.set(header::kOutcome, aOutcome);
+  response.set(header::kReason, aReason);
+  return response;
+}
+
+std::string
+OutcomeText(const http::Response& aResponse)
+{
+  return TrafficFixture::Text(aResponse, header::kOutcome);
+}
+
+} // namespace
+
+// Guards against callers that speak for a node.
+TEST_CASE("Internal headers of callers are dropped")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_peers->m_script = [](const auto&, const auto&) -> Reply {
+    return NodeAnswer(200, "answered", "");
+  };
+  auto request = TrafficFixture::Order("k1");
+  request.set("rattanloft-Epoch", "999");
+  request.set("Rattanloft-Shed", "1");
+  node.AtEntry(request);
+  const http::Request& sent = node.m_peers->m_requests.at(0).second;
+  REQUIRE(sent[header::kEpoch] == "10");
+  REQUIRE(sent.count(header::kShed) == 0);
+  REQUIRE(sent.count(header::kDeadlineMs) == 1);
+}
+
+// Guards against a stale route that ends in an error although nothing ran.
+TEST_CASE("After a 421 the request follows the new route")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_peers->m_script = [&](const std::string& aPeer, const auto&) -> Reply {
+    if (aPeer == "10.0.0.2:1") {
+      node.SetOwner(3, 11);
+      return NodeAnswer(421, "not-run", "not_owner");
+    }
+    return NodeAnswer(200, "answered", "");
+  };
+  REQUIRE(node.AtEntry(TrafficFixture::Order("k1")).result_int() == 200);
+  REQUIRE(node.m_peers->m_requests.back().first == "10.0.0.3:1");
+}
+
+// Guards against work that may have run being sent a second time.
+TEST_CASE("Unknown outcomes of non-idempotent work are not sent again")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_peers->m_script = [](const auto&, const auto&) { return Broken(); };
+  const auto response = node.AtEntry(TrafficFixture::Order("k1"));
+  REQUIRE(response.result_int() == 502);
+  REQUIRE(OutcomeText(response) == "unknown");
+  REQUIRE(node.m_peers->m_requests.size() == 1);
+}
+
+// Guards against callers that are told "not run" after the request may have
+// reached the node, and against a wait that outlives the use of an answer.
+TEST_CASE("An unreachable owner is reported as not run, within the limit")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_peers->m_script = [](const auto&, const auto&) {
+    return Unreachable();
+  };
+  const TimePoint begun = node.m_clock.Now();
+  const auto response = node.AtEntry(TrafficFixture::Order("k1"));
+  REQUIRE(response.result_int() == 503);
+  REQUIRE(OutcomeText(response) == "not-run");
+  REQUIRE(response.count("Retry-After") == 1);
+  REQUIRE(node.m_clock.Now() - begun < Milliseconds(900));
+}
+
+// Guards against one failing node taking down a service without keys.
+TEST_CASE("Idempotent work without keys goes to another node")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_backend->m_script = [](const auto&, const auto&) {
+    return Unreachable();
+  };
+  node.m_peers->m_script = [](const std::string& aPeer, const auto&) -> Reply {
+    if (aPeer == "10.0.0.2:1") {
+      return Unreachable();
+    }
+    return NodeAnswer(200, "answered", "");
+  };
+  for (int i = 0; i < 5; ++i) {
+    const auto response = node.AtEntry(TrafficFixture::Browse());
+    REQUIRE(response.result_int() == 200);
+  }
+}
+
+// Guards against retries that multiply load while everything fails.
+TEST_CASE("Retries stay within the budget when every node fails")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  const auto failing = [](const auto&, const auto&) { return Unreachable(); };
+  node.m_backend->m_script = failing;
+  node.m_peers->m_script = failing;
+  constexpr size_t kRequests = 200;
+  for (size_t i = 0; i < kRequests; ++i) {
+    const auto response = node.AtEntry(TrafficFixture::Browse());
+    REQUIRE(response.result_int() == 503);
+    REQUIRE(OutcomeText(response) == "not-run");
+  }
+  const size_t sent =
+    node.m_peers->m_requests.size() + node.m_backend->m_requests.size();
+  // 10 % and the floor of 3 a second; the run takes well under 10 s.
+  REQUIRE(sent <= kRequests + kRequests / 10 + 30);
+}
+
+// Guards against a node that serves under a catalogue it cannot confirm.
+TEST_CASE("A stale node refuses every request")
+{
+  TrafficFixture node;
+  auto view = std::make_shared<routing::View>(*node.m_context.m_view);
+  view->m_confirmedAt = node.m_clock.Now() - routing::kStaleAfter;
+  node.m_context.m_view = view;
+  const auto response = node.AtEntry(TrafficFixture::Browse());
+  REQUIRE(response.result_int() == 503);
+  REQUIRE(TrafficFixture::Text(response, header::kReason) == "stale");
+  REQUIRE(node.m_backend->m_requests.empty());
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -0,0 +1,231 @@
+#include "OwnerHandler.h"
+
+#include <catch2/catch.hpp>
+
+#include "RecordCodec.h"
+#include "TrafficFixture.h"
+
+namespace rattanloft::node {
+
+namespace {
+
+std::string
+OutcomeText(const http::Response& aResponse)
+{
+  return TrafficFixture::Text(aResponse, header::kOutcome);
+}
+
+std::string
+ReasonText(const http::Response& aResponse)
+{
+  return TrafficFixture::Text(aResponse, header::kReason);
+}
+
+} // namespace
+
+// Guards against a deposit that runs twice because its answer was lost.
+TEST_CASE("A repeat gets the stored answer and does not run")
+{
+  TrafficFixture node;
+  node.Settle();
+  const auto first = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(OutcomeText(first) == "answered");
+  REQUIRE(first.result_int() == 201);
+  const auto second = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(second.result_int() == 201);
+  REQUIRE(second.body() == "done");
+  REQUIRE(node.m_backend->m_requests.size() == 1);
+}
+
+// Guards against a repeat that overtakes the running first attempt.
+TEST_CASE("A repeat while the first attempt runs is told so")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_backend->m_delay = Milliseconds(100);
+  node.m_deadline = Milliseconds(50);
+  const auto first = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(first.result_int() == 504);
+  REQUIRE(OutcomeText(first) == "unknown");
+  const auto repeat = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(repeat.result_int() == 409);
+  REQUIRE(OutcomeText(repeat) == "unknown");
+  // The first attempt goes on after its caller's deadline, so that a later
+  // repeat learns the answer.
+  node.m_io.restart();
+  node.m_io.run_for(std::chrono::milliseconds(150));
+  REQUIRE(node.AtOwner(TrafficFixture::Order("k1")).result_int() == 201);
+  REQUIRE(node.m_backend->m_requests.size() == 1);
+}
+
+// Guards against a second run after a connection that broke in the middle.
+TEST_CASE("An unknown outcome stays unknown and is never run again")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_backend->m_script = [](const auto&, const auto&) { return Broken(); };
+  REQUIRE(node.AtOwner(TrafficFixture::Order("k1")).result_int() == 502);
+  const auto repeat = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(repeat.result_int() == 504);
+  REQUIRE(OutcomeText(repeat) == "unknown");
+  REQUIRE(node.m_backend->m_requests.size() == 1);
+}
+
+// Guards against a record that exists on one node only when the backend server
+// sees the request.
+TEST_CASE("Without a second record holder nothing runs")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_peers->m_script = [](const auto&, const auto&) {
+    return Unreachable();
+  };
+  const auto refused = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(refused.result_int() == 503);
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(ReasonText(refused) == "no_second_record_holder");
+  REQUIRE(node.m_backend->m_requests.empty());
+  node.m_peers->m_script = [](const auto&, const auto&) -> Reply {
+    return AnswerOf(200, "");
+  };
+  REQUIRE(node.AtOwner(TrafficFixture::Order("k1")).result_int() == 201);
+}
+
+// Guards against the pause between the check of the lease and the write.
+TEST_CASE("A lease that ends while the record is copied stops the request")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_peers->m_script = [&](const auto&, const auto&) -> Reply {
+    node.SetOwner(1, 10, node.m_clock.Now() - Milliseconds(1));
+    return AnswerOf(200, "");
+  };
+  const auto refused = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(refused.result_int() == kStatusMisdirected);
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(node.m_backend->m_requests.empty());
+}
+
+// Guards against a new owner that runs a request again because it does not yet
+// know the records of the former one.
+TEST_CASE("A shard is served only after its records were collected")
+{
+  TrafficFixture node;
+  node.m_peers->m_script = [](const auto&, const auto&) {
+    return Unreachable();
+  };
+  node.SetOwner(1, 20);
+  node.Settle();
+  const auto refused = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(ReasonText(refused) == "records_not_ready");
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(node.m_backend->m_requests.empty());
+}
+
+// Guards against a former owner that wakes up and records work after its
+// successor has collected the records.
+TEST_CASE("A copy under an epoch that was taken over is refused")
+{
+  TrafficFixture node;
+  node.Settle();
+  wire::RecordFetch fetch;
+  fetch.set_service(TrafficFixture::kService);
+  fetch.add_shards(5);
+  fetch.add_epochs(30);
+  http::Request request;
+  request.body() = fetch.SerializeAsString();
+  REQUIRE(node.m_records.HandleFetch(request).result_int() == 200);
+
+  wire::RecordPut put;
+  put.set_epoch(29);
+  wire::IdempotencyRecord* record = put.add_records();
+  record->set_service(TrafficFixture::kService);
+  record->set_shard(5);
+  record->set_key("late");
+  record->set_retention_left_ms(1000);
+  request.body() = put.SerializeAsString();
+  REQUIRE(node.m_records.HandlePut(request).result_int() == kStatusMisdirected);
+  put.set_epoch(30);
+  request.body() = put.SerializeAsString();
+  REQUIRE(node.m_records.HandlePut(request).result_int() == 200);
+}
+
+// Guards against a started record of a lost owner being taken for work that
+// never ran.
+TEST_CASE("Records that a lost owner had started are unknown to its successor")
+{
+  TrafficFixture node;
+  node.Settle();
+  const ShardNumber shard = HashedShard("k1");
+  wire::RecordPut put;
+  put.set_epoch(10);
+  wire::IdempotencyRecord* record = put.add_records();
+  record->set_service(TrafficFixture::kService);
+  record->set_shard(shard);
+  record->set_key("k1");
+  record->set_fingerprint(Fingerprint(TrafficFixture::Order("k1")));
+  record->set_retention_left_ms(60'000);
+  http::Request request;
+  request.body() = put.SerializeAsString();
+  node.SetOwner(2, 10);
+  REQUIRE(node.m_records.HandlePut(request).result_int() == 200);
+  node.m_gone[2] = true;
+  node.SetOwner(1, 40);
+  node.Settle();
+  const auto repeat = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(repeat.result_int() == 504);
+  REQUIRE(OutcomeText(repeat) == "unknown");
+  REQUIRE(node.m_backend->m_requests.empty());
+}
+
+// Guards against cancelling non-idempotent work halfway.
+TEST_CASE("At-most-once work is not cancelled when its caller goes away")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(node.m_backend->m_tokens.at(0) == nullptr);
+  node.AtOwner(TrafficFixture::Browse());
+  REQUIRE(node.m_backend->m_tokens.at(1) == node.m_cancel);
+}
+
+// Guards against a token refusal being passed on as the caller's answer.
+TEST_CASE("Refusals of the backend server are reported as not run")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_backend->m_script = [](const auto&, const auto&) -> Reply {
+    auto response = AnswerOf(409, "");
+    response.set(header::kRefused, "token");
+    return response;
+  };
+  REQUIRE(node.AtOwner(TrafficFixture::Browse()).result_int() ==
+          kStatusMisdirected);
+  node.m_backend->m_script = [](const auto&, const auto&) -> Reply {
+    auto response = AnswerOf(503, "");
+    response.set(header::kShed, "1");
+    return response;
+  };
+  const auto shed = node.AtOwner(TrafficFixture::Browse());
+  REQUIRE(ReasonText(shed) == "backend_shed");
+  REQUIRE(OutcomeText(shed) == "not-run");
+}
+
+// Guards against a planned move that cuts off running work or starts new work.
+TEST_CASE("A shard is released after its last request")
+{
+  TrafficFixture node;
+  node.Settle();
+  const ShardNumber shard = HashedShard("k1");
+  {
+    const ShardTracker::Hold hold(
+      node.m_shards, TrafficFixture::kService, shard);
+    node.m_shards.Release({ { TrafficFixture::kService, shard, 10 } });
+    REQUIRE(node.m_released.empty());
+  }
+  REQUIRE(node.m_released.size() == 1);
+  node.m_shards.Release({ { TrafficFixture::kService, shard, 10 } });
+  REQUIRE(node.m_released.size() == 1);
+}
+
+} // namespace rattanloft::node
--- /dev/null
+++ b/modules/node/tests/RequestClassifierTest.cpp
@@ -0,0 +1,115 @@
+#include "RequestClassifier.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::node {
+
+namespace {
+
+wire::CatalogueEntry
+MakeEntry(const char* aService, const char* aMethod, bool aKeyed, bool aOnce)
+{
+  wire::CatalogueEntry entry;
+  entry.set_name(std::string(aService) + "." + aMethod);
+  entry.set_service(aService);
+  entry.add_methods(aMethod);
+  entry.set_keyed(aKeyed);
+  entry.set_idempotent(!aOnce);
+  entry.mutable_limits()->set_max_body_bytes(10);
+  return entry;
+}
+
+std::shared_ptr<const routing::View>
+MakeView()
+{
+  auto view = std::make_shared<routing::View>();
+  view->m_routes = routing::RouteTable::MakeEmpty();
+  view->m_catalogue =
+    routing::Catalogue::Make(1,
+                             { MakeEntry("catalogue", "GET", true, false),
+                               MakeEntry("deposits", "POST", false, true),
+                               MakeEntry("status", "GET", false, false) });
+  return view;
+}
+
+http::Request
+MakeRequest(const char* aMethod, const char* aTarget)
+{
+  http::Request request;
+  request.method_string(aMethod);
+  request.target(aTarget);
+  return request;
+}
+
+unsigned
+RefusedStatus(const http::Request& aRequest)
+{
+  const auto result = Classify(aRequest, MakeView());
+  return result ? 0 : result.error().m_status;
+}
+
+} // namespace
+
+TEST_CASE("Key and shard come from the path of a keyed service")
+{
+  const auto result =
+    Classify(MakeRequest("GET", "/catalogue/stand-17/free?day=2"), MakeView());
+  REQUIRE(result);
+  REQUIRE(result->m_key == "stand-17");
+  REQUIRE(result->m_shard == HashedShard("stand-17"));
+}
+
+// Guards against a repeat that reaches another record owner because the quotes
+// of the header were counted as part of the key.
+TEST_CASE("The idempotency key decides the shard without its quotes")
+{
+  auto quoted = MakeRequest("POST", "/deposits");
+  quoted.set("Idempotency-Key", "\"d-1\"");
+  auto plain = MakeRequest("POST", "/deposits");
+  plain.set("Idempotency-Key", "d-1");
+  const auto first = Classify(quoted, MakeView());
+  const auto second = Classify(plain, MakeView());
+  REQUIRE(first);
+  REQUIRE(second);
+  REQUIRE(first->m_idempotencyKey == "d-1");
+  REQUIRE(first->m_shard == second->m_shard);
+}
+
+TEST_CASE("Idempotent work without keys has no shard")
+{
+  const auto result = Classify(MakeRequest("GET", "/status/x"), MakeView());
+  REQUIRE(result);
+  REQUIRE_FALSE(result->m_shard);
+}
+
+// Guards against requests that the catalogue does not describe being run.
+TEST_CASE("Requests outside the catalogue are refused as not run")
+{
+  REQUIRE(RefusedStatus(MakeRequest("GET", "/nothing")) == 404);
+  REQUIRE(RefusedStatus(MakeRequest("GET", "/")) == 404);
+  REQUIRE(RefusedStatus(MakeRequest("DELETE", "/catalogue/k")) == 405);
+  REQUIRE(RefusedStatus(MakeRequest("GET", "/catalogue")) == 400);
+  REQUIRE(RefusedStatus(MakeRequest("POST", "/deposits")) == 400);
+  auto large = MakeRequest("GET", "/status/x");
+  large.body() = "12345678901";
+  REQUIRE(RefusedStatus(large) == 413);
+}
+
+// Guards against an answer being replayed for a different payload.
+TEST_CASE("The fingerprint covers method, target and body")
+{
+  auto base = MakeRequest("POST", "/deposits/a");
+  base.body() = "1";
+  auto body = base;
+  body.body() = "2";
+  auto target = base;
+  target.target("/deposits/b");
+  auto method = base;
+  method.method_string("PUT");
+  REQUIRE(Fingerprint(base) == Fingerprint(base));
+  REQUIRE(Fingerprint(base) != Fingerprint(body));
+  REQUIRE(Fingerprint(base) != Fingerprint(target));
+  REQUIRE(Fingerprint(base) != Fingerprint(method));
+}
+
+} // namespace rattanloft::node
--- a/tools/rattanloft/NodeCommand.cpp
+++ b/tools/rattanloft/NodeCommand.cpp
@@ -1,14 +1,132 @@
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include "Commands.h"
+#include "Flags.h"
+#include "rattanloft/node/Node.h"
+
+DEFINE_string(node_id,
+              "",
+              "name of this node, the same after a restart; 1 to 64 "
+              "characters of [a-z0-9._-]");
+DEFINE_string(address,
+              "127.0.0.1",
+              "IP address of the caller and peer listeners");
+DEFINE_string(advertised_address,
+              "",
+              "IP address at which other nodes reach the peer listener; by "
+              "default the value of --address");
+DEFINE_uint32(caller_port, 0, "port for callers; 0 takes a free one");
+DEFINE_uint32(peer_port, 0, "port for other nodes; 0 takes a free one");
+DEFINE_uint32(agent_port,
+              7301,
+              "loopback port for the backend server, status and metrics");
+DEFINE_string(control_grpc,
+              "",
+              "gRPC addresses of the control instances, separated by commas");
+DEFINE_string(strategy, "deadline", "scheduling strategy: deadline or fifo");
 
 namespace rattanloft::tool {
 
+namespace {
+
+constexpr uint32_t kMaxPort = 65535;
+constexpr size_t kMaxNodeId = 64;
+
+std::vector<std::string>
+SplitList(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  size_t start = 0;
+  while (start <= aText.size()) {
+    const size_t comma = std::min(aText.find(',', start), aText.size());
+    if (comma > start) {
+      parts.push_back(aText.substr(start, comma - start));
+    }
+    start = comma + 1;
+  }
+  return parts;
+}
+
+bool
+IsNodeId(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNodeId &&
+         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789._-") ==
+           std::string::npos;
+}
+
+// Empty if all settings are usable.
+std::string
+CheckSettings()
+{
+  if (!IsNodeId(FLAGS_node_id)) {
+    return "--node_id must have 1 to 64 characters of [a-z0-9._-]";
+  }
+  if (FLAGS_zone.empty()) {
+    return "--zone must name the availability zone";
+  }
+  if (SplitList(FLAGS_control_grpc).empty()) {
+    return "--control_grpc must name at least one control instance";
+  }
+  const struct
+  {
+    const char* m_name;
+    uint32_t m_port;
+  } ports[] = { { "caller_port", FLAGS_caller_port },
+                { "peer_port", FLAGS_peer_port },
+                { "agent_port", FLAGS_agent_port } };
+  for (const auto& port : ports) {
+    if (port.m_port > kMaxPort) {
+      return fmt::format("--{} must be at most {}", port.m_name, kMaxPort);
+    }
+  }
+  return "";
+}
+
+int
+Fail(int aStatus, const std::string& aMessage)
+{
+  fmt::print(stderr, "rattanloft node: {}\n", aMessage);
+  return aStatus;
+}
+
+} // namespace
+
 int
-NodeCommand(std::span<char*> /*aArgs*/)
+NodeCommand(std::span<char*> aArgs)
 {
-  fmt::print(stderr, "rattanloft node: not implemented yet\n");
-  return 2;
+  if (!aArgs.empty()) {
+    return Fail(2, fmt::format("unexpected argument '{}'", aArgs[0]));
+  }
+  const std::string problem = CheckSettings();
+  if (!problem.empty()) {
+    return Fail(2, problem);
+  }
+  node::NodeOptions options;
+  options.m_nodeId = FLAGS_node_id;
+  options.m_zone = FLAGS_zone;
+  options.m_address = FLAGS_address;
+  options.m_advertisedAddress = FLAGS_advertised_address;
+  options.m_callerPort = static_cast<uint16_t>(FLAGS_caller_port);
+  options.m_peerPort = static_cast<uint16_t>(FLAGS_peer_port);
+  options.m_agentPort = static_cast<uint16_t>(FLAGS_agent_port);
+  options.m_control = SplitList(FLAGS_control_grpc);
+  options.m_strategy = FLAGS_strategy;
+  auto made = node::Node::Make(options);
+  if (!made) {
+    const bool settings = made.error().m_code == node::NodeErrorCode::kSettings;
+    return Fail(settings ? 2 : 1, made.error().m_message);
+  }
+  // Suspended coroutines still refer to the node when Run returns. The process
+  // ends right after, so the node is left to the operating system.
+  node::Node* node = made->release();
+  return node->Run();
 }
 
 } // namespace rattanloft::tool
