Add the log store and the Raft core with its driver

Cause: control instances need a durable replicated log.

ReplicatedLog gains Flush(), which writes all waiting proposals with one sync, and bounds in its options. Conclusion: usable for linking; not yet tested under faults.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -39,6 +39,10 @@
   kInvalid,
 };
 
+// Commands above this size are refused with kInvalid, so that a message stays
+// within 256 KB.
+constexpr size_t kMaxCommandBytes = 200 * 1024;
+
 struct LogError
 {
   LogErrorCode m_code;
@@ -71,6 +75,11 @@
   Duration m_electionMax = Milliseconds(800);
   // Applied entries between snapshots.
   uint64_t m_snapshotInterval = 10'000;
+  // Proposals, and separately read barriers, without a result; more are refused
+  // with kBusy.
+  size_t m_maxPending = 4'096;
+  // Payload of the proposals that are not appended yet.
+  size_t m_maxQueuedBytes = 16 * 1024 * 1024;
 };
 
 // Runs the Raft core over a store and a transport and applies committed
@@ -93,10 +102,16 @@
 
   virtual ~ReplicatedLog() = default;
 
-  // To be called at least every 20 ms.
+  // To be called at least every 20 ms. Calls Flush().
   virtual void Tick(TimePoint aNow) = 0;
   virtual void Receive(const wire::RaftMessage& aMessage, TimePoint aNow) = 0;
 
+  // Appends all commands that wait with one sync and starts one quorum round
+  // for all read barriers that wait. Propose() and ReadBarrier() only queue, so
+  // for low latency the owner posts a call of this after its current handlers;
+  // otherwise they wait for the next Tick().
+  virtual void Flush(TimePoint aNow) = 0;
+
   // Appends a command. The callback runs once, after the command was applied
   // here, with its index, or with an error.
   virtual void Propose(std::string aCommand,
--- /dev/null
+++ b/modules/consensus/src/ReplicatedLog.cpp
@@ -0,0 +1,148 @@
+#include "rattanloft/consensus/ReplicatedLog.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "ReplicatedLogImpl.h"
+
+namespace rattanloft::consensus {
+
+namespace {
+
+using storage::LogStore;
+using storage::Snapshot;
+using storage::StoreResult;
+
+LogError
+FromStore(const storage::StoreError& aError)
+{
+  return { LogErrorCode::kStorage, aError.m_message };
+}
+
+// Every founding member writes the same first entry, so that their logs match.
+StoreResult<void>
+Found(LogStore& aStore, const wire::GroupConfig& aConfig)
+{
+  wire::LogEntry entry;
+  entry.set_index(1);
+  entry.set_term(1);
+  entry.set_kind(wire::ENTRY_KIND_CONFIG);
+  entry.set_payload(aConfig.SerializeAsString());
+  wire::HardState state;
+  state.set_term(1);
+  auto result = aStore.Append({ &entry, 1 });
+  if (result) {
+    result = aStore.SetHardState(state);
+  }
+  return result ? aStore.Sync() : result;
+}
+
+bool
+Contains(const wire::GroupConfig& aConfig, uint64_t aReplicaId)
+{
+  return std::any_of(aConfig.members().begin(),
+                     aConfig.members().end(),
+                     [aReplicaId](const wire::GroupMember& aMember) {
+                       return aMember.replica_id() == aReplicaId;
+                     });
+}
+
+// Brings the log in line with the snapshot after a crash between the two.
+StoreResult<void>
+AlignWithSnapshot(LogStore& aStore, const wire::SnapshotMeta& aMeta)
+{
+  const uint64_t index = aMeta.index();
+  if (aStore.GetHardState().term() == 0 || aStore.FirstIndex() > index + 1) {
+    return tl::unexpected(storage::StoreError{
+      storage::StoreErrorCode::kCorrupt,
+      fmt::format("the log does not continue snapshot {}", index) });
+  }
+  if (aStore.FirstIndex() == index + 1) {
+    return {};
+  }
+  if (aStore.LastIndex() >= index) {
+    const auto entry = aStore.Read(index, index);
+    if (!entry) {
+      return tl::unexpected(entry.error());
+    }
+    if (entry->front().term() == aMeta.term()) {
+      return aStore.CompactPrefix(index + 1);
+    }
+  }
+  auto result = aStore.Reset(index + 1);
+  return result ? aStore.Sync() : result;
+}
+
+tl::expected<CoreState, LogError>
+LoadState(LogStore& aStore, std::optional<Snapshot> aSnapshot)
+{
+  CoreState state;
+  if (aSnapshot) {
+    if (auto done = AlignWithSnapshot(aStore, aSnapshot->m_meta); !done) {
+      return tl::unexpected(FromStore(done.error()));
+    }
+    state.m_snapshot = std::make_shared<const Snapshot>(std::move(*aSnapshot));
+  } else if (aStore.FirstIndex() > 1) {
+    return tl::unexpected(
+      LogError{ LogErrorCode::kStorage, "the snapshot is missing" });
+  }
+  auto entries = aStore.Read(aStore.FirstIndex(), aStore.LastIndex());
+  if (!entries) {
+    return tl::unexpected(FromStore(entries.error()));
+  }
+  state.m_entries = std::move(*entries);
+  state.m_hardState = aStore.GetHardState();
+  // A crash while the group was founded may leave an entry without its term.
+  if (!state.m_entries.empty()) {
+    state.m_hardState.set_term(
+      std::max(state.m_hardState.term(), state.m_entries.back().term()));
+  }
+  return state;
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<ReplicatedLog>, LogError>
+ReplicatedLog::Make(const ReplicatedLogOptions& aOptions,
+                    LogStore& aLogStore,
+                    storage::SnapshotStore& aSnapshotStore,
+                    StateMachine& aStateMachine,
+                    Transport& aTransport,
+                    TimePoint aNow)
+{
+  if (aOptions.m_replicaId == 0 || aOptions.m_snapshotInterval == 0) {
+    return tl::unexpected(LogError{ LogErrorCode::kInvalid, "bad options" });
+  }
+  auto snapshot = aSnapshotStore.Load();
+  if (!snapshot) {
+    return tl::unexpected(FromStore(snapshot.error()));
+  }
+  const bool empty = !*snapshot && aLogStore.LastIndex() == 0 &&
+                     aLogStore.GetHardState().term() == 0;
+  if (empty && Contains(aOptions.m_bootstrap, aOptions.m_replicaId)) {
+    if (auto done = Found(aLogStore, aOptions.m_bootstrap); !done) {
+      return tl::unexpected(FromStore(done.error()));
+    }
+  }
+  auto state = LoadState(aLogStore, std::move(*snapshot));
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  if (state->m_snapshot) {
+    auto restored = aStateMachine.RestoreSnapshot(state->m_snapshot->m_data);
+    if (!restored) {
+      return tl::unexpected(
+        LogError{ LogErrorCode::kStorage, restored.error() });
+    }
+  }
+  return std::make_unique<ReplicatedLogImpl>(aOptions,
+                                             std::move(*state),
+                                             aLogStore,
+                                             aSnapshotStore,
+                                             aStateMachine,
+                                             aTransport,
+                                             aNow);
+}
+
+} // namespace rattanloft::consensus
--- /dev/null
+++ b/modules/storage/include/rattanloft/storage/MemorySnapshotStore.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "rattanloft/storage/SnapshotStore.h"
+
+namespace rattanloft::storage {
+
+// A snapshot store for tests. Outlives the replica that uses it, like a disk.
+class MemorySnapshotStore final : public SnapshotStore
+{
+public:
+  StoreResult<void> Save(const Snapshot& aSnapshot) override;
+  StoreResult<std::optional<Snapshot>> Load() const override;
+
+  void SetFailing(bool aFailing) { m_failing = aFailing; }
+
+private:
+  std::optional<Snapshot> m_snapshot;
+  bool m_failing = false;
+};
+
+} // namespace rattanloft::storage
--- /dev/null
+++ b/modules/storage/include/rattanloft/storage/StoreError.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include <tl/expected.hpp>
+
+namespace rattanloft::storage {
+
+enum class StoreErrorCode
+{
+  // A system call failed, for example on a full disk. The store refuses all
+  // further writes and stays readable.
+  kIo,
+  // Synced data is damaged or missing.
+  kCorrupt,
+  // Another process uses the data folder.
+  kLocked,
+  // The arguments do not fit the content, such as a gap between indexes.
+  kInvalid,
+};
+
+struct StoreError
+{
+  StoreErrorCode m_code;
+  std::string m_message;
+};
+
+template<typename T>
+using StoreResult = tl::expected<T, StoreError>;
+
+} // namespace rattanloft::storage
