--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -75,6 +75,9 @@
   Duration m_electionMax = Milliseconds(800);
   // Applied entries between snapshots.
   uint64_t m_snapshotInterval = 10'000;
+  // Entries kept in memory behind a snapshot, so that a follower that is a
+  // little behind needs no snapshot.
+  uint64_t m_keptEntries = 2'000;
   // Proposals, and separately read barriers, without a result; more are refused
   // with kBusy.
   size_t m_maxPending = 4'096;
--- a/modules/consensus/src/RaftCore.cpp
+++ b/modules/consensus/src/RaftCore.cpp
@@ -7,14 +7,6 @@
 
 namespace rattanloft::consensus {
 
-namespace {
-
-// Entries kept in memory behind a snapshot, so that a follower that is a
-// little behind needs no snapshot.
-constexpr uint64_t kKeptEntries = 2'000;
-
-} // namespace
-
 RaftCore::RaftCore(const CoreOptions& aOptions,
                    CoreState aState,
                    TimePoint aNow)
@@ -375,8 +367,8 @@
 {
   m_snapshot = std::move(aSnapshot);
   const uint64_t index = m_snapshot->m_meta.index();
-  if (index > kKeptEntries) {
-    m_log.DropThrough(index - kKeptEntries);
+  if (index > m_options.m_keptEntries) {
+    m_log.DropThrough(index - m_options.m_keptEntries);
   }
 }
 
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -25,6 +25,7 @@
   Duration m_heartbeat;
   Duration m_electionMin;
   Duration m_electionMax;
+  uint64_t m_keptEntries = 0;
 };
 
 // What the stores held at start.
--- a/modules/consensus/src/RaftCoreLeader.cpp
+++ b/modules/consensus/src/RaftCoreLeader.cpp
@@ -122,7 +122,12 @@
   for (auto& [id, progress] : m_progress) {
     // Whatever was sent without a reply may be lost.
     progress.m_waiting = false;
-    if (progress.m_state == ProgressState::kSnapshot) {
+    // A full window whose messages were lost cannot be sent again once the log
+    // no longer holds them.
+    if (progress.m_state == ProgressState::kReplicate &&
+        progress.m_next <= m_log.BaseIndex()) {
+      StartSnapshot(id, progress);
+    } else if (progress.m_state == ProgressState::kSnapshot) {
       SendChunk(id, progress);
     }
     if (progress.m_state != ProgressState::kProbe ||
@@ -368,8 +373,11 @@
          aProgress.m_inflight.front() <= aMatch) {
     aProgress.m_inflight.pop_front();
   }
-  const bool snapshot = aProgress.m_state == ProgressState::kSnapshot;
-  if (snapshot && aMatch < m_log.BaseIndex()) {
+  // Once the snapshot has arrived, the log may already start after it; SendTo()
+  // then starts over with a newer one.
+  if (aProgress.m_state == ProgressState::kSnapshot &&
+      aMatch < aProgress.m_snapshot->m_meta.index() &&
+      aMatch < m_log.BaseIndex()) {
     return;
   }
   if (aProgress.m_state != ProgressState::kReplicate) {
--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -25,7 +25,8 @@
              aOptions.m_seed,
              aOptions.m_heartbeat,
              aOptions.m_electionMin,
-             aOptions.m_electionMax },
+             aOptions.m_electionMax,
+             aOptions.m_keptEntries },
            std::move(aState),
            aNow)
   , m_applied(m_core.Commit())
@@ -234,16 +235,28 @@
   Send(aActions.m_messages);
 }
 
+storage::StoreResult<void>
+ReplicatedLogImpl::Install(const storage::Snapshot& aSnapshot)
+{
+  // The hard state first: a snapshot beside a store without a term is taken
+  // for the loss of the log. The log last: without the snapshot it would lack
+  // its beginning.
+  auto result = m_logStore.Sync();
+  if (result) {
+    result = m_snapshotStore.Save(aSnapshot);
+  }
+  return result ? m_logStore.Reset(aSnapshot.m_meta.index() + 1) : result;
+}
+
 storage::StoreResult<void>
 ReplicatedLogImpl::Store(const CoreActions& aActions)
 {
   storage::StoreResult<void> result;
-  if (aActions.m_install) {
-    // The snapshot first: a log without it would lack its beginning.
-    result = m_snapshotStore.Save(*aActions.m_install);
-    if (result) {
-      result = m_logStore.Reset(aActions.m_install->m_meta.index() + 1);
-    }
+  if (aActions.m_hardState) {
+    result = m_logStore.SetHardState(*aActions.m_hardState);
+  }
+  if (result && aActions.m_install) {
+    result = Install(*aActions.m_install);
   }
   if (result && aActions.m_truncateFrom != 0) {
     result = m_logStore.TruncateSuffix(aActions.m_truncateFrom);
@@ -257,9 +270,6 @@
     }
     result = m_logStore.Append(entries);
   }
-  if (result && aActions.m_hardState) {
-    result = m_logStore.SetHardState(*aActions.m_hardState);
-  }
   return result ? m_logStore.Sync() : result;
 }
 
--- a/modules/consensus/src/ReplicatedLogImpl.h
+++ b/modules/consensus/src/ReplicatedLogImpl.h
@@ -63,6 +63,7 @@
   void Pump();
   void Perform(CoreActions aActions);
   storage::StoreResult<void> Store(const CoreActions& aActions);
+  storage::StoreResult<void> Install(const storage::Snapshot& aSnapshot);
   void Send(const std::vector<wire::RaftMessage>& aMessages);
   void Stop(const std::string& aReason);
   void ApplyCommitted();
--- a/modules/consensus/tests/TestCluster.h
+++ b/modules/consensus/tests/TestCluster.h
@@ -23,6 +23,8 @@
     std::string_view aSnapshot) override;
 
   std::vector<std::pair<uint64_t, std::string>> m_applied;
+  // Counts replacements of the whole state.
+  size_t m_restores = 0;
   // Added to each snapshot, to make it span several chunks.
   size_t m_padding = 0;
 };
--- a/modules/consensus/tests/TestClusterTest.cpp
+++ b/modules/consensus/tests/TestClusterTest.cpp
@@ -27,6 +27,7 @@
 RecordingMachine::RestoreSnapshot(std::string_view aSnapshot)
 {
   m_applied.clear();
+  ++m_restores;
   for (size_t end = aSnapshot.find('\n'); end != std::string_view::npos;
        end = aSnapshot.find('\n')) {
     const std::string line(aSnapshot.substr(0, end));
@@ -68,6 +69,7 @@
   node->m_cluster = this;
   node->m_options.m_replicaId = aId;
   node->m_options.m_snapshotInterval = m_snapshotInterval;
+  node->m_options.m_keptEntries = 10;
   return *(m_nodes[aId] = std::move(node));
 }
 
--- a/modules/storage/include/rattanloft/storage/MemoryLogStore.h
+++ b/modules/storage/include/rattanloft/storage/MemoryLogStore.h
@@ -26,7 +26,7 @@
   // Returns to the state of the last Sync() and accepts writes again.
   void Crash();
   // The next Sync() fails, and every change after it until Crash().
-  void FailNextSync() { m_failNextSync = true; }
+  void FailNextSync(bool aFail = true) { m_failNextSync = aFail; }
   bool Failed() const { return m_failed; }
   uint64_t SyncCount() const { return m_syncs; }
 
