Add the replicated cluster state and a first coordinator

Cause: control instances need deterministic catalogue, backend and ownership state, and a leader that detects losses and places shards. Change: ClusterState with CatalogueStore and RouteStore; Coordinator with leases, failure detection, placement, planned moves and hot keys. The coordinator compiles and has no test yet.

--- a/modules/cluster/include/rattanloft/cluster/ClusterState.h
+++ b/modules/cluster/include/rattanloft/cluster/ClusterState.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include "cluster.pb.h"
+#include "control.pb.h"
 
 namespace rattanloft::cluster {
 
--- /dev/null
+++ b/modules/cluster/src/ClusterState.cpp
@@ -0,0 +1,186 @@
+#include "rattanloft/cluster/ClusterState.h"
+
+#include "ClusterData.h"
+#include "rattanloft/base/Assert.h"
+
+namespace rattanloft::cluster {
+
+namespace {
+
+std::string
+ServiceOf(const CatalogueStore& aCatalogue,
+          const wire::CatalogueChange& aChange)
+{
+  if (aChange.has_put()) {
+    return aChange.put().service();
+  }
+  const auto found = aCatalogue.All().find(aChange.remove());
+  return found == aCatalogue.All().end() ? "" : found->second.service();
+}
+
+CommandResult
+ApplyChange(ClusterState::Data& aData,
+            const wire::CatalogueChange& aChange,
+            uint64_t aIndex)
+{
+  // The entry may leave one service for another, so both are looked at.
+  std::string oldService;
+  if (aChange.has_put()) {
+    const auto found = aData.m_catalogue.All().find(aChange.put().name());
+    if (found != aData.m_catalogue.All().end()) {
+      oldService = found->second.service();
+    }
+  }
+  const std::string service = ServiceOf(aData.m_catalogue, aChange);
+  CommandResult result;
+  result.m_change = aData.m_catalogue.Apply(
+    aChange, aIndex, aData.m_routes.HasRoomFor(service));
+  if (result.m_change.status() != wire::CHANGE_STATUS_ACCEPTED) {
+    return result;
+  }
+  for (const std::string& name : { oldService, service }) {
+    if (!name.empty()) {
+      aData.m_routes.SetSharded(
+        name, aData.m_catalogue.NeedsShards(name), aIndex);
+    }
+  }
+  return result;
+}
+
+} // namespace
+
+ClusterState::ClusterState()
+  : m_data(std::make_unique<Data>())
+{
+}
+
+ClusterState::~ClusterState() = default;
+
+CommandResult
+ClusterState::Apply(const wire::Command& aCommand, uint64_t aIndex)
+{
+  RATTANLOFT_ASSERT(aIndex > m_data->m_appliedIndex);
+  m_data->m_appliedIndex = aIndex;
+  RouteStore& routes = m_data->m_routes;
+  CommandResult result;
+  switch (aCommand.command_case()) {
+    case wire::Command::kChange:
+      return ApplyChange(*m_data, aCommand.change(), aIndex);
+    case wire::Command::kRegisterBackend:
+      result.m_backend = routes.Apply(aCommand.register_backend(), aIndex);
+      break;
+    case wire::Command::kSetBackendState:
+      routes.Apply(aCommand.set_backend_state(), aIndex);
+      break;
+    case wire::Command::kAssignShards:
+      routes.Apply(aCommand.assign_shards(), aIndex);
+      break;
+    case wire::Command::kBeginMoves:
+      routes.Apply(aCommand.begin_moves(), aIndex);
+      break;
+    case wire::Command::kReleaseShards:
+      routes.Apply(aCommand.release_shards(), aIndex);
+      break;
+    case wire::Command::kPlaceHotKey:
+      routes.Apply(aCommand.place_hot_key(), aIndex);
+      break;
+    case wire::Command::kRemoveHotKey:
+      routes.Apply(aCommand.remove_hot_key(), aIndex);
+      break;
+    case wire::Command::COMMAND_NOT_SET:
+      break;
+  }
+  return result;
+}
+
+wire::ClusterSnapshot
+ClusterState::Snapshot() const
+{
+  wire::ClusterSnapshot snapshot;
+  snapshot.set_applied_index(m_data->m_appliedIndex);
+  m_data->m_catalogue.Save(snapshot);
+  m_data->m_routes.Save(snapshot);
+  return snapshot;
+}
+
+tl::expected<void, std::string>
+ClusterState::Restore(const wire::ClusterSnapshot& aSnapshot)
+{
+  auto data = std::make_unique<Data>();
+  data->m_appliedIndex = aSnapshot.applied_index();
+  data->m_catalogue.Load(aSnapshot);
+  std::string error = data->m_routes.Load(aSnapshot);
+  if (!error.empty()) {
+    return tl::unexpected(std::move(error));
+  }
+  for (const wire::ServiceRoutes& table : aSnapshot.routes()) {
+    data->m_routes.SetSharded(table.service(),
+                              data->m_catalogue.NeedsShards(table.service()),
+                              data->m_appliedIndex);
+  }
+  // Swapped by value, since a coordinator holds a reference to the data.
+  *m_data = std::move(*data);
+  return {};
+}
+
+uint64_t
+ClusterState::AppliedIndex() const
+{
+  return m_data->m_appliedIndex;
+}
+
+uint64_t
+ClusterState::CatalogueRevision() const
+{
+  return m_data->m_catalogue.Revision();
+}
+
+uint64_t
+ClusterState::RouteRevision() const
+{
+  return m_data->m_routes.Revision();
+}
+
+wire::CatalogueUpdate
+ClusterState::CatalogueSince(uint64_t aRevision) const
+{
+  return m_data->m_catalogue.Since(aRevision);
+}
+
+wire::RouteUpdate
+ClusterState::RoutesSince(uint64_t aRevision) const
+{
+  return m_data->m_routes.Since(aRevision);
+}
+
+const std::map<std::string, wire::CatalogueEntry>&
+ClusterState::Entries() const
+{
+  return m_data->m_catalogue.All();
+}
+
+const std::map<uint32_t, wire::Backend>&
+ClusterState::Backends() const
+{
+  return m_data->m_routes.Backends();
+}
+
+const wire::HistoryRecord*
+ClusterState::FindChange(std::string_view aChangeId) const
+{
+  return m_data->m_catalogue.Find(aChangeId);
+}
+
+std::vector<wire::HistoryRecord>
+ClusterState::History(size_t aMax) const
+{
+  return m_data->m_catalogue.History(aMax);
+}
+
+std::vector<wire::ServiceRoutes>
+ClusterState::Routes() const
+{
+  return m_data->m_routes.Tables();
+}
+
+} // namespace rattanloft::cluster
--- /dev/null
+++ b/modules/cluster/src/RouteStore.cpp
@@ -0,0 +1,406 @@
+#include "RouteStore.h"
+
+#include <algorithm>
+
+#include "rattanloft/base/Assert.h"
+
+namespace rattanloft::cluster {
+
+namespace {
+
+constexpr size_t kMaxNodeId = 128;
+
+bool
+IsWellFormed(const wire::Backend& aBackend)
+{
+  return !aBackend.node_id().empty() &&
+         aBackend.node_id().size() <= kMaxNodeId && aBackend.incarnation() &&
+         !aBackend.service().empty() &&
+         aBackend.service().size() <= kMaxAddress &&
+         aBackend.zone().size() <= kMaxAddress &&
+         aBackend.peer_address().size() <= kMaxAddress;
+}
+
+void
+ClearMove(ServiceTable& aTable, ShardState& aShard)
+{
+  if (aShard.m_moveTarget) {
+    aShard.m_moveTarget = 0;
+    aTable.m_moves--;
+  }
+}
+
+} // namespace
+
+uint32_t
+RouteStore::Apply(const wire::RegisterBackend& aCommand, uint64_t aIndex)
+{
+  wire::Backend wanted = aCommand.backend();
+  if (!IsWellFormed(wanted)) {
+    return 0;
+  }
+  wanted.set_state(wire::BACKEND_STATE_ACTIVE);
+  const wire::Backend* known = Find(wanted.node_id(), wanted.incarnation());
+  if (known) {
+    // A gone incarnation never revives, and an incarnation keeps its service,
+    // since its grants belong to that.
+    if (known->state() == wire::BACKEND_STATE_GONE ||
+        known->service() != wanted.service()) {
+      return 0;
+    }
+    wanted.set_number(known->number());
+    wanted.set_state(known->state());
+    m_backends[wanted.number()] = wanted;
+    Touch(aIndex).m_backends.push_back(wanted.number());
+    return wanted.number();
+  }
+  if (const wire::Backend* older = Current(wanted.node_id())) {
+    SetGone(m_backends[older->number()], aIndex);
+  }
+  if (!MakeRoomFor(wanted.node_id())) {
+    return 0;
+  }
+  wanted.set_number(m_nextNumber++);
+  AddToIndex(wanted);
+  Touch(aIndex).m_backends.push_back(wanted.number());
+  return wanted.number();
+}
+
+void
+RouteStore::Apply(const wire::SetBackendState& aCommand, uint64_t aIndex)
+{
+  const auto found = m_backends.find(aCommand.backend());
+  if (found == m_backends.end() ||
+      !wire::BackendState_IsValid(aCommand.state())) {
+    return;
+  }
+  wire::Backend& backend = found->second;
+  if (backend.state() == aCommand.state() ||
+      backend.state() == wire::BACKEND_STATE_GONE) {
+    return;
+  }
+  if (aCommand.state() == wire::BACKEND_STATE_GONE) {
+    SetGone(backend, aIndex);
+    return;
+  }
+  backend.set_state(aCommand.state());
+  Touch(aIndex).m_backends.push_back(backend.number());
+}
+
+void
+RouteStore::Apply(const wire::AssignShards& aCommand, uint64_t aIndex)
+{
+  for (const wire::ShardAssignment& wanted : aCommand.assignments()) {
+    ShardState* shard = FindShard(wanted.service(), wanted.shard());
+    if (!shard || IsHeld(*shard) ||
+        !IsActive(wanted.backend(), wanted.service())) {
+      continue;
+    }
+    ClearMove(m_services[wanted.service()], *shard);
+    shard->m_owner = wanted.backend();
+    shard->m_epoch = aIndex;
+    TouchShard(wanted.service(), wanted.shard(), aIndex);
+  }
+}
+
+void
+RouteStore::Apply(const wire::BeginMoves& aCommand, uint64_t aIndex)
+{
+  for (const wire::ShardAssignment& wanted : aCommand.targets()) {
+    ShardState* shard = FindShard(wanted.service(), wanted.shard());
+    if (!shard || !IsHeld(*shard) || shard->m_owner == wanted.backend() ||
+        shard->m_moveTarget == wanted.backend() ||
+        !IsActive(wanted.backend(), wanted.service())) {
+      continue;
+    }
+    ServiceTable& table = m_services[wanted.service()];
+    if (!shard->m_moveTarget) {
+      if (table.m_moves >= kMaxMovesPerService) {
+        continue;
+      }
+      table.m_moves++;
+    }
+    shard->m_moveTarget = wanted.backend();
+    TouchShard(wanted.service(), wanted.shard(), aIndex);
+  }
+}
+
+void
+RouteStore::Apply(const wire::ReleaseShards& aCommand, uint64_t aIndex)
+{
+  if (!aCommand.backend()) {
+    return;
+  }
+  for (const wire::ShardRef& released : aCommand.shards()) {
+    ShardState* shard = FindShard(released.service(), released.shard());
+    // The epoch tells a delayed release of an earlier grant from one of the
+    // current grant.
+    if (!shard || shard->m_owner != aCommand.backend() ||
+        shard->m_epoch != released.epoch()) {
+      continue;
+    }
+    const uint32_t target = shard->m_moveTarget;
+    ClearMove(m_services[released.service()], *shard);
+    shard->m_owner = IsActive(target, released.service()) ? target : 0;
+    shard->m_epoch = aIndex;
+    TouchShard(released.service(), released.shard(), aIndex);
+    DropIfUnused(released.service(), aIndex);
+  }
+}
+
+void
+RouteStore::Apply(const wire::PlaceHotKey& aCommand, uint64_t aIndex)
+{
+  const auto found = m_services.find(aCommand.service());
+  if (found == m_services.end() || aCommand.key().empty() ||
+      aCommand.key().size() > kMaxAddress) {
+    return;
+  }
+  ServiceTable& table = found->second;
+  const ShardState hashed = table.m_shards[HashedShard(aCommand.key())];
+  // While the hashed shard moves, its owner may already have released the key.
+  if (table.m_hotKeys.contains(aCommand.key()) || hashed.m_moveTarget ||
+      table.m_hotKeys.size() >= kMaxHotKeys) {
+    return;
+  }
+  std::vector<bool> used(kMaxHotKeys, false);
+  for (const auto& [key, shard] : table.m_hotKeys) {
+    used[shard - kHashedShards] = true;
+  }
+  const auto offset = std::find(used.begin(), used.end(), false) - used.begin();
+  const auto number = kHashedShards + static_cast<ShardNumber>(offset);
+  if (table.m_shards.size() <= number) {
+    table.m_shards.resize(number + 1);
+  }
+  table.m_hotKeys[aCommand.key()] = number;
+  table.m_shards[number] = { hashed.m_owner, 0, aIndex };
+  TouchShard(aCommand.service(), number, aIndex);
+  Touch(aIndex).m_hotKeys.emplace_back(aCommand.service(), aCommand.key());
+}
+
+void
+RouteStore::Apply(const wire::RemoveHotKey& aCommand, uint64_t aIndex)
+{
+  const auto found = m_services.find(aCommand.service());
+  if (found == m_services.end()) {
+    return;
+  }
+  ServiceTable& table = found->second;
+  const auto hot = table.m_hotKeys.find(aCommand.key());
+  if (hot == table.m_hotKeys.end()) {
+    return;
+  }
+  const ShardNumber hashedNumber = HashedShard(aCommand.key());
+  ShardState& hashed = table.m_shards[hashedNumber];
+  ShardState& own = table.m_shards[hot->second];
+  if (own.m_owner != hashed.m_owner || own.m_moveTarget ||
+      hashed.m_moveTarget) {
+    return;
+  }
+  own = {};
+  // A release that was sent before the owner knew that the hashed shard has
+  // the key again must not count.
+  hashed.m_epoch = aIndex;
+  TouchShard(aCommand.service(), hot->second, aIndex);
+  TouchShard(aCommand.service(), hashedNumber, aIndex);
+  table.m_hotKeys.erase(hot);
+  Touch(aIndex).m_hotKeys.emplace_back(aCommand.service(), aCommand.key());
+}
+
+void
+RouteStore::SetSharded(const std::string& aService,
+                       bool aSharded,
+                       uint64_t aIndex)
+{
+  if (!aSharded) {
+    if (m_services.contains(aService)) {
+      m_unneeded.insert(aService);
+      DropIfUnused(aService, aIndex);
+    }
+    return;
+  }
+  m_unneeded.erase(aService);
+  if (!m_services.contains(aService)) {
+    m_services[aService].m_shards.resize(kHashedShards);
+    ForgetChanges(aIndex);
+  }
+}
+
+bool
+RouteStore::HasRoomFor(const std::string& aService) const
+{
+  return m_services.contains(aService) ||
+         m_services.size() < kMaxShardedServices;
+}
+
+void
+RouteStore::DropIfUnused(const std::string& aService, uint64_t aIndex)
+{
+  if (!m_unneeded.contains(aService)) {
+    return;
+  }
+  const std::vector<ShardState>& shards = m_services[aService].m_shards;
+  const bool held =
+    std::any_of(shards.begin(), shards.end(), [this](const ShardState& aShard) {
+      return IsHeld(aShard);
+    });
+  if (!held) {
+    m_services.erase(aService);
+    m_unneeded.erase(aService);
+    ForgetChanges(aIndex);
+  }
+}
+
+const wire::Backend*
+RouteStore::Find(uint32_t aNumber) const
+{
+  const auto found = m_backends.find(aNumber);
+  return found == m_backends.end() ? nullptr : &found->second;
+}
+
+const wire::Backend*
+RouteStore::Find(std::string_view aNodeId, uint64_t aIncarnation) const
+{
+  const auto node = m_byNode.find(aNodeId);
+  if (node == m_byNode.end()) {
+    return nullptr;
+  }
+  for (const uint32_t number : node->second) {
+    const wire::Backend* backend = Find(number);
+    if (backend->incarnation() == aIncarnation) {
+      return backend;
+    }
+  }
+  return nullptr;
+}
+
+const wire::Backend*
+RouteStore::Current(std::string_view aNodeId) const
+{
+  const auto node = m_byNode.find(aNodeId);
+  if (node == m_byNode.end()) {
+    return nullptr;
+  }
+  const wire::Backend* newest = Find(node->second.back());
+  return newest->state() == wire::BACKEND_STATE_GONE ? nullptr : newest;
+}
+
+bool
+RouteStore::IsHeld(const ShardState& aShard) const
+{
+  const wire::Backend* owner = Find(aShard.m_owner);
+  return owner && owner->state() != wire::BACKEND_STATE_GONE;
+}
+
+ShardState*
+RouteStore::FindShard(const std::string& aService, ShardNumber aShard)
+{
+  const auto table = m_services.find(aService);
+  if (table == m_services.end() || aShard >= table->second.m_shards.size()) {
+    return nullptr;
+  }
+  ServiceTable& service = table->second;
+  if (aShard >= kHashedShards &&
+      std::none_of(service.m_hotKeys.begin(),
+                   service.m_hotKeys.end(),
+                   [&](const auto& aHot) { return aHot.second == aShard; })) {
+    return nullptr;
+  }
+  return &service.m_shards[aShard];
+}
+
+bool
+RouteStore::IsActive(uint32_t aBackend, std::string_view aService) const
+{
+  const wire::Backend* backend = Find(aBackend);
+  return backend && backend->state() == wire::BACKEND_STATE_ACTIVE &&
+         backend->service() == aService;
+}
+
+void
+RouteStore::SetGone(wire::Backend& aBackend, uint64_t aIndex)
+{
+  aBackend.set_state(wire::BACKEND_STATE_GONE);
+  Touch(aIndex).m_backends.push_back(aBackend.number());
+  const std::string service = aBackend.service();
+  EndMovesOf(aBackend.number(), service, aIndex);
+  DropIfUnused(service, aIndex);
+}
+
+// Moves towards a gone backend go on, since their owners may already have
+// stopped: the release then leaves the shard unowned, or the move gets another
+// target.
+void
+RouteStore::EndMovesOf(uint32_t aOwner,
+                       const std::string& aService,
+                       uint64_t aIndex)
+{
+  const auto found = m_services.find(aService);
+  if (found == m_services.end() || !found->second.m_moves) {
+    return;
+  }
+  std::vector<ShardState>& shards = found->second.m_shards;
+  for (ShardNumber number = 0; number < shards.size(); number++) {
+    if (shards[number].m_owner == aOwner && shards[number].m_moveTarget) {
+      ClearMove(found->second, shards[number]);
+      TouchShard(aService, number, aIndex);
+    }
+  }
+}
+
+bool
+RouteStore::OwnsShards(uint32_t aNumber) const
+{
+  const auto table = m_services.find(Find(aNumber)->service());
+  if (table == m_services.end()) {
+    return false;
+  }
+  const std::vector<ShardState>& shards = table->second.m_shards;
+  return std::any_of(
+    shards.begin(), shards.end(), [aNumber](const ShardState& aShard) {
+      return aShard.m_owner == aNumber;
+    });
+}
+
+bool
+RouteStore::MakeRoomFor(const std::string& aNodeId)
+{
+  const auto node = m_byNode.find(aNodeId);
+  if (node != m_byNode.end() && node->second.size() > kMaxGonePerNode) {
+    for (const uint32_t number : std::vector<uint32_t>(node->second)) {
+      if (node->second.size() > kMaxGonePerNode && !OwnsShards(number)) {
+        Forget(number);
+      }
+    }
+  }
+  if (m_backends.size() < kMaxBackends) {
+    return true;
+  }
+  for (const auto& [number, backend] : m_backends) {
+    if (backend.state() == wire::BACKEND_STATE_GONE && !OwnsShards(number)) {
+      Forget(number);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+RouteStore::Forget(uint32_t aNumber)
+{
+  const auto node = m_byNode.find(m_backends[aNumber].node_id());
+  std::erase(node->second, aNumber);
+  if (node->second.empty()) {
+    m_byNode.erase(node);
+  }
+  m_backends.erase(aNumber);
+}
+
+void
+RouteStore::AddToIndex(const wire::Backend& aBackend)
+{
+  m_byNode[aBackend.node_id()].push_back(aBackend.number());
+  m_backends[aBackend.number()] = aBackend;
+}
+
+} // namespace rattanloft::cluster
--- /dev/null
+++ b/modules/cluster/src/ServicePlacer.cpp
@@ -0,0 +1,438 @@
+#include "ServicePlacer.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::cluster {
+
+namespace {
+
+constexpr size_t kMaxAssignmentsPerTick = 256;
+// An imbalance must last this long, so that swings of the load move nothing.
+constexpr Duration kHysteresis = Seconds(10);
+constexpr Duration kLoadInterval = Seconds(1);
+// Weight of a new report each second: a time constant of about 10 s.
+constexpr double kSmoothing = 0.1;
+// Below this rate for each backend the reports are too thin to weigh shards.
+constexpr double kMinBackendRate = 10;
+// Part of a shard's weight that does not depend on its load, so that idle
+// shards are spread too.
+constexpr double kFixedWeight = 0.2;
+constexpr double kMinSpeed = 0.5;
+constexpr double kMaxSpeed = 2;
+// Before the first placement, time without a new backend; spares moving most
+// shards again when backends start one after another.
+constexpr Duration kSettle = Seconds(1);
+constexpr Duration kMaxSettle = Seconds(3);
+// A command that was not applied by then is proposed again.
+constexpr Duration kProposalTimeout = Seconds(1);
+// Share of a backend's mean rate at which a key is placed singly, or no longer.
+constexpr double kHotShare = 0.05;
+constexpr double kCoolShare = 0.02;
+constexpr double kMinHotRate = 5;
+constexpr Duration kHotAfter = Seconds(10);
+constexpr Duration kCoolAfter = Seconds(60);
+constexpr size_t kMaxKeyCandidates = 1024;
+constexpr size_t kMaxHotKeyChanges = 8;
+
+bool
+IsFirstPlacement(const ServiceTable& aTable)
+{
+  return std::none_of(aTable.m_shards.begin(),
+                      aTable.m_shards.end(),
+                      [](const ShardState& aS) { return aS.m_epoch != 0; });
+}
+
+} // namespace
+
+ServicePlacer::ServicePlacer(std::string aService)
+  : m_service(std::move(aService))
+{
+}
+
+std::vector<wire::Command>
+ServicePlacer::Tick(const ServiceTable& aTable,
+                    const std::vector<BackendView>& aBackends,
+                    TimePoint aNow)
+{
+  NoteJoins(aBackends, aNow);
+  const bool loadsDue = aNow >= m_nextLoads;
+  if (loadsDue) {
+    m_nextLoads = aNow + kLoadInterval;
+    TakeLoads(aTable, aBackends);
+  }
+  if (WaitsForApply(aTable, aNow)) {
+    return {};
+  }
+  const PlacementPlan plan = PlanPlacement(MakeInput(aTable, aBackends, aNow));
+  JudgeBalance(plan, aTable.m_moves == 0, aNow);
+  std::vector<wire::Command> commands = MakeCommands(plan, aTable, aNow);
+  if (loadsDue) {
+    PlaceHotKeys(aTable, aNow, commands);
+    RemoveHotKeys(aTable, aNow, commands);
+  }
+  return commands;
+}
+
+bool
+ServicePlacer::WaitsForApply(const ServiceTable& aTable, TimePoint aNow)
+{
+  if (!m_waiting) {
+    return false;
+  }
+  const bool unchanged =
+    m_waitShard < aTable.m_shards.size() &&
+    aTable.m_shards[m_waitShard].m_epoch == m_waitState.m_epoch &&
+    aTable.m_shards[m_waitShard].m_moveTarget == m_waitState.m_moveTarget;
+  m_waiting = unchanged && aNow < m_waitUntil;
+  return m_waiting;
+}
+
+void
+ServicePlacer::ExpectChange(const ServiceTable& aTable,
+                            ShardNumber aShard,
+                            TimePoint aNow)
+{
+  m_waiting = true;
+  m_waitShard = aShard;
+  m_waitState = aTable.m_shards[aShard];
+  m_waitUntil = aNow + kProposalTimeout;
+}
+
+void
+ServicePlacer::NoteJoins(const std::vector<BackendView>& aBackends,
+                         TimePoint aNow)
+{
+  const auto reachable = static_cast<size_t>(
+    std::count_if(aBackends.begin(), aBackends.end(), [](const auto& aView) {
+      return aView.m_reachable;
+    }));
+  if (m_backendCount == 0 && reachable > 0) {
+    m_firstBackendAt = aNow;
+  }
+  if (reachable > m_backendCount) {
+    m_lastJoinAt = aNow;
+  }
+  m_backendCount = reachable;
+}
+
+void
+ServicePlacer::TakeLoads(const ServiceTable& aTable,
+                         const std::vector<BackendView>& aBackends)
+{
+  m_shardRates.resize(aTable.m_shards.size(), 0);
+  TakeShardLoads(aTable, aBackends);
+  TakeSpeeds(aBackends);
+  TakeKeyLoads(aBackends);
+}
+
+void
+ServicePlacer::TakeShardLoads(const ServiceTable& aTable,
+                              const std::vector<BackendView>& aBackends)
+{
+  std::map<uint32_t, std::vector<ShardNumber>> owned;
+  for (ShardNumber shard = 0; shard < aTable.m_shards.size(); shard++) {
+    owned[aTable.m_shards[shard].m_owner].push_back(shard);
+  }
+  double total = 0;
+  size_t count = 0;
+  for (const BackendView& view : aBackends) {
+    if (!view.m_reachable) {
+      continue;
+    }
+    std::map<ShardNumber, double> reported;
+    double sum = 0;
+    for (const wire::ShardLoad& load : view.m_load.shards()) {
+      if (load.service() == m_service && load.requests_per_second() >= 0) {
+        reported[load.shard()] = load.requests_per_second();
+        sum += load.requests_per_second();
+      }
+    }
+    const std::vector<ShardNumber>& shards = owned[view.m_backend->number()];
+    const double others =
+      std::max(0.0, view.m_load.requests_per_second() - sum) /
+      static_cast<double>(std::max<size_t>(
+        1, shards.size() - std::min(shards.size(), reported.size())));
+    for (const ShardNumber shard : shards) {
+      const auto found = reported.find(shard);
+      const double rate = found == reported.end() ? others : found->second;
+      m_shardRates[shard] += kSmoothing * (rate - m_shardRates[shard]);
+      total += m_shardRates[shard];
+    }
+    count++;
+  }
+  m_backendRate = count ? total / static_cast<double>(count) : 0;
+}
+
+// Requests a second for each request in flight, relative to the mean of the
+// service: a backend that answers faster gets more shards.
+void
+ServicePlacer::TakeSpeeds(const std::vector<BackendView>& aBackends)
+{
+  std::map<uint32_t, double> raw;
+  double sum = 0;
+  for (const BackendView& view : aBackends) {
+    const wire::NodeLoad& load = view.m_load;
+    if (view.m_reachable && load.in_flight() > 0 &&
+        load.requests_per_second() >= kMinBackendRate) {
+      const double speed = load.requests_per_second() / load.in_flight();
+      raw[view.m_backend->number()] = speed;
+      sum += speed;
+    }
+  }
+  std::map<uint32_t, Speed> speeds;
+  for (const BackendView& view : aBackends) {
+    const uint32_t number = view.m_backend->number();
+    Speed speed = m_speeds[number];
+    const auto found = raw.find(number);
+    if (found != raw.end()) {
+      const double mean = sum / static_cast<double>(raw.size());
+      const double relative =
+        std::clamp(found->second / mean, kMinSpeed, kMaxSpeed);
+      speed.m_smoothed += kSmoothing * (relative - speed.m_smoothed);
+    }
+    // Small changes are not used, since each would move shards.
+    if (std::abs(speed.m_smoothed / speed.m_used - 1) > kPlacementTolerance) {
+      speed.m_used = speed.m_smoothed;
+    }
+    speeds[number] = speed;
+  }
+  m_speeds = std::move(speeds);
+}
+
+void
+ServicePlacer::TakeKeyLoads(const std::vector<BackendView>& aBackends)
+{
+  std::map<std::string_view, double> rates;
+  for (const BackendView& view : aBackends) {
+    for (const wire::KeyLoad& load : view.m_load.keys()) {
+      if (view.m_reachable && load.service() == m_service) {
+        rates[load.key()] += load.requests_per_second();
+      }
+    }
+  }
+  for (auto& [key, state] : m_keys) {
+    state.m_reported = false;
+  }
+  for (const auto& [key, rate] : rates) {
+    const std::string name(key);
+    if (!m_keys.contains(name) && m_keys.size() >= kMaxKeyCandidates) {
+      continue;
+    }
+    KeyState& state = m_keys[name];
+    state.m_reported = true;
+    state.m_rate += kSmoothing * (rate - state.m_rate);
+  }
+  for (auto& [key, state] : m_keys) {
+    state.m_rate *= state.m_reported ? 1 : 1 - kSmoothing;
+  }
+}
+
+PlacementInput
+ServicePlacer::MakeInput(const ServiceTable& aTable,
+                         const std::vector<BackendView>& aBackends,
+                         TimePoint aNow) const
+{
+  PlacementInput input;
+  for (const BackendView& view : aBackends) {
+    const wire::Backend& backend = *view.m_backend;
+    PlacementBackend& added = input.m_backends.emplace_back();
+    added.m_number = backend.number();
+    added.m_zone = backend.zone();
+    const auto speed = m_speeds.find(backend.number());
+    added.m_capacity = std::max(1U, backend.slots()) *
+                       (speed == m_speeds.end() ? 1 : speed->second.m_used);
+    added.m_leaving =
+      backend.state() == wire::BACKEND_STATE_DRAINING || !view.m_healthy;
+    added.m_receives = view.m_reachable && !added.m_leaving;
+    added.m_cold = view.m_cold;
+  }
+  const bool first = IsFirstPlacement(aTable);
+  const bool settled =
+    aNow - m_lastJoinAt >= kSettle || aNow - m_firstBackendAt >= kMaxSettle;
+  input.m_maxAssignments = kMaxAssignmentsPerTick;
+  if (first) {
+    input.m_maxAssignments = settled ? aTable.m_shards.size() : 0;
+  }
+  input.m_maxMoves =
+    kMaxMovesPerService - std::min(kMaxMovesPerService, aTable.m_moves);
+  input.m_rebalance = m_rebalancing;
+  AddShards(input, aTable, first);
+  return input;
+}
+
+void
+ServicePlacer::AddShards(PlacementInput& aInput,
+                         const ServiceTable& aTable,
+                         bool aFirstPlacement) const
+{
+  std::vector<uint32_t> alive;
+  for (const PlacementBackend& backend : aInput.m_backends) {
+    alive.push_back(backend.m_number);
+  }
+  std::sort(alive.begin(), alive.end());
+  const auto isAlive = [&](uint32_t aOwner) {
+    return std::binary_search(alive.begin(), alive.end(), aOwner);
+  };
+  std::vector<bool> hot(aTable.m_shards.size(), false);
+  for (const auto& [key, shard] : aTable.m_hotKeys) {
+    hot[shard] = true;
+  }
+  double total = 0;
+  for (const double rate : m_shardRates) {
+    total += rate;
+  }
+  const double mean = total / kHashedShards;
+  const double floor = kMinBackendRate * static_cast<double>(alive.size() + 1);
+  const double confidence =
+    aFirstPlacement ? 0 : (1 - kFixedWeight) * std::min(1.0, total / floor);
+  for (ShardNumber shard = 0; shard < aTable.m_shards.size(); shard++) {
+    const ShardState& state = aTable.m_shards[shard];
+    PlacementShard& added = aInput.m_shards.emplace_back();
+    added.m_owner = isAlive(state.m_owner) ? state.m_owner : 0;
+    added.m_moveTarget = added.m_owner ? state.m_moveTarget : 0;
+    added.m_used = shard < kHashedShards || hot[shard];
+    const double rate = shard < m_shardRates.size() ? m_shardRates[shard] : 0;
+    if (mean > 0) {
+      added.m_weight = 1 + confidence * (rate / mean - 1);
+    }
+  }
+}
+
+void
+ServicePlacer::JudgeBalance(const PlacementPlan& aPlan,
+                            bool aIdle,
+                            TimePoint aNow)
+{
+  // A started rebalancing goes on until nothing is left to move, so that it
+  // does not stop just inside the tolerance.
+  const bool finished = m_rebalancing && !aPlan.m_rebalances && aIdle;
+  m_rebalancing = m_rebalancing && !finished;
+  if (!aPlan.m_unbalanced || finished) {
+    m_unbalanced = false;
+    return;
+  }
+  if (!m_unbalanced) {
+    m_unbalanced = true;
+    m_unbalancedSince = aNow;
+  }
+  if (aPlan.m_joined || aNow - m_unbalancedSince >= kHysteresis) {
+    m_rebalancing = true;
+  }
+}
+
+std::vector<wire::Command>
+ServicePlacer::MakeCommands(const PlacementPlan& aPlan,
+                            const ServiceTable& aTable,
+                            TimePoint aNow)
+{
+  std::vector<wire::Command> commands;
+  const auto fill = [this](auto* aList, const std::vector<Placed>& aPlaced) {
+    for (const Placed& placed : aPlaced) {
+      wire::ShardAssignment* item = aList->Add();
+      item->set_service(m_service);
+      item->set_shard(placed.m_shard);
+      item->set_backend(placed.m_backend);
+    }
+  };
+  if (!aPlan.m_assignments.empty()) {
+    fill(commands.emplace_back().mutable_assign_shards()->mutable_assignments(),
+         aPlan.m_assignments);
+    ExpectChange(aTable, aPlan.m_assignments.back().m_shard, aNow);
+    LogInfo("place",
+            "service {}: assigns {} shards without owner",
+            m_service,
+            aPlan.m_assignments.size());
+  }
+  if (!aPlan.m_moves.empty()) {
+    fill(commands.emplace_back().mutable_begin_moves()->mutable_targets(),
+         aPlan.m_moves);
+    ExpectChange(aTable, aPlan.m_moves.back().m_shard, aNow);
+    LogInfo("place",
+            "service {}: moves {} shards, imbalance {:.2f}",
+            m_service,
+            aPlan.m_moves.size(),
+            aPlan.m_imbalance);
+  }
+  return commands;
+}
+
+void
+ServicePlacer::PlaceHotKeys(const ServiceTable& aTable,
+                            TimePoint aNow,
+                            std::vector<wire::Command>& aCommands)
+{
+  const double hot = std::max(kMinHotRate, kHotShare * m_backendRate);
+  size_t room = std::min(
+    kMaxHotKeyChanges,
+    kMaxHotKeys - std::min<size_t>(kMaxHotKeys, aTable.m_hotKeys.size()));
+  for (auto& [key, state] : m_keys) {
+    if (aTable.m_hotKeys.contains(key)) {
+      continue;
+    }
+    if (state.m_rate < hot) {
+      state.m_since = aNow;
+      continue;
+    }
+    if (room == 0 || aNow - state.m_since < kHotAfter) {
+      continue;
+    }
+    room--;
+    wire::PlaceHotKey* place = aCommands.emplace_back().mutable_place_hot_key();
+    place->set_service(m_service);
+    place->set_key(key);
+    LogInfo("place",
+            "service {}: places a hot key singly, {:.0f} requests/s",
+            m_service,
+            state.m_rate);
+    state.m_since = aNow;
+  }
+  // Cold candidates make room for others.
+  std::erase_if(m_keys, [&](const auto& aItem) {
+    return aItem.second.m_rate < kMinHotRate / 10 &&
+           !aTable.m_hotKeys.contains(aItem.first);
+  });
+}
+
+// A cooled key first moves back to the owner of its hashed shard.
+void
+ServicePlacer::RemoveHotKeys(const ServiceTable& aTable,
+                             TimePoint aNow,
+                             std::vector<wire::Command>& aCommands)
+{
+  const double cool = std::max(kMinHotRate / 2, kCoolShare * m_backendRate);
+  size_t changes = 0;
+  for (const auto& [key, shard] : aTable.m_hotKeys) {
+    if (!m_keys.contains(key)) {
+      m_keys[key].m_since = aNow;
+    }
+    KeyState& state = m_keys[key];
+    if (state.m_rate >= cool) {
+      state.m_since = aNow;
+    }
+    const ShardState& own = aTable.m_shards[shard];
+    const ShardState& hashed = aTable.m_shards[HashedShard(key)];
+    if (aNow - state.m_since < kCoolAfter || own.m_moveTarget ||
+        hashed.m_moveTarget || changes >= kMaxHotKeyChanges) {
+      continue;
+    }
+    changes++;
+    if (own.m_owner == hashed.m_owner) {
+      wire::RemoveHotKey* remove =
+        aCommands.emplace_back().mutable_remove_hot_key();
+      remove->set_service(m_service);
+      remove->set_key(key);
+      LogInfo("place", "service {}: ends a hot key's shard", m_service);
+      continue;
+    }
+    wire::ShardAssignment* back =
+      aCommands.emplace_back().mutable_begin_moves()->add_targets();
+    back->set_service(m_service);
+    back->set_shard(shard);
+    back->set_backend(hashed.m_owner);
+  }
+}
+
+} // namespace rattanloft::cluster
--- /dev/null
+++ b/modules/cluster/tests/ClusterStateTest.cpp
@@ -0,0 +1,344 @@
+#include "rattanloft/cluster/ClusterState.h"
+
+#include <catch2/catch.hpp>
+
+#include "Fixture.h"
+
+namespace rattanloft::cluster {
+
+namespace {
+
+constexpr auto kGone = wire::BACKEND_STATE_GONE;
+constexpr auto kDraining = wire::BACKEND_STATE_DRAINING;
+
+// A keyed service with backends 1 and 2.
+class Shop : public TestState
+{
+public:
+  Shop()
+  {
+    Apply(MakePut(MakeEntry("browse", "shop"), 0, "c1"));
+    REQUIRE(Apply(MakeRegister("n1", 11)).m_backend == 1);
+    REQUIRE(Apply(MakeRegister("n2", 21)).m_backend == 2);
+  }
+};
+
+wire::Command
+MakeHot(const std::string& aKey, bool aPlace)
+{
+  wire::Command command;
+  if (aPlace) {
+    command.mutable_place_hot_key()->set_service("shop");
+    command.mutable_place_hot_key()->set_key(aKey);
+  } else {
+    command.mutable_remove_hot_key()->set_service("shop");
+    command.mutable_remove_hot_key()->set_key(aKey);
+  }
+  return command;
+}
+
+} // namespace
+
+// Guards against an entry that no node can serve, and against an error that
+// does not tell the operator what to change.
+TEST_CASE("An invalid entry is refused with the name of its field")
+{
+  struct Case
+  {
+    const char* m_field;
+    void (*m_break)(wire::CatalogueEntry&);
+  };
+  const Case cases[] = {
+    { "name", [](auto& aE) { aE.set_name("Browse"); } },
+    { "name", [](auto& aE) { aE.set_name(std::string(65, 'a')); } },
+    { "owner", [](auto& aE) { aE.clear_owner(); } },
+    { "service", [](auto& aE) { aE.clear_service(); } },
+    { "methods", [](auto& aE) { aE.clear_methods(); } },
+    { "methods", [](auto& aE) { aE.add_methods("GET"); } },
+    { "limits.deadline_ms",
+      [](auto& aE) { aE.mutable_limits()->set_deadline_ms(0); } },
+    { "limits.deadline_ms",
+      [](auto& aE) { aE.mutable_limits()->set_deadline_ms(600001); } },
+    { "limits.max_body_bytes",
+      [](auto& aE) { aE.mutable_limits()->set_max_body_bytes(8388609); } },
+    { "limits.hour_deadlines[0].from_hour",
+      [](auto& aE) {
+        aE.mutable_limits()->add_hour_deadlines()->set_from_hour(24);
+      } },
+    { "limits.hour_deadlines[0].to_hour",
+      [](auto& aE) {
+        aE.mutable_limits()->add_hour_deadlines()->set_to_hour(25);
+      } },
+    { "limits.hour_deadlines[0].deadline_ms",
+      [](auto& aE) {
+        aE.mutable_limits()->add_hour_deadlines()->set_to_hour(24);
+      } },
+  };
+  for (const Case& item : cases) {
+    TestState test;
+    wire::CatalogueEntry entry = MakeEntry("browse", "shop");
+    item.m_break(entry);
+    const auto result = test.Apply(MakePut(entry, 0, "c1")).m_change;
+    CHECK(result.status() == wire::CHANGE_STATUS_INVALID);
+    CHECK(result.message().starts_with(std::string(item.m_field) + ":"));
+    CHECK(test.m_state.Entries().empty());
+  }
+}
+
+// Guards against two entries between which a node cannot choose.
+TEST_CASE("Entries of one service must fit together")
+{
+  Shop test;
+  const auto put = [&](const wire::CatalogueEntry& aEntry, const char* aId) {
+    return test.Apply(MakePut(aEntry, 0, aId)).m_change;
+  };
+  wire::CatalogueEntry entry = MakeEntry("order", "shop");
+  REQUIRE(put(entry, "c2").message().starts_with("methods:"));
+  entry.set_methods(0, "POST");
+  entry.set_keyed(false);
+  REQUIRE(put(entry, "c3").message().starts_with("keyed:"));
+  entry.set_keyed(true);
+  REQUIRE(put(entry, "c4").status() == wire::CHANGE_STATUS_ACCEPTED);
+}
+
+// Guards against a lost update when operators race, and against a second
+// effect of a change that was sent again after its reply was lost.
+TEST_CASE("A change needs the current revision and counts once")
+{
+  Shop test;
+  wire::CatalogueEntry entry = MakeEntry("browse", "shop");
+  const uint64_t first = test.m_state.Entries().at("browse").revision();
+  entry.set_owner("team-b");
+  const auto won = test.Apply(MakePut(entry, first, "c2")).m_change;
+  REQUIRE(won.status() == wire::CHANGE_STATUS_ACCEPTED);
+  entry.set_owner("team-c");
+  const auto lost = test.Apply(MakePut(entry, first, "c3")).m_change;
+  REQUIRE(lost.status() == wire::CHANGE_STATUS_REVISION_MISMATCH);
+  REQUIRE(lost.revision() == won.revision());
+
+  REQUIRE(test.Apply(MakePut(entry, won.revision(), "c4")).m_change.status() ==
+          wire::CHANGE_STATUS_ACCEPTED);
+  TestState restored;
+  REQUIRE(restored.m_state.Restore(test.m_state.Snapshot()));
+  restored.m_index = test.m_index;
+  const auto again = restored.Apply(MakePut(entry, first, "c2")).m_change;
+  REQUIRE(again.SerializeAsString() == won.SerializeAsString());
+  REQUIRE(restored.m_state.Entries().at("browse").owner() == "team-c");
+  REQUIRE(restored.m_state.FindChange("c2")->result().revision() ==
+          won.revision());
+}
+
+// Guards against an unbounded catalogue and unbounded change ids.
+TEST_CASE("The catalogue and its history are bounded")
+{
+  TestState test;
+  for (int i = 0; i < 1000; i++) {
+    const std::string name = "e" + std::to_string(i);
+    wire::CatalogueEntry entry = MakeEntry(name, name);
+    entry.set_keyed(false);
+    REQUIRE(test.Apply(MakePut(entry, 0, name)).m_change.status() ==
+            wire::CHANGE_STATUS_ACCEPTED);
+  }
+  wire::CatalogueEntry entry = MakeEntry("last", "last");
+  entry.set_keyed(false);
+  for (int i = 0; i < 10000; i++) {
+    REQUIRE(test.Apply(MakePut(entry, 0, "f" + std::to_string(i)))
+              .m_change.status() == wire::CHANGE_STATUS_CATALOGUE_FULL);
+  }
+  REQUIRE(test.m_state.History(20000).size() == 10000);
+  REQUIRE(test.m_state.FindChange("e0") == nullptr);
+  REQUIRE(test.m_state.FindChange("f0") != nullptr);
+}
+
+// Guards against two backends under one number and against a stopped backend
+// server that comes back with the grants of its earlier life.
+TEST_CASE("A newer incarnation ends the older one for good")
+{
+  Shop test;
+  wire::Command again = MakeRegister("n1", 11);
+  again.mutable_register_backend()->mutable_backend()->set_slots(6);
+  REQUIRE(test.Apply(again).m_backend == 1);
+  REQUIRE(test.m_state.Backends().at(1).slots() == 6);
+  REQUIRE(test.Apply(MakeRegister("n1", 12)).m_backend == 3);
+  REQUIRE(test.m_state.Backends().at(1).state() == kGone);
+  REQUIRE(test.Apply(MakeRegister("n1", 11)).m_backend == 0);
+  test.Apply(MakeState(1, wire::BACKEND_STATE_ACTIVE));
+  REQUIRE(test.m_state.Backends().at(1).state() == kGone);
+  REQUIRE(test.m_state.Backends().at(3).state() != kGone);
+}
+
+// Guards against memory that grows with each restart, and against forgetting
+// an incarnation while its shards still name it.
+TEST_CASE("Gone incarnations are bounded and those with shards are kept")
+{
+  Shop test;
+  test.Apply(MakeAssign(7, 1));
+  for (uint64_t i = 0; i < 50; i++) {
+    REQUIRE(test.Apply(MakeRegister("n1", 100 + i)).m_backend == 3 + i);
+  }
+  REQUIRE(test.m_state.Backends().size() <= 12);
+  REQUIRE(test.m_state.Backends().contains(1));
+  REQUIRE(test.Apply(MakeRegister("n1", 148)).m_backend == 0);
+}
+
+// Guards against a second owner beside one that may still hold a lease.
+TEST_CASE("Only a shard without a living owner can be assigned")
+{
+  Shop test;
+  test.Apply(MakeAssign(7, 1));
+  const uint64_t epoch = test.Epoch(7);
+  REQUIRE(epoch == test.m_index);
+  test.Apply(MakeAssign(7, 2));
+  REQUIRE(test.Owner(7) == 1);
+  test.Apply(MakeState(1, kDraining));
+  test.Apply(MakeAssign(7, 2));
+  REQUIRE(test.Owner(7) == 1);
+  test.Apply(MakeState(1, kGone));
+  REQUIRE(test.Owner(7) == 1);
+  test.Apply(MakeAssign(7, 1));
+  REQUIRE(test.Epoch(7) == epoch);
+  test.Apply(MakeAssign(7, 2));
+  REQUIRE(test.Owner(7) == 2);
+  REQUIRE(test.Epoch(7) > epoch);
+}
+
+// Guards against a release that ends the grant of somebody else, or a later
+// grant of the same backend.
+TEST_CASE("A release counts only from the owner and for its epoch")
+{
+  Shop test;
+  test.Apply(MakeAssign(7, 1));
+  const uint64_t epoch = test.Epoch(7);
+  test.Apply(MakeMove(7, 2));
+  REQUIRE(test.MoveTarget(7) == 2);
+  test.Apply(MakeRelease(2, 7, epoch));
+  test.Apply(MakeRelease(1, 7, epoch - 1));
+  REQUIRE(test.Owner(7) == 1);
+  test.Apply(MakeRelease(1, 7, epoch));
+  REQUIRE(test.Owner(7) == 2);
+  REQUIRE(test.MoveTarget(7) == 0);
+  REQUIRE(test.Epoch(7) == test.m_index);
+}
+
+// Guards against an owner that serves on after its move was cancelled although
+// its release is already under way.
+TEST_CASE("A move towards a lost backend goes on and leaves no owner")
+{
+  Shop test;
+  test.Apply(MakeAssign(7, 1));
+  test.Apply(MakeMove(7, 2));
+  test.Apply(MakeState(2, kGone));
+  REQUIRE(test.MoveTarget(7) == 2);
+  test.Apply(MakeRelease(1, 7, test.Epoch(7)));
+  REQUIRE(test.Owner(7) == 0);
+}
+
+// Guards against a service that stops since too much of it moves at once.
+TEST_CASE("At most 32 shards of a service move at once")
+{
+  Shop test;
+  for (ShardNumber shard = 0; shard < 40; shard++) {
+    test.Apply(MakeAssign(shard, 1));
+  }
+  for (ShardNumber shard = 0; shard < 40; shard++) {
+    test.Apply(MakeMove(shard, 2));
+  }
+  REQUIRE(test.MoveTarget(31) == 2);
+  REQUIRE(test.MoveTarget(32) == 0);
+  test.Apply(MakeRelease(1, 3, test.Epoch(3)));
+  test.Apply(MakeMove(32, 2));
+  REQUIRE(test.MoveTarget(32) == 2);
+}
+
+// Guards against two owners of one key: by its own shard and the hashed one.
+TEST_CASE("A hot key starts and ends with the owner of its hashed shard")
+{
+  Shop test;
+  const ShardNumber hashed = HashedShard("stand-1");
+  test.Apply(MakeAssign(hashed, 1));
+  test.Apply(MakeMove(hashed, 2));
+  test.Apply(MakeHot("stand-1", true));
+  REQUIRE(test.Routes().owners_size() == 4096);
+  test.Apply(MakeRelease(1, hashed, test.Epoch(hashed)));
+  test.Apply(MakeHot("stand-1", true));
+  REQUIRE(test.Owner(4096) == 2);
+
+  test.Apply(MakeMove(4096, 1));
+  test.Apply(MakeHot("stand-1", false));
+  test.Apply(MakeRelease(2, 4096, test.Epoch(4096)));
+  test.Apply(MakeHot("stand-1", false));
+  REQUIRE(test.Owner(4096) == 1);
+  test.Apply(MakeMove(4096, 2));
+  test.Apply(MakeRelease(1, 4096, test.Epoch(4096)));
+  const uint64_t before = test.Epoch(hashed);
+  test.Apply(MakeHot("stand-1", false));
+  REQUIRE(test.Owner(4096) == 0);
+  // A release from before the removal must not count.
+  test.Apply(MakeRelease(2, hashed, before));
+  REQUIRE(test.Owner(hashed) == 2);
+  // The number of the removed key belongs to nobody.
+  test.Apply(MakeAssign(4096, 1));
+  REQUIRE(test.Owner(4096) == 0);
+}
+
+// Guards against grants that are lost with the last entry of a service while
+// an owner still holds a lease, and against tables that stay for ever.
+TEST_CASE("A service keeps its table until nobody holds any of it")
+{
+  Shop test;
+  test.Apply(MakeAssign(7, 1));
+  wire::Command remove;
+  remove.mutable_change()->set_change_id("r");
+  remove.mutable_change()->set_remove("browse");
+  remove.mutable_change()->set_expected_revision(1);
+  REQUIRE(test.Apply(remove).m_change.status() == wire::CHANGE_STATUS_ACCEPTED);
+  REQUIRE(test.Owner(7) == 1);
+  test.Apply(MakeState(1, kGone));
+  REQUIRE(test.m_state.Routes().empty());
+}
+
+// Guards against a node that misses a change, and against one that keeps an
+// old table when a delta cannot reach back far enough.
+TEST_CASE("Deltas hold what changed and a long gap gives a full update")
+{
+  Shop test;
+  const uint64_t start = test.m_state.RouteRevision();
+  test.Apply(MakeAssign(7, 1));
+  test.Apply(MakeState(2, kDraining));
+  const wire::RouteUpdate delta = test.m_state.RoutesSince(start);
+  REQUIRE_FALSE(delta.full());
+  REQUIRE(delta.services(0).shards_size() == 1);
+  REQUIRE(delta.services(0).shards(0) == 7);
+  REQUIRE(delta.backends_size() == 1);
+  REQUIRE(delta.revision() == test.m_state.RouteRevision());
+  REQUIRE(test.m_state.RoutesSince(delta.revision() + 1).full());
+  for (int i = 0; i < 600; i++) {
+    test.Apply(MakeState(2, wire::BACKEND_STATE_ACTIVE));
+    test.Apply(MakeState(2, kDraining));
+  }
+  REQUIRE(test.m_state.RoutesSince(start).full());
+}
+
+// Guards against replicas that differ after one of them took a snapshot.
+TEST_CASE("A snapshot restores the state exactly")
+{
+  Shop test;
+  test.Apply(MakeAssign(HashedShard("stand-1"), 1));
+  test.Apply(MakeAssign(9, 1));
+  test.Apply(MakeMove(9, 2));
+  test.Apply(MakeHot("stand-1", true));
+  test.Apply(MakeRegister("n2", 22));
+  ClusterState copy;
+  REQUIRE(copy.Restore(test.m_state.Snapshot()));
+  REQUIRE(copy.Snapshot().SerializeAsString() ==
+          test.m_state.Snapshot().SerializeAsString());
+  for (const wire::Command& command :
+       { MakeRelease(1, 9, test.Epoch(9)), MakeRegister("n3", 5) }) {
+    test.Apply(command);
+    copy.Apply(command, test.m_index);
+  }
+  REQUIRE(copy.Snapshot().SerializeAsString() ==
+          test.m_state.Snapshot().SerializeAsString());
+}
+
+} // namespace rattanloft::cluster
