--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -305,6 +305,7 @@
   if (!known) {
     return reply;
   }
+  reply.set_incarnation(known->incarnation());
   if (known->state() == wire::BACKEND_STATE_GONE) {
     reply.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
     node.m_toldGone = known->incarnation();
--- /dev/null
+++ b/modules/cluster/tests/ClusterRandomTest.cpp
@@ -0,0 +1,47 @@
+#include <cstdlib>
+
+#include <catch2/catch.hpp>
+
+#include "Simulation.h"
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::cluster {
+
+namespace {
+
+uint64_t
+FromEnvironment(const char* aName, uint64_t aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text ? std::strtoull(text, nullptr, 10) : aDefault;
+}
+
+void
+RunSeed(uint64_t aSeed, int aSteps)
+{
+  Simulation simulation({ .m_seed = aSeed, .m_steps = aSteps, .m_nodes = 10 });
+  simulation.Run();
+  WARN("seed " << aSeed << ": longest gap " << simulation.m_longestGap
+               << " ms");
+}
+
+} // namespace
+
+// Guards against two owners of a shard, revisions that go back, and shards that
+// stay without service, under pauses, partitions, lost replies, restarts,
+// drains, frozen backend servers and leader changes. RATTANLOFT_SEED and
+// RATTANLOFT_STEPS choose another run.
+TEST_CASE("Ownership stays exclusive under random faults")
+{
+  SetLogLevel(LogLevel::kWarning);
+  const int steps = static_cast<int>(FromEnvironment("RATTANLOFT_STEPS", 3000));
+  if (std::getenv("RATTANLOFT_SEED")) {
+    RunSeed(FromEnvironment("RATTANLOFT_SEED", 1), steps);
+    return;
+  }
+  for (const uint64_t seed : { 1, 2, 3 }) {
+    RunSeed(seed, steps);
+  }
+}
+
+} // namespace rattanloft::cluster
--- /dev/null
+++ b/modules/cluster/tests/Simulation.cpp
@@ -0,0 +1,488 @@
+#include "Simulation.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::cluster {
+
+namespace {
+
+constexpr int64_t kStepMs = 20;
+constexpr int64_t kSyncTimeoutMs = 1000;
+constexpr int64_t kServedWithinMs = 5000;
+constexpr int64_t kStartMs = 12000;
+const char* const kServices[] = { "shop", "desk" };
+
+} // namespace
+
+wire::SyncRequest
+SimNode::MakeRequest(int64_t aNow)
+{
+  wire::SyncRequest request;
+  request.set_node_id(m_id);
+  request.set_session(m_session);
+  request.set_sequence(++m_sequence);
+  request.set_answered(m_answered);
+  request.set_backend_healthy(m_healthy);
+  request.set_draining(m_draining);
+  request.set_route_revision(m_routeRevision);
+  request.set_catalogue_revision(m_catalogueRevision);
+  *request.mutable_backend() =
+    MakeRegister(m_id, m_incarnation, m_service, m_zone)
+      .register_backend()
+      .backend();
+  for (ShardNumber shard = 0; shard < m_routes.size(); shard++) {
+    const Route& route = m_routes[shard];
+    if (m_number && route.m_owner == m_number && route.m_released &&
+        route.m_released == route.m_epoch) {
+      wire::ShardRef* released = request.add_released();
+      released->set_service(m_service);
+      released->set_shard(shard);
+      released->set_epoch(route.m_epoch);
+    }
+  }
+  m_nextRequest = aNow + kSyncTimeoutMs;
+  return request;
+}
+
+void
+SimNode::OnReply(const wire::SyncReply& aReply,
+                 uint64_t aSequence,
+                 uint64_t aSession,
+                 int64_t aSentAt,
+                 int64_t aNow)
+{
+  if (aSession != m_session || aSequence <= m_answered ||
+      aReply.status() == wire::SYNC_STATUS_REPLACED) {
+    return;
+  }
+  REQUIRE(aReply.route_revision() >= m_routeRevision);
+  m_answered = aSequence;
+  m_nextRequest = aNow;
+  m_catalogueRevision = aReply.catalogue_revision();
+  m_routeRevision = aReply.route_revision();
+  if (aReply.routes().full()) {
+    m_routes.clear();
+  }
+  for (const wire::ServiceRoutes& table : aReply.routes().services()) {
+    if (table.service() != m_service) {
+      continue;
+    }
+    for (int i = 0; i < table.owners_size(); i++) {
+      const ShardNumber shard =
+        table.shards().empty() ? static_cast<ShardNumber>(i) : table.shards(i);
+      m_routes.resize(std::max<size_t>(m_routes.size(), shard + 1));
+      Route& route = m_routes[shard];
+      REQUIRE(table.epochs(i) >= route.m_epoch);
+      route = { table.owners(i),
+                table.move_targets(i),
+                table.epochs(i),
+                route.m_released };
+    }
+  }
+  if (aReply.incarnation() && aReply.incarnation() != m_incarnation) {
+    return;
+  }
+  if (aReply.status() == wire::SYNC_STATUS_INCARNATION_GONE) {
+    RestartBackend(m_incarnation + 1);
+    return;
+  }
+  if (aReply.backend_number() != m_number) {
+    m_number = aReply.backend_number();
+    m_leaseEnd = 0;
+  }
+  if (aReply.lease_ms()) {
+    m_leaseEnd = std::max<int64_t>(
+      m_leaseEnd, Clock(aSentAt) + aReply.lease_ms() - aReply.lease_ms() / 100);
+  }
+}
+
+bool
+SimNode::Believes(ShardNumber aShard, int64_t aNow) const
+{
+  if (!m_number || aShard >= m_routes.size() || !HoldsLease(aNow)) {
+    return false;
+  }
+  const Route& route = m_routes[aShard];
+  return route.m_owner == m_number && route.m_released != route.m_epoch;
+}
+
+bool
+SimNode::ReleaseAsked()
+{
+  bool any = false;
+  for (Route& route : m_routes) {
+    if (m_number && route.m_owner == m_number && route.m_target &&
+        route.m_released != route.m_epoch) {
+      route.m_released = route.m_epoch;
+      any = true;
+    }
+  }
+  return any;
+}
+
+void
+SimNode::RestartBackend(uint64_t aIncarnation)
+{
+  m_incarnation = aIncarnation;
+  m_number = 0;
+  m_leaseEnd = 0;
+}
+
+void
+SimNode::RestartProcess(uint64_t aSession)
+{
+  m_session = aSession;
+  m_sequence = 0;
+  m_answered = 0;
+  m_number = 0;
+  m_leaseEnd = 0;
+  m_routes.clear();
+  m_routeRevision = 0;
+  m_catalogueRevision = 0;
+}
+
+Simulation::Simulation(SimOptions aOptions)
+  : m_options(aOptions)
+  , m_random(aOptions.m_seed)
+{
+  for (const char* service : kServices) {
+    m_state.Apply(MakePut(MakeEntry(service, service), 0, service));
+  }
+  for (int i = 0; i < aOptions.m_nodes; i++) {
+    const double rate = 1 + static_cast<double>(Random(-95, 95)) / 10000;
+    m_nodes.push_back(std::make_unique<SimNode>(
+      "n" + std::to_string(i),
+      kServices[i % 2],
+      std::string(1, static_cast<char>('a' + i / 2 % 4)),
+      rate));
+    m_nodes.back()->m_offset = Random(0, 1000000);
+  }
+  NewLeader();
+  m_nextFault = m_now + kStartMs;
+  m_lastFault = m_now + kStartMs;
+}
+
+int64_t
+Simulation::Random(int64_t aMin, int64_t aMax)
+{
+  return std::uniform_int_distribution<int64_t>(aMin, aMax)(m_random);
+}
+
+TimePoint
+Simulation::LeaderNow() const
+{
+  return { m_leaderOffset +
+           static_cast<int64_t>(static_cast<double>(m_now) * m_leaderRate) };
+}
+
+void
+Simulation::Run()
+{
+  for (int step = 0; step < m_options.m_steps; step++) {
+    if (m_options.m_faults && m_now >= m_nextFault) {
+      InjectFaults();
+    }
+    Step();
+  }
+}
+
+void
+Simulation::Step()
+{
+  m_now += kStepMs;
+  SendRequests();
+  DeliverRequests();
+  ApplyDue();
+  if (m_now >= m_noQuorumUntil) {
+    TickOutcome outcome = m_coordinator->Tick(LeaderNow());
+    Propose(std::move(outcome.m_commands));
+    m_ready.insert(
+      m_ready.end(), outcome.m_ready.begin(), outcome.m_ready.end());
+    AnswerReady();
+  }
+  DeliverReplies();
+  CheckExclusive();
+  CheckRevisions();
+  CheckServed();
+}
+
+// The last entries of the old leader may be lost; the others are applied, which
+// takes place before any read of the new leader is confirmed.
+void
+Simulation::NewLeader()
+{
+  m_log.resize(
+    static_cast<size_t>(Random(0, static_cast<int64_t>(m_log.size()))));
+  m_oldEntries = m_log.size();
+  m_leaderOffset = Random(0, 1000000);
+  m_leaderRate = 1 + static_cast<double>(Random(-95, 95)) / 10000;
+  m_coordinator = std::make_unique<Coordinator>(
+    CoordinatorOptions(), m_state.m_state, LeaderNow());
+  m_ready.clear();
+  m_held.clear();
+}
+
+void
+Simulation::InjectFaults()
+{
+  m_nextFault = m_now + Random(0, 9000);
+  m_lastFault = m_now;
+  const int64_t kind = Random(0, 9);
+  fprintf(stderr,"%ld fault %ld\n",m_now,kind);
+  if (kind == 0) {
+    // The old leader is lost and the new one needs up to 1 s.
+    m_noQuorumUntil = m_now + Random(0, 1000);
+    NewLeader();
+    return;
+  }
+  const auto faulty =
+    std::count_if(m_nodes.begin(), m_nodes.end(), [this](const auto& aNode) {
+      return std::max({ aNode->m_pausedUntil,
+                        aNode->m_cutUntil,
+                        aNode->m_repliesLostUntil }) > m_now ||
+             !aNode->m_healthy || aNode->m_draining;
+    });
+  SimNode& node = *m_nodes[static_cast<size_t>(
+    Random(0, static_cast<int64_t>(m_nodes.size()) - 1))];
+  if (faulty >= 2 || kind == 1) {
+    node.m_healthy = true;
+    node.m_draining = false;
+    return;
+  }
+  fprintf(stderr,"  node %s inc %lu sess %lu num %u\n",node.m_id.c_str(),node.m_incarnation,node.m_session,node.m_number);
+  LoseNode(node, kind);
+}
+
+void
+Simulation::LoseNode(SimNode& aNode, int64_t aKind)
+{
+  const int64_t until = m_now + Random(100, 9000);
+  switch (aKind) {
+    case 2:
+      aNode.m_pausedUntil = until;
+      break;
+    case 3:
+    case 4:
+      aNode.m_cutUntil = until;
+      break;
+    case 5:
+      aNode.m_repliesLostUntil = until;
+      break;
+    case 6:
+      aNode.m_healthy = !aNode.m_healthy;
+      break;
+    case 7:
+      aNode.m_draining = !aNode.m_draining;
+      break;
+    case 8:
+      // The old process may run on until its lease has ended.
+      m_ghosts.push_back(aNode);
+      aNode.RestartProcess(++m_nextId);
+      break;
+    default:
+      // So may work under the old incarnation's grants.
+      m_ghosts.push_back(aNode);
+      aNode.RestartBackend(++m_nextId);
+      break;
+  }
+}
+
+void
+Simulation::SendRequests()
+{
+  for (size_t i = 0; i < m_nodes.size(); i++) {
+    SimNode& node = *m_nodes[i];
+    if (m_now < node.m_pausedUntil) {
+      continue;
+    }
+    // A frozen backend server's node does not get the shards released.
+    if (node.m_healthy && Random(0, 3) == 0 && node.ReleaseAsked()) {
+      node.m_nextRequest = m_now;
+    }
+    if (m_now < node.m_nextRequest) {
+      continue;
+    }
+    Request request{ 0, i, m_now, node.MakeRequest(m_now) };
+    const int64_t delay =
+      Random(0, 199) == 0 ? Random(500, 5000) : Random(1, 30);
+    request.m_at = m_now + delay;
+    if (!IsCut(node) && Random(0, 199) != 0) {
+      m_requests.push_back(std::move(request));
+    }
+  }
+}
+
+void
+Simulation::DeliverRequests()
+{
+  std::vector<Request> due;
+  std::erase_if(m_requests, [&](Request& aRequest) {
+    if (aRequest.m_at > m_now) {
+      return false;
+    }
+    due.push_back(std::move(aRequest));
+    return true;
+  });
+  for (Request& request : due) {
+    const auto held = m_held.find(request.m_node);
+    if (m_now < m_noQuorumUntil ||
+        (held != m_held.end() &&
+         held->second.m_request.session() == request.m_request.session() &&
+         held->second.m_request.sequence() >= request.m_request.sequence())) {
+      continue;
+    }
+    Propose(m_coordinator->OnSync(request.m_request, LeaderNow()));
+    m_held[request.m_node] = std::move(request);
+  }
+}
+
+void
+Simulation::Propose(std::vector<wire::Command> aCommands)
+{
+  for (wire::Command& command : aCommands) {
+    const int64_t last = m_log.empty() ? 0 : m_log.back().m_at;
+    m_log.push_back(
+      { std::max(last, m_now + Random(2, 30)), std::move(command) });
+  }
+}
+
+void
+Simulation::ApplyDue()
+{
+  while (m_now >= m_noQuorumUntil && !m_log.empty() &&
+         m_log.front().m_at <= m_now) {
+    m_state.Apply(m_log.front().m_command);
+    m_log.pop_front();
+    m_oldEntries -= m_oldEntries > 0;
+  }
+}
+
+void
+Simulation::AnswerReady()
+{
+  if (m_oldEntries > 0) {
+    return;
+  }
+  for (const ReadyReply& ready : m_ready) {
+    const auto held =
+      std::find_if(m_held.begin(), m_held.end(), [&](const auto& aItem) {
+        return aItem.second.m_request.node_id() == ready.m_nodeId;
+      });
+    if (held == m_held.end() ||
+        held->second.m_request.sequence() != ready.m_sequence) {
+      continue;
+    }
+    const Request& request = held->second;
+    Reply reply{ m_now + Random(1, 30),
+                 request.m_node,
+                 request.m_request.sequence(),
+                 request.m_request.session(),
+                 request.m_sentAt,
+                 m_coordinator->BuildReply(ready.m_nodeId, LeaderNow()) };
+    const SimNode& node = *m_nodes[request.m_node];
+    if (m_now >= node.m_repliesLostUntil && Random(0, 199) != 0) {
+      m_replies.push_back(std::move(reply));
+    }
+    m_held.erase(held);
+  }
+  m_ready.clear();
+}
+
+void
+Simulation::DeliverReplies()
+{
+  std::vector<Reply> due;
+  std::erase_if(m_replies, [&](Reply& aReply) {
+    const SimNode& node = *m_nodes[aReply.m_node];
+    if (aReply.m_at > m_now || node.m_pausedUntil > m_now) {
+      return false;
+    }
+    due.push_back(std::move(aReply));
+    return true;
+  });
+  for (const Reply& reply : due) {
+    SimNode& node = *m_nodes[reply.m_node];
+    if (!IsCut(node)) {
+      node.OnReply(reply.m_reply,
+                   reply.m_sequence,
+                   reply.m_session,
+                   reply.m_sentAt,
+                   m_now);
+    }
+  }
+}
+
+// Holds at every moment, so it is checked with the clocks of the nodes.
+void
+Simulation::CheckExclusive()
+{
+  std::erase_if(m_ghosts, [this](const SimNode& aGhost) {
+    return !aGhost.HoldsLease(m_now);
+  });
+  std::map<std::string, std::vector<const SimNode*>> holders;
+  const auto add = [&](const SimNode& aNode) {
+    if (!aNode.HoldsLease(m_now)) {
+      return;
+    }
+    std::vector<const SimNode*>& taken = holders[aNode.m_service];
+    taken.resize(kHashedShards + kMaxHotKeys, nullptr);
+    for (ShardNumber shard = 0; shard < aNode.m_routes.size(); shard++) {
+      if (!aNode.Believes(shard, m_now)) {
+        continue;
+      }
+      if (taken[shard]) {
+        FAIL("seed " << m_options.m_seed << " at " << m_now << ": shard "
+                     << shard << " of " << aNode.m_service << " is served by "
+                     << taken[shard]->m_session<<"/"<<taken[shard]->m_number<<" le "<<taken[shard]->m_leaseEnd-taken[shard]->Clock(m_now)<<" "<<aNode.m_session<<"/"<<aNode.m_number<<" le "<<aNode.m_leaseEnd-aNode.Clock(m_now)<<" "<< taken[shard]->m_id << " and " << aNode.m_id);
+      }
+      taken[shard] = &aNode;
+    }
+  };
+  for (const auto& node : m_nodes) {
+    add(*node);
+  }
+  for (const SimNode& ghost : m_ghosts) {
+    add(ghost);
+  }
+}
+
+void
+Simulation::CheckRevisions()
+{
+  REQUIRE(m_state.m_state.RouteRevision() >= m_lastRouteRevision);
+  m_lastRouteRevision = m_state.m_state.RouteRevision();
+}
+
+size_t
+Simulation::ServedShards() const
+{
+  size_t served = 0;
+  for (const auto& node : m_nodes) {
+    if (!node->m_healthy || m_now < node->m_pausedUntil) {
+      continue;
+    }
+    for (ShardNumber shard = 0; shard < kHashedShards; shard++) {
+      served += node->Believes(shard, m_now);
+    }
+  }
+  return served;
+}
+
+void
+Simulation::CheckServed()
+{
+  if (ServedShards() == std::size(kServices) * kHashedShards) {
+    m_lastServed = m_now;
+    return;
+  }
+  const int64_t gap = m_now - std::max(m_lastFault, m_lastServed);
+  m_longestGap = std::max(m_longestGap, gap);
+  if (gap > kServedWithinMs) {
+    FAIL("seed " << m_options.m_seed << " at " << m_now << ": "
+                 << ServedShards() << " shards served after " << gap << " ms");
+  }
+}
+
+} // namespace rattanloft::cluster
