--- a/modules/cluster/tests/ClusterRandomTest.cpp
+++ b/modules/cluster/tests/ClusterRandomTest.cpp
@@ -33,7 +33,9 @@
 // RATTANLOFT_STEPS choose another run.
 TEST_CASE("Ownership stays exclusive under random faults")
 {
-  SetLogLevel(LogLevel::kWarning);
+  if (!std::getenv("RATTANLOFT_VERBOSE")) {
+    SetLogLevel(LogLevel::kWarning);
+  }
   const int steps = static_cast<int>(FromEnvironment("RATTANLOFT_STEPS", 3000));
   if (std::getenv("RATTANLOFT_SEED")) {
     RunSeed(FromEnvironment("RATTANLOFT_SEED", 1), steps);
