--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -133,7 +133,9 @@
   }
   aNode.m_last = aRequest;
   aNode.m_heardAt = aNow;
-  aNode.m_held = HeldCall{ aRequest.sequence(), aNow, false };
+  // A node that replaces its call again and again still gets its lease renewed.
+  const TimePoint since = aNode.m_held ? aNode.m_held->m_since : aNow;
+  aNode.m_held = HeldCall{ aRequest.sequence(), since, false };
 }
 
 const wire::Backend*
