--- a/modules/admission/src/DeadlineScheduler.cpp
+++ b/modules/admission/src/DeadlineScheduler.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kMaxRetryAfter = Seconds(30);
 // Part of short work that may have to wait for a slot held by long work.
 constexpr double kMaxWaiting = 0.01;
+// Utilisation up to which short work still keeps up with its arrivals.
+constexpr double kMaxUtilisation = 0.8;
 
 // Probability that a request has to wait, for aLoad requests running on average
 // (Erlang C).
@@ -147,7 +149,7 @@
 DeadlineScheduler::Servers(const Entry& aEntry, TimePoint aNow) const
 {
   if (aEntry.m_long) {
-    return LongLimit();
+    return LongLimit(true);
   }
   // Work of higher classes that arrives later also goes first.
   double higher = 0;
@@ -167,7 +169,7 @@
                                 TimePoint aNow) const
 {
   if (Running().size() < Limit() && aEntry.m_queue.empty() &&
-      (!aEntry.m_long || LongRunning() < LongLimit())) {
+      (!aEntry.m_long || LongRunning() < LongLimit(false))) {
     return 0;
   }
   double wait = Backlog(aEntry, aDeadline, aNow) / Servers(aEntry, aNow);
@@ -179,14 +181,24 @@
 }
 
 uint32_t
-DeadlineScheduler::LongLimit() const
+DeadlineScheduler::LongLimit(bool aUrgent) const
 {
   const uint32_t slots = Limit();
-  const uint32_t reserved =
-    std::max({ 1U, slots / 4, std::min(m_neededByShort, slots) });
+  const uint32_t needed = aUrgent ? m_shortMinimum : m_shortComfort;
+  const uint32_t reserved = std::max({ 1U, slots / 4, needed });
   return slots > reserved ? slots - reserved : 1;
 }
 
+bool
+DeadlineScheduler::IsUrgent(const Entry& aEntry, TimePoint aNow) const
+{
+  const QueuedJob& job = aEntry.m_queue.begin()->second;
+  const auto left = static_cast<double>((job.m_deadline - aNow).m_ms);
+  const auto budget =
+    static_cast<double>((job.m_deadline - job.m_submittedAt).m_ms);
+  return left - NeedOf(aEntry, job) < budget / 2;
+}
+
 uint32_t
 DeadlineScheduler::LongRunning() const
 {
@@ -216,7 +228,6 @@
 DeadlineScheduler::Pick(TimePoint aNow)
 {
   const uint32_t longRunning = LongRunning();
-  const bool longMay = longRunning < LongLimit();
   Entry* best = nullptr;
   Entry* firstLong = nullptr;
   const auto earlier = [](const Entry& aLeft, const Entry& aRight) {
@@ -224,7 +235,7 @@
   };
   for (const auto& entry : AllEntries()) {
     if (entry->m_queue.empty() || !HasRoom(*entry) ||
-        (entry->m_long && !longMay)) {
+        (entry->m_long && longRunning >= LongLimit(IsUrgent(*entry, aNow)))) {
       continue;
     }
     if (entry->m_long &&
@@ -260,11 +271,13 @@
       RefuseFirst(*entry, RefusalReason::kTooLate, aNow, aActions);
     }
   }
-  uint32_t needed = 0;
-  while (needed < Limit() && WaitProbability(needed, load) > kMaxWaiting) {
-    ++needed;
+  uint32_t comfort = 0;
+  while (comfort < Limit() && WaitProbability(comfort, load) > kMaxWaiting) {
+    ++comfort;
   }
-  m_neededByShort = needed;
+  m_shortComfort = comfort;
+  m_shortMinimum = static_cast<uint32_t>(
+    std::ceil(std::min<double>(Limit(), load / kMaxUtilisation)));
 }
 
 void
--- a/modules/admission/src/DeadlineScheduler.h
+++ b/modules/admission/src/DeadlineScheduler.h
@@ -37,12 +37,17 @@
                  TimePoint aDeadline,
                  TimePoint aNow) const;
   double Servers(const Entry& aEntry, TimePoint aNow) const;
-  uint32_t LongLimit() const;
+  // Slots that long work may hold. aUrgent: long work that waits is about to
+  // miss its deadlines.
+  uint32_t LongLimit(bool aUrgent) const;
+  bool IsUrgent(const Entry& aEntry, TimePoint aNow) const;
   uint32_t LongRunning() const;
   bool IsLongTurn(TimePoint aNow) const;
 
-  // Slots that the present rate of short work needs, updated each tick.
-  uint32_t m_neededByShort = 0;
+  // Slots that the present rate of short work needs to run without waiting, and
+  // at least to keep up. Updated each tick.
+  uint32_t m_shortComfort = 0;
+  uint32_t m_shortMinimum = 0;
   // When the latest long job ended its turn, for a backend server with one
   // slot.
   TimePoint m_longStartedAt;
