Refuse hopeless work early, the longest first

Cause: jobs admitted before a crest were refused late, and a backend server that became too slow for all deadlines was never learned about. Change: each tick gives up jobs at the end of the queue that will not come to their turn, longest kind first; unfinished jobs count when they took unusually long; entries are classified once a tick.

--- a/modules/admission/bench/StrategyBench.cpp
+++ b/modules/admission/bench/StrategyBench.cpp
@@ -33,7 +33,8 @@
                "p50 {:.0f} p99 {:.0f} ms, refused late {:.3f}\n",
                aKinds[i].m_limits.m_entry,
                result.m_submitted,
-               double(result.m_inTime) / double(submitted),
+               double(result.m_dueInTime) /
+                 double(std::max<uint64_t>(1, result.m_due)),
                double(result.m_refused) / double(submitted),
                double(result.m_wasted) / double(submitted),
                result.Quantile(0.5),
@@ -114,8 +115,8 @@
   }
   const KindResult& last = with.Results().back();
   fmt::print("; long work in time {:.3f} of {}, refused {:.3f}\n",
-             double(last.m_inTime) / double(last.m_submitted),
-             last.m_submitted,
+             double(last.m_dueInTime) / double(last.m_due),
+             last.m_due,
              double(last.m_refused) / double(last.m_submitted));
 }
 
--- a/modules/admission/src/DeadlineScheduler.cpp
+++ b/modules/admission/src/DeadlineScheduler.cpp
@@ -9,8 +9,10 @@
 
 constexpr double kLongFactor = 4;
 constexpr Duration kProbeInterval = Seconds(1);
-constexpr Duration kMinRetryAfter = Milliseconds(100);
+constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = Seconds(30);
+// Expected wait by the time left from which a queued job is given up.
+constexpr double kHopelessFactor = 1.25;
 // Part of short work that may have to wait for a slot held by long work.
 constexpr double kMaxWaiting = 0.01;
 // Utilisation up to which short work still keeps up with its arrivals.
@@ -87,7 +89,7 @@
   // Without a job now and then, learned times that are too long would refuse
   // all further ones and never be corrected.
   const auto tenJobs = Milliseconds(
-    static_cast<int64_t>(std::min(10 * aEntry.m_times.Mean(), 600'000.0)));
+    static_cast<int64_t>(std::min(10 * aEntry.m_times.Mean(), 60'000.0)));
   return aEntry.m_running == 0 &&
          aNow - aEntry.m_startedAt >= std::max(kProbeInterval, tenJobs);
 }
@@ -261,16 +263,42 @@
 void
 DeadlineScheduler::OnTick(TimePoint aNow, std::vector<Action>& aActions)
 {
-  double load = 0;
+  Classify();
+  UpdateLoad(aNow);
   for (const auto& entry : AllEntries()) {
-    if (!entry->m_long) {
-      load += entry->m_arrivals.PerSecond(aNow) * entry->m_times.Mean() / 1000;
-    }
     while (!entry->m_queue.empty() &&
            IsLate(*entry, entry->m_queue.begin()->second, aNow)) {
       RefuseFirst(*entry, RefusalReason::kTooLate, aNow, aActions);
     }
   }
+  // From the longest jobs on, since each of them makes room for several others.
+  for (Entry* entry : m_longestFirst) {
+    while (!entry->m_queue.empty() && IsHopeless(*entry, aNow)) {
+      RefuseLast(*entry, RefusalReason::kTooLate, aNow, aActions);
+    }
+  }
+}
+
+bool
+DeadlineScheduler::IsHopeless(const Entry& aEntry, TimePoint aNow) const
+{
+  const QueuedJob& last = aEntry.m_queue.rbegin()->second;
+  const auto left = static_cast<double>((last.m_deadline - aNow).m_ms);
+  const double wait = ExpectedWait(aEntry, last.m_deadline, aNow) -
+                      aEntry.m_times.Mean() / Servers(aEntry, aNow);
+  return wait > kHopelessFactor * left;
+}
+
+void
+DeadlineScheduler::UpdateLoad(TimePoint aNow)
+{
+  double load = 0;
+  double longLoad = 0;
+  for (const auto& entry : AllEntries()) {
+    (entry->m_long ? longLoad : load) +=
+      entry->m_arrivals.PerSecond(aNow) * entry->m_times.Mean() / 1000;
+  }
+  m_pressure = std::max(1.0, (load + longLoad) / std::max(1U, Limit()));
   uint32_t comfort = 0;
   while (comfort < Limit() && WaitProbability(comfort, load) > kMaxWaiting) {
     ++comfort;
@@ -281,19 +309,32 @@
 }
 
 void
-DeadlineScheduler::OnLearned()
+DeadlineScheduler::OnEntriesChanged()
+{
+  Classify();
+}
+
+void
+DeadlineScheduler::Classify()
 {
   std::vector<double> means;
+  m_longestFirst.clear();
   for (const auto& entry : AllEntries()) {
+    m_longestFirst.push_back(entry.get());
     if (entry->m_times.IsKnown()) {
       means.push_back(entry->m_times.Mean());
     }
   }
   const double bound = kLongFactor * Median(means);
-  for (const auto& entry : AllEntries()) {
+  for (Entry* entry : m_longestFirst) {
     entry->m_long = entry->m_limits.m_class == WorkClass::kBulk ||
                     entry->m_times.Mean() > bound;
   }
+  std::sort(m_longestFirst.begin(),
+            m_longestFirst.end(),
+            [](const Entry* aLeft, const Entry* aRight) {
+              return aLeft->m_times.Mean() > aRight->m_times.Mean();
+            });
 }
 
 Duration
@@ -301,7 +342,9 @@
 {
   const TimePoint last = aNow + Seconds(3600);
   const double wait = ExpectedWait(aEntry, last, aNow);
-  const auto ms = static_cast<int64_t>(std::min(wait, 1e9));
+  // Callers that were refused return on top of new arrivals, so the time grows
+  // with the overload.
+  const auto ms = static_cast<int64_t>(std::min(wait * m_pressure, 1e9));
   return std::clamp(Milliseconds(ms), kMinRetryAfter, kMaxRetryAfter);
 }
 
--- a/modules/admission/src/DeadlineScheduler.h
+++ b/modules/admission/src/DeadlineScheduler.h
@@ -22,7 +22,7 @@
               TimePoint aNow) const override;
   Entry* Pick(TimePoint aNow) override;
   void OnTick(TimePoint aNow, std::vector<Action>& aActions) override;
-  void OnLearned() override;
+  void OnEntriesChanged() override;
   Duration RetryAfter(const Entry& aEntry, TimePoint aNow) const override;
 
 private:
@@ -42,12 +42,21 @@
   uint32_t LongLimit(bool aUrgent) const;
   bool IsUrgent(const Entry& aEntry, TimePoint aNow) const;
   uint32_t LongRunning() const;
+  // Whether the last job of a queue will not come to its turn in time.
+  bool IsHopeless(const Entry& aEntry, TimePoint aNow) const;
+  void UpdateLoad(TimePoint aNow);
+  // Tells long entries from short ones.
+  void Classify();
   bool IsLongTurn(TimePoint aNow) const;
 
+  // All entries. Updated each tick.
+  std::vector<Entry*> m_longestFirst;
   // Slots that the present rate of short work needs to run without waiting, and
   // at least to keep up. Updated each tick.
   uint32_t m_shortComfort = 0;
   uint32_t m_shortMinimum = 0;
+  // Work that arrives by the slots, at least 1. Updated each tick.
+  double m_pressure = 1;
   // When the latest long job ended its turn, for a backend server with one
   // slot.
   TimePoint m_longStartedAt;
--- a/modules/admission/src/QueueScheduler.cpp
+++ b/modules/admission/src/QueueScheduler.cpp
@@ -1,6 +1,7 @@
 #include "QueueScheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
@@ -37,7 +38,7 @@
     entry->m_limits = std::move(limits);
   }
   DropUnusedEntries();
-  OnLearned();
+  OnEntriesChanged();
 }
 
 void
@@ -96,8 +97,13 @@
   m_running.erase(found);
   --job.m_entry->m_running;
   if (aResult == JobResult::kAnswered) {
+    const bool first = !job.m_entry->m_times.IsKnown();
     job.m_entry->m_times.Add(aNow - job.m_startedAt);
-    OnLearned();
+    if (first) {
+      OnEntriesChanged();
+    }
+  } else if (aResult != JobResult::kShed) {
+    job.m_entry->m_times.AddUnfinished(aNow - job.m_startedAt);
   }
   m_slots.Advance(aNow);
   if (aResult == JobResult::kShed) {
@@ -160,9 +166,27 @@
                             TimePoint aNow,
                             std::vector<Action>& aActions)
 {
-  const auto first = aEntry.m_queue.begin();
-  const JobId id = first->second.m_id;
-  aEntry.m_queue.erase(first);
+  Refuse(aEntry, aEntry.m_queue.begin(), aReason, aNow, aActions);
+}
+
+void
+QueueScheduler::RefuseLast(Entry& aEntry,
+                           RefusalReason aReason,
+                           TimePoint aNow,
+                           std::vector<Action>& aActions)
+{
+  Refuse(aEntry, std::prev(aEntry.m_queue.end()), aReason, aNow, aActions);
+}
+
+void
+QueueScheduler::Refuse(Entry& aEntry,
+                       std::map<QueueKey, QueuedJob>::iterator aJob,
+                       RefusalReason aReason,
+                       TimePoint aNow,
+                       std::vector<Action>& aActions)
+{
+  const JobId id = aJob->second.m_id;
+  aEntry.m_queue.erase(aJob);
   m_queued.erase(id);
   aActions.push_back(
     { ActionKind::kRefuse, id, aReason, RetryAfter(aEntry, aNow) });
@@ -228,6 +252,7 @@
 void
 QueueScheduler::DropUnusedEntries()
 {
+  const size_t before = m_entries.size();
   std::erase_if(m_entries, [this](const std::unique_ptr<Entry>& aEntry) {
     const bool unused =
       aEntry->m_removed && aEntry->m_running == 0 && aEntry->m_queue.empty();
@@ -236,6 +261,9 @@
     }
     return unused;
   });
+  if (m_entries.size() != before) {
+    OnEntriesChanged();
+  }
 }
 
 } // namespace rattanloft::admission
--- a/modules/admission/src/QueueScheduler.h
+++ b/modules/admission/src/QueueScheduler.h
@@ -79,7 +79,8 @@
   // jobs have been refused before.
   virtual Entry* Pick(TimePoint aNow) = 0;
   virtual void OnTick(TimePoint, std::vector<Action>&) {}
-  virtual void OnLearned() {}
+  // Entries were added or removed, or one has its first service time.
+  virtual void OnEntriesChanged() {}
   virtual Duration RetryAfter(const Entry& aEntry, TimePoint aNow) const = 0;
 
   bool HasRoom(const Entry& aEntry) const;
@@ -93,9 +94,18 @@
                    RefusalReason aReason,
                    TimePoint aNow,
                    std::vector<Action>& aActions);
+  void RefuseLast(Entry& aEntry,
+                  RefusalReason aReason,
+                  TimePoint aNow,
+                  std::vector<Action>& aActions);
 
 private:
   Entry* FindEntry(std::string_view aName) const;
+  void Refuse(Entry& aEntry,
+              std::map<QueueKey, QueuedJob>::iterator aJob,
+              RefusalReason aReason,
+              TimePoint aNow,
+              std::vector<Action>& aActions);
   void Dispatch(TimePoint aNow, std::vector<Action>& aActions);
   void StartFirst(Entry& aEntry, TimePoint aNow, std::vector<Action>& aActions);
   void RefuseLate(TimePoint aNow, std::vector<Action>& aActions);
--- a/modules/admission/src/ServiceTimes.cpp
+++ b/modules/admission/src/ServiceTimes.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kMinWeight = 1.0 / 16;
+// A single silent connection must not make all further jobs look hopeless.
+constexpr double kMaxUnfinishedFactor = 4;
 
 } // namespace
 
@@ -26,6 +28,17 @@
   }
 }
 
+void
+ServiceTimes::AddUnfinished(Duration aElapsed)
+{
+  const auto ms = static_cast<double>(aElapsed.m_ms);
+  if (!IsKnown() || ms <= m_upper) {
+    return;
+  }
+  const double capped = std::min(ms, kMaxUnfinishedFactor * (1 + m_upper));
+  Add(Milliseconds(static_cast<int64_t>(capped)));
+}
+
 void
 ServiceTimes::UpdateUpper()
 {
--- a/modules/admission/src/ServiceTimes.h
+++ b/modules/admission/src/ServiceTimes.h
@@ -14,6 +14,10 @@
 {
 public:
   void Add(Duration aSample);
+  // A job that ended without an answer after this time. Counts only if it took
+  // unusually long: when a backend server becomes too slow for all deadlines,
+  // no job is answered any more, and nothing else shows it.
+  void AddUnfinished(Duration aElapsed);
 
   bool IsKnown() const { return m_count > 0; }
   double Mean() const { return m_mean; }
--- a/modules/admission/tests/Simulation.h
+++ b/modules/admission/tests/Simulation.h
@@ -28,6 +28,9 @@
 struct KindResult
 {
   uint64_t m_submitted = 0;
+  // Submitted with a deadline before the end of the run.
+  uint64_t m_due = 0;
+  uint64_t m_dueInTime = 0;
   uint64_t m_inTime = 0;
   uint64_t m_refused = 0;
   // Started, but not finished by its deadline.
@@ -219,6 +222,7 @@
     m_jobs[id] = { aKind, m_now, m_now + kind.m_deadlineMs * 1000, service };
     if (m_now >= m_measureFrom) {
       ++m_results[aKind].m_submitted;
+      m_results[aKind].m_due += m_jobs[id].m_deadline <= m_end ? 1 : 0;
       m_results[aKind].m_services.push_back(service);
     }
     Handle(m_scheduler->Submit({ id,
@@ -263,6 +267,7 @@
       KindResult& result = m_results[job.m_kind];
       ++(inTime ? result.m_inTime : result.m_wasted);
       if (inTime) {
+        result.m_dueInTime += job.m_deadline <= m_end ? 1 : 0;
         result.m_latencies.push_back(static_cast<double>(m_now - job.m_at) /
                                      1e3);
       }
