--- /dev/null
+++ b/modules/idempotency/bench/RecordTableBench.cpp
@@ -0,0 +1,72 @@
+#include "rattanloft/idempotency/RecordTable.h"
+
+#include <chrono>
+#include <malloc.h>
+
+#include <fmt/core.h>
+
+namespace {
+
+double
+Seconds()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration<double>(now).count();
+}
+
+size_t
+HeapBytes()
+{
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+} // namespace
+
+int
+main()
+{
+  using namespace rattanloft;
+  using namespace rattanloft::idempotency;
+  constexpr size_t kRecords = 100'000;
+  constexpr size_t kBodyBytes = 200;
+  std::vector<std::string> keys;
+  for (size_t i = 0; i < kRecords; ++i) {
+    keys.push_back(fmt::format("0b6f1c3e-5a2d-4f7e-9d1b-{:012}", i));
+  }
+  RecordTable table({ .m_maxAnswerBytes = 64 * 1024 * 1024 });
+  const size_t heap = HeapBytes();
+  const double begun = Seconds();
+  for (size_t i = 0; i < kRecords; ++i) {
+    table.Begin("orders", i % kHashedShards, keys[i], i, TimePoint{ 1000 });
+    table.Complete("orders",
+                   keys[i],
+                   { 200, "application/json", std::string(kBodyBytes, 'x') },
+                   TimePoint{ 1000 });
+  }
+  const double completed = Seconds();
+  const size_t used = HeapBytes() - heap;
+  for (size_t i = 0; i < kRecords; ++i) {
+    table.Begin("orders", i % kHashedShards, keys[i], i, TimePoint{ 1000 });
+  }
+  const double repeated = Seconds();
+  size_t exported = 0;
+  for (ShardNumber shard = 0; shard < kHashedShards; ++shard) {
+    exported += table.Export("orders", shard, TimePoint{ 1000 }).size();
+  }
+  const double exports = Seconds();
+  table.Expire(TimePoint{ 10'000'000 });
+  const double expired = Seconds();
+  constexpr double kNs = 1e9 / kRecords;
+  fmt::print("{} records, answers of {} B: {:.0f} B each\n",
+             exported,
+             kBodyBytes,
+             double(used) / kRecords);
+  fmt::print("ns a record: begin and complete {:.0f}, repeat {:.0f}, "
+             "export {:.0f}, expire {:.0f}\n",
+             (completed - begun) * kNs,
+             (repeated - completed) * kNs,
+             (exports - repeated) * kNs,
+             (expired - exports) * kNs);
+  return table.Size() == 0 ? 0 : 1;
+}
