Test routing

Cause: nothing held the guarantees of routes, lease, balancer and retry budget. Change: failure tests and random runs. A reply that unregisters the backend now also outdates earlier replies; a late one could restore the lease before (found by the test). Conclusion: a view never goes back in 30 random orders of replies.

--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -318,6 +318,10 @@
     if (late) {
       return;
     }
+    if (aView.m_backend != 0) {
+      m_numberSentAt = aSentAt;
+      m_numberEnded = true;
+    }
     aView.m_backend = 0;
     aView.m_released = nullptr;
   }
--- /dev/null
+++ b/modules/routing/tests/BalancerTest.cpp
@@ -0,0 +1,275 @@
+#include "rattanloft/routing/Balancer.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "Builders.h"
+#include "rattanloft/routing/RetryBudget.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::routing {
+
+namespace {
+
+constexpr TimePoint kStart{ 100'000 };
+
+std::shared_ptr<const RouteTable>
+MakeTable(const std::vector<wire::Backend>& aBackends)
+{
+  wire::RouteUpdate update;
+  update.set_revision(1);
+  for (const wire::Backend& backend : aBackends) {
+    *update.add_backends() = backend;
+  }
+  return RouteTable::MakeEmpty()->With(update);
+}
+
+// Requests in virtual time: each runs for a while at the chosen backend.
+class Traffic
+{
+public:
+  Traffic(std::vector<wire::Backend> aBackends, std::string_view aZone = "z1")
+    : m_balancer(std::string(aZone))
+    , m_table(MakeTable(aBackends))
+  {
+    m_balancer.Update(*m_table, kStart);
+  }
+
+  // One request a millisecond. aServe gives result and time in ms.
+  template<typename Serve>
+  void Run(int aMilliseconds, Serve aServe)
+  {
+    for (int i = 0; i < aMilliseconds; ++i) {
+      m_now = m_now + Milliseconds(1);
+      while (!m_ends.empty() && m_ends.begin()->first <= m_now) {
+        const auto [backend, result] = m_ends.begin()->second;
+        m_ends.erase(m_ends.begin());
+        m_balancer.OnFinish(backend, result, m_now);
+      }
+      const uint32_t backend =
+        m_balancer.ChooseBackend(*m_table, "shop", {}, m_random(), m_now);
+      REQUIRE(backend != 0);
+      m_balancer.OnStart(backend, m_now);
+      ++m_counts[backend];
+      const auto [result, ms] = aServe(backend);
+      m_ends.emplace(m_now + Milliseconds(ms), std::pair(backend, result));
+    }
+  }
+
+  Balancer m_balancer;
+  std::shared_ptr<const RouteTable> m_table;
+  std::map<uint32_t, int> m_counts;
+  TimePoint m_now = kStart;
+
+private:
+  std::mt19937_64 m_random{ 42 };
+  std::multimap<TimePoint, std::pair<uint32_t, AttemptResult>> m_ends;
+};
+
+std::pair<AttemptResult, int64_t>
+Answer(uint32_t)
+{
+  return { AttemptResult::kAnswered, 10 };
+}
+
+} // namespace
+
+// Guards against load that does not follow the size of the instances.
+TEST_CASE("Busy backends get requests in proportion to their slots")
+{
+  Traffic traffic({ MakeBackend(1, "shop", "z1", 4),
+                    MakeBackend(2, "shop", "z1", 8),
+                    MakeBackend(3, "shop", "z1", 4) });
+  traffic.Run(5000, [](uint32_t) {
+    return std::pair(AttemptResult::kAnswered, int64_t{ 40 });
+  });
+  REQUIRE(traffic.m_counts[2] == Approx(2500).margin(250));
+  REQUIRE(traffic.m_counts[1] == Approx(1250).margin(200));
+}
+
+// Guards against a preference for the own zone that overloads it.
+TEST_CASE("The own zone is preferred only while that costs no balance")
+{
+  const std::vector<wire::Backend> backends{ MakeBackend(1, "shop", "z1"),
+                                             MakeBackend(2, "shop", "z2"),
+                                             MakeBackend(3, "shop", "z3"),
+                                             MakeBackend(4, "shop", "z4") };
+  Traffic idle(backends);
+  idle.Run(2000, [](uint32_t) {
+    return std::pair(AttemptResult::kAnswered, int64_t{ 1 });
+  });
+  REQUIRE(idle.m_counts[1] > 800);
+  Traffic busy(backends);
+  busy.Run(5000, [](uint32_t) {
+    return std::pair(AttemptResult::kAnswered, int64_t{ 40 });
+  });
+  REQUIRE(busy.m_counts[1] < 1450);
+}
+
+// Guards against a server that fails at once and therefore always looks idle.
+TEST_CASE("A backend that fails fast does not attract load")
+{
+  Traffic traffic({ MakeBackend(1), MakeBackend(2), MakeBackend(3) });
+  const auto serve = [](uint32_t aBackend) {
+    return aBackend == 2 ? std::pair(AttemptResult::kFailed, int64_t{ 1 })
+                         : std::pair(AttemptResult::kAnswered, int64_t{ 20 });
+  };
+  traffic.Run(10'000, serve);
+  REQUIRE(traffic.m_counts[2] < 50);
+  // It is probed and comes back within bounded time.
+  traffic.Run(20'000, Answer);
+  traffic.m_counts.clear();
+  traffic.Run(3000, Answer);
+  REQUIRE(traffic.m_counts[2] > 600);
+}
+
+// Guards against the same with a server that refuses at once.
+TEST_CASE("A backend that sheds load gets less of it")
+{
+  Traffic traffic({ MakeBackend(1), MakeBackend(2), MakeBackend(3) });
+  traffic.Run(10'000, [](uint32_t aBackend) {
+    return aBackend == 2 ? std::pair(AttemptResult::kRefused, int64_t{ 1 })
+                         : std::pair(AttemptResult::kAnswered, int64_t{ 20 });
+  });
+  REQUIRE(traffic.m_counts[2] < 1500);
+  REQUIRE_FALSE(traffic.m_balancer.IsEjected(2, traffic.m_now));
+}
+
+// Guards against more than one request at a time on a backend that failed.
+TEST_CASE("After an ejection one attempt at a time is made")
+{
+  const auto table = MakeTable({ MakeBackend(1), MakeBackend(2) });
+  Balancer balancer("z1");
+  balancer.Update(*table, kStart);
+  for (int i = 0; i < 3; ++i) {
+    balancer.OnStart(2, kStart);
+    balancer.OnFinish(2, AttemptResult::kFailed, kStart);
+  }
+  REQUIRE(balancer.IsEjected(2, kStart + Milliseconds(999)));
+  const TimePoint later = kStart + Seconds(1);
+  REQUIRE_FALSE(balancer.IsEjected(2, later));
+  const std::vector<uint32_t> tried{ 1 };
+  REQUIRE(balancer.ChooseBackend(*table, "shop", tried, 5, later) == 2);
+  balancer.OnStart(2, later);
+  for (uint64_t random = 0; random < 100; ++random) {
+    REQUIRE(balancer.ChooseBackend(*table, "shop", {}, random, later) == 1);
+  }
+  // A failed probe doubles the time.
+  balancer.OnFinish(2, AttemptResult::kFailed, later);
+  REQUIRE(balancer.IsEjected(2, later + Milliseconds(1999)));
+}
+
+// Guards against a full share of requests on a server with empty caches.
+TEST_CASE("A new backend ramps up")
+{
+  Traffic traffic({ MakeBackend(1), MakeBackend(2) });
+  const auto serve = [](uint32_t) {
+    return std::pair(AttemptResult::kAnswered, int64_t{ 40 });
+  };
+  traffic.Run(1000, serve);
+  traffic.m_table =
+    MakeTable({ MakeBackend(1), MakeBackend(2), MakeBackend(3) });
+  traffic.m_balancer.Update(*traffic.m_table, traffic.m_now);
+  traffic.m_counts.clear();
+  traffic.Run(1000, serve);
+  REQUIRE(traffic.m_counts[3] < 200);
+  REQUIRE(traffic.m_counts[3] > 50);
+  traffic.Run(9000, serve);
+  traffic.m_counts.clear();
+  traffic.Run(1000, serve);
+  REQUIRE(traffic.m_counts[3] > 280);
+}
+
+// Guards against new work on a draining backend, repeats at one that was tried,
+// and refusing while any backend is left.
+TEST_CASE("Draining and tried backends are not chosen")
+{
+  wire::Backend draining = MakeBackend(1);
+  draining.set_state(wire::BACKEND_STATE_DRAINING);
+  const auto table = MakeTable({ draining, MakeBackend(2), MakeBackend(3) });
+  Balancer balancer("z1");
+  balancer.Update(*table, kStart);
+  const std::vector<uint32_t> tried{ 2 };
+  for (uint64_t random = 0; random < 100; ++random) {
+    REQUIRE(balancer.ChooseBackend(*table, "shop", tried, random, kStart) == 3);
+  }
+  REQUIRE(balancer.ChooseBackend(*table, "press", {}, 1, kStart) == 0);
+  for (const uint32_t backend : { 2, 2, 2, 3, 3, 3 }) {
+    balancer.OnStart(backend, kStart);
+    balancer.OnFinish(backend, AttemptResult::kFailed, kStart);
+  }
+  REQUIRE(balancer.ChooseBackend(*table, "shop", {}, 1, kStart) != 0);
+}
+
+// Guards against records that pile up over restarts of backend servers.
+TEST_CASE("Backends that are gone are forgotten")
+{
+  Balancer balancer("z1");
+  balancer.Update(*MakeTable({ MakeBackend(1), MakeBackend(2) }), kStart);
+  balancer.OnStart(1, kStart);
+  const auto next = MakeTable({ MakeBackend(3) });
+  balancer.Update(*next, kStart);
+  REQUIRE(balancer.Size() == 2);
+  balancer.OnFinish(1, AttemptResult::kAnswered, kStart);
+  balancer.Update(*next, kStart);
+  REQUIRE(balancer.Size() == 1);
+}
+
+// Guards against retries that multiply an overload: whenever one is allowed
+// beyond the 3 per second, the last 10 s keep to the share.
+TEST_CASE("Retries stay within 10 % and 3 per second")
+{
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    RetryBudget budget;
+    std::vector<int64_t> firsts;
+    std::vector<int64_t> retries;
+    // Retries that the 3 per second allow, whatever the share.
+    std::vector<int64_t> floors;
+    const auto countSince = [](const std::vector<int64_t>& aTimes,
+                               int64_t aAfter) {
+      return aTimes.end() -
+             std::upper_bound(aTimes.begin(), aTimes.end(), aAfter);
+    };
+    int beyondFloor = 0;
+    int64_t now = kStart.m_ms;
+    for (int i = 0; i < 20'000; ++i) {
+      now += static_cast<int64_t>(random() % (i < 10'000 ? 20 : 100));
+      if (random() % 3 == 0) {
+        budget.OnFirstAttempt(TimePoint{ now });
+        firsts.push_back(now);
+      } else if (budget.TryRetry(TimePoint{ now })) {
+        retries.push_back(now);
+        const bool floorOpen =
+          floors.size() < 3 || now - floors[floors.size() - 3] >= 1000;
+        if (floorOpen) {
+          floors.push_back(now);
+        } else {
+          ++beyondFloor;
+          REQUIRE(countSince(retries, now - 10'000) <=
+                  countSince(firsts, now - 10'000) / 10 + 30);
+        }
+      }
+    }
+    REQUIRE(beyondFloor > 100);
+    REQUIRE(retries.size() <=
+            firsts.size() / 10 + 3 * (now - kStart.m_ms + 1000) / 1000);
+  }
+}
+
+// Guards against a service with few requests that may never retry.
+TEST_CASE("Three retries a second are always allowed")
+{
+  RetryBudget budget;
+  for (int second = 0; second < 20; ++second) {
+    const TimePoint now = kStart + Seconds(second);
+    for (int i = 0; i < 5; ++i) {
+      REQUIRE(budget.TryRetry(now) == (i < 3));
+    }
+  }
+}
+
+} // namespace rattanloft::routing
--- /dev/null
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -0,0 +1,262 @@
+#include "rattanloft/routing/NodeAgent.h"
+
+#include <random>
+
+#include "Builders.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::routing {
+
+namespace {
+
+constexpr TimePoint kStart{ 100'000 };
+constexpr TimePoint kLater{ 100'010 };
+
+wire::Backend
+Announcement(uint64_t aIncarnation)
+{
+  wire::Backend backend = MakeBackend(0);
+  backend.set_incarnation(aIncarnation);
+  return backend;
+}
+
+wire::SyncReply
+Reply(uint32_t aNumber, uint32_t aLeaseMs = 2500)
+{
+  wire::SyncReply reply;
+  reply.set_backend_number(aNumber);
+  reply.set_lease_ms(aLeaseMs);
+  return reply;
+}
+
+wire::SyncReply
+Reply(uint32_t aNumber, const wire::RouteUpdate& aRoutes)
+{
+  wire::SyncReply reply = Reply(aNumber);
+  *reply.mutable_routes() = aRoutes;
+  return reply;
+}
+
+// An agent whose backend server is number 7 and owns shard 1 under epoch 50.
+NodeAgent
+MakeOwner()
+{
+  NodeAgent agent({ "node7", 1, "z1", "127.0.0.1:20007" });
+  REQUIRE(agent.SetBackend(Announcement(1007)));
+  agent.OnReply(Reply(7, MakeDelta(5, 1, 7, 50)), kStart, kLater);
+  REQUIRE(agent.CurrentView()->MayServe("shop", 1, kLater));
+  return agent;
+}
+
+bool
+MayServe(const NodeAgent& aAgent, TimePoint aNow = kLater)
+{
+  return aAgent.CurrentView()->MayServe("shop", 1, aNow);
+}
+
+} // namespace
+
+// Guards against a node that serves after the control side has reassigned its
+// shards: the lease counts from the sending of the request, less the drift.
+TEST_CASE("The lease ends 1 % early and counts from the request")
+{
+  const NodeAgent agent = MakeOwner();
+  REQUIRE(MayServe(agent, kStart + Milliseconds(2474)));
+  REQUIRE_FALSE(MayServe(agent, kStart + Milliseconds(2475)));
+}
+
+// Guards against a late reply that shortens a lease already in use.
+TEST_CASE("The lease end never moves back")
+{
+  NodeAgent agent = MakeOwner();
+  const TimePoint end = agent.CurrentView()->m_leaseEnd;
+  agent.OnReply(Reply(7), kStart - Seconds(1), kLater);
+  agent.OnReply(Reply(7, 0), kLater, kLater);
+  REQUIRE(agent.CurrentView()->m_leaseEnd == end);
+}
+
+// Guards against serving under grants of an incarnation that is gone, also if a
+// reply from before arrives late.
+TEST_CASE("A lost incarnation ends the lease at once")
+{
+  NodeAgent agent = MakeOwner();
+  wire::SyncReply gone;
+  gone.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
+  agent.OnReply(gone, kLater, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+  agent.OnReply(Reply(7), kStart + Milliseconds(5), kLater);
+  REQUIRE_FALSE(MayServe(agent));
+}
+
+// Guards against the same when the cluster names another registration.
+TEST_CASE("A reply that names another backend ends the lease at once")
+{
+  const uint32_t number = GENERATE(0U, 8U);
+  NodeAgent agent = MakeOwner();
+  agent.OnReply(Reply(number), kLater, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+  agent.OnReply(Reply(7), kStart, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+}
+
+// Guards against a restarted backend server that inherits grants, by way of the
+// running lease, a late reply, or the routes of its predecessor.
+TEST_CASE("A new incarnation inherits nothing")
+{
+  NodeAgent agent = MakeOwner();
+  REQUIRE(agent.SetBackend(Announcement(2007)));
+  REQUIRE_FALSE(MayServe(agent));
+  agent.OnReply(Reply(7), kLater, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+  agent.OnReply(Reply(8), kLater, kLater);
+  REQUIRE(agent.CurrentView()->m_backend == 8);
+  REQUIRE_FALSE(MayServe(agent));
+  agent.OnReply(Reply(8, MakeDelta(6, 1, 8, 60)), kLater, kLater);
+  REQUIRE(MayServe(agent));
+}
+
+// Guards against taking the number of another incarnation for the own one when
+// the reply that named it was lost.
+TEST_CASE("A number that belongs to another incarnation is not taken")
+{
+  NodeAgent agent({ "node7", 1, "z1", "127.0.0.1:20007" });
+  REQUIRE(agent.SetBackend(Announcement(2007)));
+  wire::RouteUpdate routes = MakeDelta(5, 1, 7, 50);
+  *routes.add_backends() = MakeBackend(7);
+  agent.OnReply(Reply(7, routes), kStart, kLater);
+  REQUIRE(agent.CurrentView()->m_backend == 0);
+  REQUIRE_FALSE(MayServe(agent));
+}
+
+// Guards against an old process that resumes and announces itself again.
+TEST_CASE("A replaced incarnation is refused")
+{
+  NodeAgent agent = MakeOwner();
+  REQUIRE(agent.SetBackend(Announcement(2007)));
+  REQUIRE_FALSE(agent.SetBackend(Announcement(1007)));
+  REQUIRE(agent.MakeRequest().backend().incarnation() == 2007);
+}
+
+// Guards against serving with a catalogue that may be out of date: only a reply
+// with a confirmed read counts, from the time its request was sent.
+TEST_CASE("Only confirmed replies keep a node from being stale")
+{
+  NodeAgent agent({ "node7", 1, "z1", "127.0.0.1:20007" });
+  REQUIRE(agent.CurrentView()->IsStale(TimePoint{ 0 }));
+  wire::SyncReply reply;
+  for (const auto status :
+       { wire::SYNC_STATUS_NO_LEADER, wire::SYNC_STATUS_REPLACED }) {
+    reply.set_status(status);
+    REQUIRE_FALSE(agent.OnReply(reply, kStart, kLater));
+    REQUIRE(agent.CurrentView()->IsStale(kLater));
+  }
+  // The reply says that the catalogue is newer than what it brings.
+  reply.set_status(wire::SYNC_STATUS_OK);
+  reply.set_catalogue_revision(3);
+  agent.OnReply(reply, kStart, kLater);
+  REQUIRE(agent.CurrentView()->IsStale(kLater));
+  reply.mutable_catalogue()->set_revision(3);
+  agent.OnReply(reply, kStart, kLater);
+  REQUIRE_FALSE(agent.CurrentView()->IsStale(kStart + Milliseconds(5999)));
+  REQUIRE(agent.CurrentView()->IsStale(kStart + Seconds(6)));
+}
+
+// Guards against a removed entry that comes back with a reordered reply.
+TEST_CASE("A catalogue delta that is not newer is ignored")
+{
+  NodeAgent agent({ "node7", 1, "z1", "127.0.0.1:20007" });
+  wire::SyncReply first;
+  first.mutable_catalogue()->set_revision(4);
+  first.mutable_catalogue()->add_entries()->set_name("browse");
+  wire::SyncReply second;
+  second.mutable_catalogue()->set_revision(6);
+  second.mutable_catalogue()->add_entries()->set_name("deposit");
+  second.mutable_catalogue()->add_removed("browse");
+  agent.OnReply(second, kStart, kLater);
+  agent.OnReply(first, kStart, kLater);
+  const auto& entries = agent.CurrentView()->m_catalogue->Entries();
+  REQUIRE(entries.size() == 1);
+  REQUIRE(entries.at(0).name() == "deposit");
+  REQUIRE(agent.MakeRequest().catalogue_revision() == 6);
+}
+
+// Guards against a node that stays on wrong routes after a broken update.
+TEST_CASE("A refused route update leads to a request for a full one")
+{
+  NodeAgent agent = MakeOwner();
+  wire::RouteUpdate broken = MakeDelta(6, 1, 9, 60);
+  broken.mutable_services(0)->clear_epochs();
+  agent.OnReply(Reply(7, broken), kLater, kLater);
+  REQUIRE(agent.MakeRequest().route_revision() == 0);
+  wire::RouteUpdate full = MakeDelta(6, 1, 9, 60);
+  full.set_full(true);
+  agent.OnReply(Reply(7, full), kLater, kLater);
+  REQUIRE(agent.MakeRequest().route_revision() == 6);
+  REQUIRE_FALSE(MayServe(agent));
+}
+
+// Guards against new work on a shard that has to move, and against serving it
+// again after its release was reported.
+TEST_CASE("A shard asked for and released is not served again")
+{
+  NodeAgent agent = MakeOwner();
+  agent.OnReply(Reply(7, MakeDelta(6, 1, 7, 50, 9)), kLater, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+  REQUIRE(agent.ShardsToRelease().size() == 1);
+  REQUIRE(agent.OwnsAnyShard());
+  agent.MarkReleased("shop", 1, 49);
+  REQUIRE(agent.MakeRequest().released_size() == 0);
+  agent.MarkReleased("shop", 1, 50);
+  REQUIRE(agent.MakeRequest().released_size() == 1);
+  REQUIRE(agent.ShardsToRelease().empty());
+  REQUIRE_FALSE(agent.OwnsAnyShard());
+  // The move is called off before the release arrives.
+  agent.OnReply(Reply(7, MakeDelta(7, 1, 7, 50)), kLater, kLater);
+  REQUIRE_FALSE(MayServe(agent));
+  // A new grant to the same node.
+  agent.OnReply(Reply(7, MakeDelta(8, 1, 7, 70)), kLater, kLater);
+  REQUIRE(agent.MakeRequest().released_size() == 0);
+  REQUIRE(MayServe(agent));
+}
+
+// Guards against any step back of revisions, confirmation or lease when replies
+// are lost, reordered and repeated.
+TEST_CASE("A view never goes back")
+{
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    NodeAgent agent = MakeOwner();
+    std::vector<std::pair<wire::SyncReply, TimePoint>> inFlight;
+    TimePoint now = kLater;
+    for (uint64_t step = 6; step < 400; ++step) {
+      now = now + Milliseconds(static_cast<int64_t>(random() % 50));
+      const uint64_t epoch = 100 + step;
+      wire::SyncReply reply =
+        Reply(7, MakeDelta(step, random() % 4, 7 + random() % 2, epoch));
+      reply.mutable_catalogue()->set_revision(step);
+      reply.set_catalogue_revision(step);
+      inFlight.emplace_back(reply, now);
+      if (random() % 3 == 0) {
+        continue;
+      }
+      const auto before = agent.CurrentView();
+      const auto& [late, sentAt] = inFlight[random() % inFlight.size()];
+      agent.OnReply(late, sentAt, now);
+      const auto after = agent.CurrentView();
+      REQUIRE(after->m_routes->Revision() >= before->m_routes->Revision());
+      REQUIRE(after->m_catalogue->Revision() >=
+              before->m_catalogue->Revision());
+      REQUIRE(after->m_confirmedAt >= before->m_confirmedAt);
+      REQUIRE(after->m_leaseEnd >= before->m_leaseEnd);
+      REQUIRE(after->m_leaseEnd <= now + Milliseconds(2475));
+      for (ShardNumber i = 0; i < 4; ++i) {
+        const ShardRoute* then = before->m_routes->Find("shop", i);
+        REQUIRE(then->m_epoch <= after->m_routes->Find("shop", i)->m_epoch);
+      }
+    }
+  }
+}
+
+} // namespace rattanloft::routing
