Add the control core, its gRPC services and the JSON form of entries

Cause: a control instance needs its gRPC side and the shell that drives the replicated log and the coordinator.

--- /dev/null
+++ b/modules/control/src/CatalogueJson.cpp
@@ -0,0 +1,316 @@
+#include "CatalogueJson.h"
+
+#include <limits>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace rattanloft::control {
+
+namespace {
+
+using nlohmann::json;
+using Result = tl::expected<void, FieldError>;
+
+constexpr const char* kClassNames[] = { "interactive", "prompt", "bulk" };
+constexpr const char* kStatusNames[] = { "accepted",
+                                         "revision_mismatch",
+                                         "invalid",
+                                         "catalogue_full" };
+
+Result
+Fail(std::string aField, std::string aMessage)
+{
+  return tl::unexpected(FieldError{ std::move(aField), std::move(aMessage) });
+}
+
+Result
+ReadValue(const json& aValue, const std::string& aField, std::string& aOut)
+{
+  if (!aValue.is_string()) {
+    return Fail(aField, "must be a string");
+  }
+  aOut = aValue.get<std::string>();
+  return {};
+}
+
+Result
+ReadValue(const json& aValue, const std::string& aField, bool& aOut)
+{
+  if (!aValue.is_boolean()) {
+    return Fail(aField, "must be true or false");
+  }
+  aOut = aValue.get<bool>();
+  return {};
+}
+
+template<typename Number>
+Result
+ReadNumber(const json& aValue, const std::string& aField, Number& aOut)
+{
+  if (!aValue.is_number_unsigned() ||
+      aValue.get<uint64_t>() > std::numeric_limits<Number>::max()) {
+    return Fail(aField,
+                fmt::format("must be a whole number from 0 to {}",
+                            std::numeric_limits<Number>::max()));
+  }
+  aOut = static_cast<Number>(aValue.get<uint64_t>());
+  return {};
+}
+
+Result
+ReadValue(const json& aValue, const std::string& aField, uint32_t& aOut)
+{
+  return ReadNumber(aValue, aField, aOut);
+}
+
+Result
+ReadValue(const json& aValue, const std::string& aField, uint64_t& aOut)
+{
+  return ReadNumber(aValue, aField, aOut);
+}
+
+// One field of a message: its JSON name and how to read it.
+template<typename Message>
+struct Field
+{
+  const char* m_name;
+  Result (*m_read)(const json&, const std::string&, Message&);
+};
+
+template<typename Message, size_t N>
+Result
+ReadObject(const json& aJson,
+           const std::string& aPath,
+           const Field<Message> (&aFields)[N],
+           Message& aOut)
+{
+  if (!aJson.is_object()) {
+    return Fail(aPath, "must be an object");
+  }
+  for (const auto& [name, value] : aJson.items()) {
+    const std::string path = aPath.empty() ? name : aPath + "." + name;
+    const Field<Message>* found = nullptr;
+    for (const Field<Message>& field : aFields) {
+      found = name == field.m_name ? &field : found;
+    }
+    if (found == nullptr) {
+      return Fail(path, "unknown field");
+    }
+    if (Result result = found->m_read(value, path, aOut); !result) {
+      return result;
+    }
+  }
+  return {};
+}
+
+template<typename Message, typename Value, void (Message::*Setter)(Value)>
+Result
+ReadScalar(const json& aValue, const std::string& aField, Message& aOut)
+{
+  Value value{};
+  Result result = ReadValue(aValue, aField, value);
+  if (result) {
+    (aOut.*Setter)(value);
+  }
+  return result;
+}
+
+template<std::string* (wire::CatalogueEntry::*Mutable)()>
+Result
+ReadText(const json& aValue,
+         const std::string& aField,
+         wire::CatalogueEntry& aOut)
+{
+  return ReadValue(aValue, aField, *(aOut.*Mutable)());
+}
+
+Result
+ReadMethods(const json& aValue,
+            const std::string& aField,
+            wire::CatalogueEntry& aOut)
+{
+  if (!aValue.is_array()) {
+    return Fail(aField, "must be a list of strings");
+  }
+  for (const json& item : aValue) {
+    if (Result result = ReadValue(item, aField, *aOut.add_methods()); !result) {
+      return result;
+    }
+  }
+  return {};
+}
+
+Result
+ReadClass(const json& aValue,
+          const std::string& aField,
+          wire::CatalogueEntry& aOut)
+{
+  for (size_t i = 0; i < std::size(kClassNames); ++i) {
+    if (aValue == kClassNames[i]) {
+      aOut.set_work_class(static_cast<wire::WorkClass>(i));
+      return {};
+    }
+  }
+  return Fail(aField, "must be interactive, prompt or bulk");
+}
+
+// A revision in the document is the one that was read; the change names the
+// expected revision separately.
+Result
+IgnoreRevision(const json& aValue,
+               const std::string& aField,
+               wire::CatalogueEntry& /*aOut*/)
+{
+  uint64_t ignored = 0;
+  return ReadValue(aValue, aField, ignored);
+}
+
+using Hour = wire::HourDeadline;
+constexpr Field<Hour> kHourFields[] = {
+  { "from_hour", ReadScalar<Hour, uint32_t, &Hour::set_from_hour> },
+  { "to_hour", ReadScalar<Hour, uint32_t, &Hour::set_to_hour> },
+  { "deadline_ms", ReadScalar<Hour, uint32_t, &Hour::set_deadline_ms> },
+};
+
+Result
+ReadHours(const json& aValue, const std::string& aField, wire::Limits& aOut)
+{
+  if (!aValue.is_array()) {
+    return Fail(aField, "must be a list");
+  }
+  for (size_t i = 0; i < aValue.size(); ++i) {
+    Result result = ReadObject(aValue[i],
+                               fmt::format("{}[{}]", aField, i),
+                               kHourFields,
+                               *aOut.add_hour_deadlines());
+    if (!result) {
+      return result;
+    }
+  }
+  return {};
+}
+
+using wire::Limits;
+constexpr Field<Limits> kLimitFields[] = {
+  { "deadline_ms", ReadScalar<Limits, uint32_t, &Limits::set_deadline_ms> },
+  { "hour_deadlines", ReadHours },
+  { "max_in_flight", ReadScalar<Limits, uint32_t, &Limits::set_max_in_flight> },
+  { "max_queue", ReadScalar<Limits, uint32_t, &Limits::set_max_queue> },
+  { "max_body_bytes",
+    ReadScalar<Limits, uint64_t, &Limits::set_max_body_bytes> },
+  { "requests_per_second",
+    ReadScalar<Limits, uint32_t, &Limits::set_requests_per_second> },
+};
+
+Result
+ReadLimits(const json& aValue,
+           const std::string& aField,
+           wire::CatalogueEntry& aOut)
+{
+  return ReadObject(aValue, aField, kLimitFields, *aOut.mutable_limits());
+}
+
+using Entry = wire::CatalogueEntry;
+constexpr Field<Entry> kEntryFields[] = {
+  { "name", ReadText<&Entry::mutable_name> },
+  { "owner", ReadText<&Entry::mutable_owner> },
+  { "service", ReadText<&Entry::mutable_service> },
+  { "methods", ReadMethods },
+  { "class", ReadClass },
+  { "idempotent", ReadScalar<Entry, bool, &Entry::set_idempotent> },
+  { "keyed", ReadScalar<Entry, bool, &Entry::set_keyed> },
+  { "limits", ReadLimits },
+  { "revision", IgnoreRevision },
+};
+
+json
+LimitsToJson(const wire::Limits& aLimits)
+{
+  json hours = json::array();
+  for (const wire::HourDeadline& hour : aLimits.hour_deadlines()) {
+    hours.push_back({ { "from_hour", hour.from_hour() },
+                      { "to_hour", hour.to_hour() },
+                      { "deadline_ms", hour.deadline_ms() } });
+  }
+  return { { "deadline_ms", aLimits.deadline_ms() },
+           { "hour_deadlines", std::move(hours) },
+           { "max_in_flight", aLimits.max_in_flight() },
+           { "max_queue", aLimits.max_queue() },
+           { "max_body_bytes", aLimits.max_body_bytes() },
+           { "requests_per_second", aLimits.requests_per_second() } };
+}
+
+template<size_t N>
+const char*
+NameOf(const char* const (&aNames)[N], int aValue)
+{
+  return aValue >= 0 && static_cast<size_t>(aValue) < N ? aNames[aValue]
+                                                        : "unknown";
+}
+
+} // namespace
+
+tl::expected<wire::CatalogueEntry, FieldError>
+EntryFromJson(const json& aJson)
+{
+  wire::CatalogueEntry entry;
+  if (Result result = ReadObject(aJson, "", kEntryFields, entry); !result) {
+    return tl::unexpected(std::move(result.error()));
+  }
+  return entry;
+}
+
+tl::expected<wire::CatalogueEntry, FieldError>
+EntryFromJson(std::string_view aText)
+{
+  const json document = json::parse(aText, nullptr, false);
+  if (document.is_discarded()) {
+    return tl::unexpected(FieldError{ "", "the body is not valid JSON" });
+  }
+  return EntryFromJson(document);
+}
+
+json
+EntryToJson(const wire::CatalogueEntry& aEntry)
+{
+  json methods = json::array();
+  for (const std::string& method : aEntry.methods()) {
+    methods.push_back(method);
+  }
+  return { { "name", aEntry.name() },
+           { "owner", aEntry.owner() },
+           { "service", aEntry.service() },
+           { "methods", std::move(methods) },
+           { "class", NameOf(kClassNames, aEntry.work_class()) },
+           { "idempotent", aEntry.idempotent() },
+           { "keyed", aEntry.keyed() },
+           { "limits", LimitsToJson(aEntry.limits()) },
+           { "revision", aEntry.revision() } };
+}
+
+json
+HistoryToJson(const wire::HistoryRecord& aRecord)
+{
+  const wire::CatalogueChange& change = aRecord.change();
+  json out = { { "index", aRecord.index() },
+               { "change_id", change.change_id() },
+               { "operator", change.operator_name() },
+               { "unix_ms", change.proposed_at_unix_ms() },
+               { "expected_revision", change.expected_revision() },
+               { "result", NameOf(kStatusNames, aRecord.result().status()) },
+               { "revision", aRecord.result().revision() } };
+  if (!aRecord.result().message().empty()) {
+    out["message"] = aRecord.result().message();
+  }
+  if (change.has_put()) {
+    out["operation"] = "put";
+    out["name"] = change.put().name();
+  } else {
+    out["operation"] = "remove";
+    out["name"] = change.remove();
+  }
+  return out;
+}
+
+} // namespace rattanloft::control
--- /dev/null
+++ b/modules/control/src/GrpcServer.cpp
@@ -0,0 +1,196 @@
+#include "GrpcServer.h"
+
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <grpc/support/log.h>
+#include <grpcpp/grpcpp.h>
+
+#include "control.grpc.pb.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/wire/GrpcChannel.h"
+
+namespace rattanloft::control {
+
+namespace {
+
+namespace asio = boost::asio;
+
+void
+ForwardGrpcLog(gpr_log_func_args* aArgs)
+{
+  LogDebug("grpc", "{}", aArgs->message);
+}
+
+// Lives until gRPC is done with the call and no posted handler refers to it.
+class SyncReactor final
+  : public grpc::ServerUnaryReactor
+  , public std::enable_shared_from_this<SyncReactor>
+{
+public:
+  SyncReactor(asio::io_context& aContext,
+              GrpcSink& aSink,
+              uint64_t aCall,
+              wire::SyncReply* aReply)
+    : m_context(aContext)
+    , m_sink(aSink)
+    , m_call(aCall)
+    , m_reply(aReply)
+  {
+  }
+
+  void Start(const wire::SyncRequest& aRequest)
+  {
+    m_self = shared_from_this();
+    asio::post(m_context, [self = m_self, request = aRequest] {
+      self->m_sink.OnSync(
+        self->m_call, request, [self](wire::SyncReply aReply) {
+          self->FinishOnce(grpc::Status::OK, std::move(aReply));
+        });
+    });
+  }
+
+  void OnCancel() override
+  {
+    asio::post(m_context, [self = shared_from_this()] {
+      self->m_sink.OnSyncCancelled(self->m_call);
+      self->FinishOnce(grpc::Status::CANCELLED, {});
+    });
+  }
+
+  void OnDone() override { m_self.reset(); }
+
+private:
+  // On the control thread. gRPC's reply object is valid until the first Finish.
+  void FinishOnce(const grpc::Status& aStatus, wire::SyncReply aReply)
+  {
+    if (!std::exchange(m_finished, true)) {
+      *m_reply = std::move(aReply);
+      Finish(aStatus);
+    }
+  }
+
+  asio::io_context& m_context;
+  GrpcSink& m_sink;
+  const uint64_t m_call;
+  wire::SyncReply* m_reply;
+  bool m_finished = false;
+  std::shared_ptr<SyncReactor> m_self;
+};
+
+class SyncService final : public wire::ControlSync::CallbackService
+{
+public:
+  SyncService(asio::io_context& aContext, GrpcSink& aSink)
+    : m_context(aContext)
+    , m_sink(aSink)
+  {
+  }
+
+  grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* /*aContext*/,
+                                 const wire::SyncRequest* aRequest,
+                                 wire::SyncReply* aReply) override
+  {
+    auto reactor =
+      std::make_shared<SyncReactor>(m_context, m_sink, ++m_calls, aReply);
+    reactor->Start(*aRequest);
+    return reactor.get();
+  }
+
+private:
+  asio::io_context& m_context;
+  GrpcSink& m_sink;
+  std::atomic<uint64_t> m_calls = 0;
+};
+
+class RaftService final : public wire::RaftTransport::CallbackService
+{
+public:
+  RaftService(asio::io_context& aContext, GrpcSink& aSink)
+    : m_context(aContext)
+    , m_sink(aSink)
+  {
+  }
+
+  // Finished when the control thread takes the batch: a peer's limit of batches
+  // in flight then bounds what waits here while the control thread is busy.
+  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* aContext,
+                                    const wire::RaftBatch* aBatch,
+                                    wire::RaftBatchReply* /*aReply*/) override
+  {
+    auto* reactor = aContext->DefaultReactor();
+    asio::post(m_context, [this, reactor, batch = *aBatch] {
+      reactor->Finish(grpc::Status::OK);
+      m_sink.OnRaft(batch);
+    });
+    return reactor;
+  }
+
+private:
+  asio::io_context& m_context;
+  GrpcSink& m_sink;
+};
+
+class GrpcServerImpl final : public GrpcServer
+{
+public:
+  GrpcServerImpl(asio::io_context& aContext, GrpcSink& aSink)
+    : m_sync(aContext, aSink)
+    , m_raft(aContext, aSink)
+  {
+  }
+  GrpcServerImpl(const GrpcServerImpl&) = delete;
+  GrpcServerImpl& operator=(const GrpcServerImpl&) = delete;
+  ~GrpcServerImpl() override { Shutdown(); }
+
+  bool Listen(const std::string& aAddress)
+  {
+    grpc::ServerBuilder builder;
+    wire::SetServerOptions(builder);
+    builder.AddListeningPort(
+      aAddress, grpc::InsecureServerCredentials(), &m_port);
+    builder.RegisterService(&m_sync);
+    builder.RegisterService(&m_raft);
+    m_server = builder.BuildAndStart();
+    return m_server != nullptr && m_port > 0;
+  }
+
+  uint16_t Port() const override { return static_cast<uint16_t>(m_port); }
+
+  void Shutdown() override
+  {
+    if (m_server != nullptr) {
+      m_server->Shutdown(std::chrono::system_clock::now() +
+                         std::chrono::milliseconds(500));
+      m_server->Wait();
+      m_server.reset();
+    }
+  }
+
+private:
+  SyncService m_sync;
+  RaftService m_raft;
+  int m_port = 0;
+  std::unique_ptr<grpc::Server> m_server;
+};
+
+} // namespace
+
+tl::expected<std::unique_ptr<GrpcServer>, std::string>
+GrpcServer::Make(const std::string& aAddress,
+                 asio::io_context& aContext,
+                 GrpcSink& aSink)
+{
+  gpr_set_log_function(ForwardGrpcLog);
+  auto server = std::make_unique<GrpcServerImpl>(aContext, aSink);
+  if (!server->Listen(aAddress)) {
+    return tl::unexpected(
+      fmt::format("cannot listen on gRPC address {}", aAddress));
+  }
+  return server;
+}
+
+} // namespace rattanloft::control
--- /dev/null
+++ b/modules/control/src/PeerTransport.cpp
@@ -0,0 +1,265 @@
+#include "PeerTransport.h"
+
+#include <algorithm>
+#include <chrono>
+#include <unordered_set>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include "control.grpc.pb.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/wire/GrpcChannel.h"
+
+namespace rattanloft::control {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kMaxBatchesInFlight = 3;
+constexpr size_t kMaxQueuedMessages = 256;
+constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+constexpr size_t kMaxBatchBytes = 1024 * 1024;
+constexpr size_t kMaxRelays = 1024;
+// Addresses kept for peers outside the configuration.
+constexpr size_t kMaxPeers = 32;
+constexpr std::chrono::milliseconds kDeliverTimeout{ 1000 };
+// A leader holds a Sync for at most 400 ms.
+constexpr std::chrono::milliseconds kRelayTimeout{ 1000 };
+
+} // namespace
+
+struct PeerTransport::Delivery
+{
+  grpc::ClientContext m_context;
+  wire::RaftBatch m_batch;
+  wire::RaftBatchReply m_reply;
+};
+
+struct PeerTransport::RelayCall
+{
+  uint64_t m_id = 0;
+  grpc::ClientContext m_context;
+  wire::SyncRequest m_request;
+  wire::SyncReply m_reply;
+  RelayCallback m_callback;
+};
+
+struct PeerTransport::Peer
+{
+  std::string m_address;
+  std::shared_ptr<grpc::Channel> m_channel;
+  std::unique_ptr<wire::RaftTransport::Stub> m_raft;
+  std::unique_ptr<wire::ControlSync::Stub> m_sync;
+  std::deque<wire::RaftMessage> m_queue;
+  size_t m_queuedBytes = 0;
+  std::unordered_set<std::shared_ptr<Delivery>> m_inFlight;
+  bool m_failing = false;
+
+  void Connect(const std::string& aAddress)
+  {
+    m_address = aAddress;
+    m_channel = wire::MakeChannel(aAddress);
+    m_raft = wire::RaftTransport::NewStub(m_channel);
+    m_sync = wire::ControlSync::NewStub(m_channel);
+  }
+
+  wire::RaftMessage PopFront()
+  {
+    wire::RaftMessage message = std::move(m_queue.front());
+    m_queue.pop_front();
+    m_queuedBytes -= message.ByteSizeLong();
+    return message;
+  }
+};
+
+PeerTransport::PeerTransport(asio::io_context& aContext, uint64_t aSelf)
+  : m_context(aContext)
+  , m_self(aSelf)
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+void
+PeerTransport::SetMembers(const wire::GroupConfig& aConfig)
+{
+  for (const wire::GroupMember& member : aConfig.members()) {
+    if (member.replica_id() == m_self || member.grpc_address().empty()) {
+      continue;
+    }
+    auto& peer = m_peers[member.replica_id()];
+    if (peer == nullptr) {
+      peer = std::make_unique<Peer>();
+    }
+    if (peer->m_address != member.grpc_address()) {
+      peer->Connect(member.grpc_address());
+    }
+  }
+  std::unordered_set<uint64_t> named;
+  for (const wire::GroupMember& member : aConfig.members()) {
+    named.insert(member.replica_id());
+  }
+  for (auto item = m_peers.begin();
+       m_peers.size() > kMaxPeers && item != m_peers.end();) {
+    const bool drop =
+      !named.contains(item->first) && item->second->m_inFlight.empty();
+    item = drop ? m_peers.erase(item) : std::next(item);
+  }
+}
+
+void
+PeerTransport::Send(const wire::RaftMessage& aMessage)
+{
+  const auto found = m_peers.find(aMessage.to());
+  if (found == m_peers.end() || m_stopped) {
+    ++m_counters.m_dropped;
+    return;
+  }
+  Peer& peer = *found->second;
+  peer.m_queue.push_back(aMessage);
+  peer.m_queuedBytes += aMessage.ByteSizeLong();
+  while (peer.m_queue.size() > kMaxQueuedMessages ||
+         (peer.m_queuedBytes > kMaxQueuedBytes && peer.m_queue.size() > 1)) {
+    peer.PopFront();
+    ++m_counters.m_dropped;
+  }
+  ScheduleFlush();
+}
+
+// Messages that one event produces leave in one batch.
+void
+PeerTransport::ScheduleFlush()
+{
+  if (std::exchange(m_flushScheduled, true)) {
+    return;
+  }
+  asio::post(m_context, [this] {
+    m_flushScheduled = false;
+    for (auto& [id, peer] : m_peers) {
+      Flush(id, *peer);
+    }
+  });
+}
+
+void
+PeerTransport::Flush(uint64_t aId, Peer& aPeer)
+{
+  while (!m_stopped && !aPeer.m_queue.empty() &&
+         aPeer.m_inFlight.size() < kMaxBatchesInFlight) {
+    auto delivery = std::make_shared<Delivery>();
+    size_t bytes = 0;
+    while (!aPeer.m_queue.empty() && bytes < kMaxBatchBytes) {
+      bytes += aPeer.m_queue.front().ByteSizeLong();
+      *delivery->m_batch.add_messages() = aPeer.PopFront();
+    }
+    m_counters.m_sent +=
+      static_cast<uint64_t>(delivery->m_batch.messages_size());
+    delivery->m_context.set_deadline(std::chrono::system_clock::now() +
+                                     kDeliverTimeout);
+    aPeer.m_inFlight.insert(delivery);
+    ++m_inFlight;
+    aPeer.m_raft->async()->Deliver(
+      &delivery->m_context,
+      &delivery->m_batch,
+      &delivery->m_reply,
+      [this, aId, delivery](const grpc::Status& aStatus) {
+        asio::post(m_context, [this, aId, delivery, ok = aStatus.ok()] {
+          OnDelivered(aId, delivery, ok);
+        });
+      });
+  }
+}
+
+void
+PeerTransport::OnDelivered(uint64_t aPeer,
+                           const std::shared_ptr<Delivery>& aDelivery,
+                           bool aOk)
+{
+  --m_inFlight;
+  m_counters.m_failedBatches += aOk ? 0 : 1;
+  const auto found = m_peers.find(aPeer);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Peer& peer = *found->second;
+  peer.m_inFlight.erase(aDelivery);
+  if (peer.m_failing == aOk) {
+    peer.m_failing = !aOk;
+    LogInfo("raft",
+            "peer {:016x} at {} is {}",
+            aPeer,
+            peer.m_address,
+            aOk ? "reachable" : "not reachable");
+  }
+  Flush(aPeer, peer);
+}
+
+bool
+PeerTransport::Relay(uint64_t aPeer,
+                     uint64_t aCall,
+                     const wire::SyncRequest& aRequest,
+                     RelayCallback aCallback)
+{
+  const auto found = m_peers.find(aPeer);
+  if (found == m_peers.end() || m_stopped || m_relays.size() >= kMaxRelays) {
+    return false;
+  }
+  auto call = std::make_shared<RelayCall>();
+  call->m_id = aCall;
+  call->m_request = aRequest;
+  call->m_request.set_relayed(true);
+  call->m_callback = std::move(aCallback);
+  call->m_context.set_deadline(std::chrono::system_clock::now() +
+                               kRelayTimeout);
+  m_relays[aCall] = call;
+  ++m_inFlight;
+  ++m_counters.m_relayed;
+  found->second->m_sync->async()->Sync(
+    &call->m_context,
+    &call->m_request,
+    &call->m_reply,
+    [this, call](const grpc::Status& aStatus) {
+      asio::post(m_context, [this, call, ok = aStatus.ok()] {
+        OnRelayed(call, ok);
+      });
+    });
+  return true;
+}
+
+void
+PeerTransport::OnRelayed(const std::shared_ptr<RelayCall>& aCall, bool aOk)
+{
+  --m_inFlight;
+  if (m_relays.erase(aCall->m_id) > 0) {
+    aCall->m_callback(aOk ? &aCall->m_reply : nullptr);
+  }
+}
+
+void
+PeerTransport::CancelRelay(uint64_t aCall)
+{
+  const auto found = m_relays.find(aCall);
+  if (found != m_relays.end()) {
+    found->second->m_context.TryCancel();
+    m_relays.erase(found);
+  }
+}
+
+void
+PeerTransport::Stop()
+{
+  m_stopped = true;
+  for (auto& [id, call] : m_relays) {
+    call->m_context.TryCancel();
+  }
+  for (auto& [id, peer] : m_peers) {
+    for (const auto& delivery : peer->m_inFlight) {
+      delivery->m_context.TryCancel();
+    }
+  }
+}
+
+} // namespace rattanloft::control
--- /dev/null
+++ b/modules/control/src/ReplicatedState.cpp
@@ -0,0 +1,37 @@
+#include "ReplicatedState.h"
+
+#include "rattanloft/base/Assert.h"
+
+namespace rattanloft::control {
+
+void
+ReplicatedState::Apply(uint64_t aIndex, std::string_view aCommand)
+{
+  wire::Command command;
+  // The log's checksums have verified the bytes, and a replica that skipped a
+  // command would differ from the others from then on.
+  RATTANLOFT_ASSERT(command.ParseFromArray(aCommand.data(),
+                                           static_cast<int>(aCommand.size())));
+  m_cluster.Apply(command, aIndex);
+  ++m_changes;
+}
+
+std::string
+ReplicatedState::TakeSnapshot() const
+{
+  return m_cluster.Snapshot().SerializeAsString();
+}
+
+tl::expected<void, std::string>
+ReplicatedState::RestoreSnapshot(std::string_view aSnapshot)
+{
+  wire::ClusterSnapshot snapshot;
+  if (!snapshot.ParseFromArray(aSnapshot.data(),
+                               static_cast<int>(aSnapshot.size()))) {
+    return tl::unexpected(std::string("the snapshot cannot be parsed"));
+  }
+  ++m_changes;
+  return m_cluster.Restore(snapshot);
+}
+
+} // namespace rattanloft::control
--- /dev/null
+++ b/modules/control/src/ReplicatedState.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "rattanloft/cluster/ClusterState.h"
+#include "rattanloft/consensus/StateMachine.h"
+
+namespace rattanloft::control {
+
+// Applies committed commands to the cluster state. Owned by the control thread.
+class ReplicatedState final : public consensus::StateMachine
+{
+public:
+  void Apply(uint64_t aIndex, std::string_view aCommand) override;
+  std::string TakeSnapshot() const override;
+  tl::expected<void, std::string> RestoreSnapshot(
+    std::string_view aSnapshot) override;
+
+  const cluster::ClusterState& Cluster() const { return m_cluster; }
+  // Commands applied and snapshots restored by this process.
+  uint64_t Changes() const { return m_changes; }
+
+private:
+  cluster::ClusterState m_cluster;
+  uint64_t m_changes = 0;
+};
+
+} // namespace rattanloft::control
