--- /dev/null
+++ b/modules/control/src/OperatorApi.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "ControlCore.h"
+
+namespace rattanloft::control {
+
+struct ApiRequest
+{
+  std::string m_method;
+  // Path segments after /v1, decoded.
+  std::vector<std::string> m_path;
+  std::map<std::string, std::string> m_query;
+  std::string m_body;
+};
+
+struct ApiResponse
+{
+  int m_status = 200;
+  std::string m_contentType = "application/json";
+  std::string m_body;
+};
+
+// Splits and decodes a request target. False if it is malformed.
+bool
+ParseTarget(std::string_view aTarget, ApiRequest& aOut);
+
+// The operators' interface, without sockets. Owned by the control instance and
+// used on its control thread. Each responder is called once.
+class OperatorApi
+{
+public:
+  using Responder = std::function<void(ApiResponse aResponse)>;
+
+  explicit OperatorApi(ControlCore& aCore);
+
+  void Handle(const ApiRequest& aRequest, Responder aResponder);
+
+private:
+  using Handler = void (OperatorApi::*)(const ApiRequest&, Responder);
+  struct Route;
+  static const Route kRoutes[];
+
+  void GetStatus(const ApiRequest& aRequest, Responder aResponder);
+  void GetHealth(const ApiRequest& aRequest, Responder aResponder);
+  void GetMetrics(const ApiRequest& aRequest, Responder aResponder);
+  void ListEntries(const ApiRequest& aRequest, Responder aResponder);
+  void GetEntry(const ApiRequest& aRequest, Responder aResponder);
+  void PutEntry(const ApiRequest& aRequest, Responder aResponder);
+  void RemoveEntry(const ApiRequest& aRequest, Responder aResponder);
+  void GetHistory(const ApiRequest& aRequest, Responder aResponder);
+  void GetRoutes(const ApiRequest& aRequest, Responder aResponder);
+  void DrainNode(const ApiRequest& aRequest, Responder aResponder);
+  void AddMember(const ApiRequest& aRequest, Responder aResponder);
+  void PromoteMember(const ApiRequest& aRequest, Responder aResponder);
+  void RemoveMember(const ApiRequest& aRequest, Responder aResponder);
+  void Transfer(const ApiRequest& aRequest, Responder aResponder);
+
+  void ProposeChange(wire::CatalogueChange aChange, Responder aResponder);
+  ApiResponse ChangeResponse(const wire::CatalogueChange& aChange,
+                             bool aRepeated) const;
+  // Runs aRead on state that is current as of now.
+  void ReadLinearizable(Responder aResponder,
+                        std::function<ApiResponse()> aRead);
+  void ProposeMembers(wire::GroupConfig aConfig, Responder aResponder);
+  // 421 with the leader's address, or 503 without a leader.
+  ApiResponse NotLeader() const;
+  ApiResponse FromLogError(const consensus::LogError& aError) const;
+
+  ControlCore& m_core;
+};
+
+} // namespace rattanloft::control
