Add the HTTP server and the pooled client

Cause: nodes, control instances and backend servers exchange HTTP/1.1 and need one implementation with bounds on everything that a peer controls.

Change: Server and Client on Beast and Asio coroutines. ServerOptions gains m_stopGrace and m_refusalFields, and its idle timeout is 35 s so that it is longer than the client's 30 s; ClientOptions gains m_maxHeaderBytes and m_maxWaiting.

The client has no tests of its own yet.

--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -21,7 +21,10 @@
   Duration m_connectTimeout = Milliseconds(500);
   Duration m_idleTimeout = Seconds(30);
   Duration m_maxAge = Seconds(300);
+  uint32_t m_maxHeaderBytes = 64 * 1024;
   uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
+  // Exchanges that wait for a connection; further ones get kPoolFull at once.
+  size_t m_maxWaiting = 1000;
 };
 
 // A pooled HTTP/1.1 client on one thread's io_context. One request at a time
@@ -37,6 +40,9 @@
   // aPeer is host:port with an IP address. A connection that the peer has
   // closed is not picked from the pool. On a timeout the idle connections to
   // that peer are closed too, since a silent path usually affects them all.
+  // Fields that concern one connection only are removed from the request and
+  // from the answer; Host is added if it is missing. Uses aCancel's callback
+  // until it completes.
   virtual boost::asio::awaitable<tl::expected<Response, HttpError>> Exchange(
     std::string aPeer,
     Request aRequest,
--- a/modules/http/include/rattanloft/http/Server.h
+++ b/modules/http/include/rattanloft/http/Server.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -25,8 +27,15 @@
   uint64_t m_maxBodyBytes = 1024 * 1024;
   // From the first byte of a request to its last.
   Duration m_readTimeout = Seconds(10);
-  Duration m_idleTimeout = Seconds(30);
+  // Longer than the client's 30 s, so that a client closes first and does not
+  // write a request into a connection that the server is closing.
+  Duration m_idleTimeout = Seconds(35);
   Duration m_writeTimeout = Seconds(10);
+  // Stop() serves new requests for this long, each with Connection: close, so
+  // that clients which are about to send are answered instead of cut off.
+  Duration m_stopGrace = Milliseconds(200);
+  // Added to the answers that the server gives without calling the handler.
+  std::vector<std::pair<std::string, std::string>> m_refusalFields;
 };
 
 // An HTTP/1.1 server on one thread's io_context. Malformed requests get 400,
@@ -34,7 +43,9 @@
 class Server
 {
 public:
-  // The token is cancelled when the client goes away while the handler runs.
+  // The token is cancelled when the client goes away while the handler runs. A
+  // client that only shut down its sending side still gets its answer. An
+  // exception from the handler is answered with 500.
   using Handler = std::function<boost::asio::awaitable<Response>(
     Request aRequest,
     std::shared_ptr<CancelToken> aCancel)>;
@@ -44,12 +55,15 @@
     ServerOptions aOptions,
     Handler aHandler);
 
+  // Closes all connections at once. Handlers that still run keep running, so
+  // call Stop() first.
   virtual ~Server() = default;
 
   virtual uint16_t Port() const = 0;
   virtual size_t Connections() const = 0;
-  // Stops accepting, closes idle connections, lets running requests finish and
-  // closes each connection after its answer. Completes when none is left.
+  // After the grace period, stops accepting and closes idle connections. Lets
+  // running requests finish and closes each connection after its answer.
+  // Completes when none is left.
   virtual boost::asio::awaitable<void> Stop() = 0;
 };
 
--- /dev/null
+++ b/modules/http/src/Message.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string_view>
+
+#include <boost/beast/http/fields.hpp>
+
+namespace rattanloft::http {
+
+// Names what makes the length of a message ambiguous; empty if nothing does.
+// Stricter than the parser, which accepts repeated equal lengths and unknown
+// transfer codings: two parties that disagree on where a message ends open the
+// way to request smuggling.
+std::string_view
+FramingFault(const boost::beast::http::fields& aFields, unsigned aVersion);
+
+// Removes the fields that concern one connection only (RFC 9110, 7.6.1).
+void
+RemoveConnectionFields(boost::beast::http::fields& aFields);
+
+size_t
+FieldCount(const boost::beast::http::fields& aFields);
+
+} // namespace rattanloft::http
--- /dev/null
+++ b/modules/http/src/Types.cpp
@@ -0,0 +1,31 @@
+#include "rattanloft/http/Types.h"
+
+#include <utility>
+
+namespace rattanloft::http {
+
+void
+CancelToken::Cancel()
+{
+  if (m_cancelled) {
+    return;
+  }
+  m_cancelled = true;
+  // The callback may replace itself, so it must not run in place.
+  const std::function<void()> callback = std::exchange(m_callback, nullptr);
+  if (callback) {
+    callback();
+  }
+}
+
+void
+CancelToken::OnCancel(std::function<void()> aCallback)
+{
+  if (m_cancelled && aCallback) {
+    aCallback();
+    return;
+  }
+  m_callback = std::move(aCallback);
+}
+
+} // namespace rattanloft::http
