Run a control instance as a process

Cause: the parts of a control instance had no process around them. Conclusion: base for the command line, tests and measurements.

--- /dev/null
+++ b/modules/control/src/ApiTypes.cpp
@@ -0,0 +1,125 @@
+#include "ApiTypes.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace rattanloft::control {
+
+namespace {
+
+using nlohmann::json;
+
+std::optional<std::string>
+Decode(std::string_view aText)
+{
+  std::string out;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      out += aText[i];
+      continue;
+    }
+    uint8_t byte = 0;
+    const char* begin = aText.data() + i + 1;
+    if (i + 2 >= aText.size() ||
+        std::from_chars(begin, begin + 2, byte, 16).ptr != begin + 2) {
+      return std::nullopt;
+    }
+    out += static_cast<char>(byte);
+    i += 2;
+  }
+  return out;
+}
+
+bool
+ParseQuery(std::string_view aText, std::map<std::string, std::string>& aOut)
+{
+  while (!aText.empty()) {
+    const auto end = aText.find('&');
+    const std::string_view item = aText.substr(0, end);
+    const auto equals = item.find('=');
+    const auto name = Decode(item.substr(0, equals));
+    const auto value = equals == std::string_view::npos
+                         ? std::optional<std::string>("")
+                         : Decode(item.substr(equals + 1));
+    if (!name || !value) {
+      return false;
+    }
+    aOut[*name] = *value;
+    aText = end == std::string_view::npos ? std::string_view{}
+                                          : aText.substr(end + 1);
+  }
+  return true;
+}
+
+} // namespace
+
+bool
+ParseTarget(std::string_view aTarget, ApiRequest& aOut)
+{
+  const auto question = aTarget.find('?');
+  if (question != std::string_view::npos &&
+      !ParseQuery(aTarget.substr(question + 1), aOut.m_query)) {
+    return false;
+  }
+  std::string_view path = aTarget.substr(0, question);
+  if (!path.starts_with('/')) {
+    return false;
+  }
+  while (!path.empty()) {
+    path.remove_prefix(1);
+    const auto segment = Decode(path.substr(0, path.find('/')));
+    if (!segment) {
+      return false;
+    }
+    aOut.m_path.push_back(*segment);
+    path = path.substr(std::min(path.find('/'), path.size()));
+  }
+  return true;
+}
+
+std::string
+QueryText(const ApiRequest& aRequest, const char* aName)
+{
+  const auto found = aRequest.m_query.find(aName);
+  return found == aRequest.m_query.end() ? "" : found->second;
+}
+
+std::optional<uint64_t>
+QueryNumber(const ApiRequest& aRequest, const char* aName)
+{
+  const std::string text = QueryText(aRequest, aName);
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  return text.empty() || result.ec != std::errc() || result.ptr != end
+           ? std::nullopt
+           : std::optional(value);
+}
+
+ApiResponse
+Json(int aStatus, const json& aBody)
+{
+  // Text that operators send may not be valid UTF-8, on which dump() throws.
+  return {
+    .m_status = aStatus,
+    .m_body = aBody.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"
+  };
+}
+
+ApiResponse
+Error(int aStatus, std::string_view aCode, std::string_view aMessage)
+{
+  return Json(aStatus, { { "error", aCode }, { "message", aMessage } });
+}
+
+ApiResponse
+BadField(std::string_view aField, std::string_view aMessage)
+{
+  return Json(
+    kBadRequest,
+    { { "error", "invalid" }, { "field", aField }, { "message", aMessage } });
+}
+
+} // namespace rattanloft::control
--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -81,6 +81,7 @@
   if (!std::exchange(m_pumpScheduled, true)) {
     asio::post(m_context, [this] {
       m_pumpScheduled = false;
+      m_log.Tick(m_clock.Now());
       Pump();
     });
   }
@@ -147,12 +148,13 @@
 ControlCore::ProposeAll(const std::vector<wire::Command>& aCommands)
 {
   for (const wire::Command& command : aCommands) {
-    Propose(command, [](const tl::expected<uint64_t, consensus::LogError>& aAt) {
-      if (!aAt) {
-        LogWarning(
-          "control", "a command was not applied: {}", aAt.error().m_message);
-      }
-    });
+    Propose(
+      command, [](const tl::expected<uint64_t, consensus::LogError>& aAt) {
+        if (!aAt) {
+          LogWarning(
+            "control", "a command was not applied: {}", aAt.error().m_message);
+        }
+      });
   }
 }
 
@@ -176,6 +178,7 @@
       ++m_counters.m_failedBarriers;
       m_held.AnswerAll(wire::SYNC_STATUS_NO_LEADER);
     });
+  SchedulePump();
 }
 
 void
@@ -231,14 +234,13 @@
   const auto status = m_log.Status();
   const bool relay = !aRequest.relayed() && status.m_leaderId != 0 &&
                      status.m_leaderId != status.m_replicaId;
-  if (!relay ||
-      !m_transport.Relay(
-        status.m_leaderId,
-        aCall,
-        aRequest,
-        [aResponder](const wire::SyncReply* aReply) {
-          aResponder(aReply != nullptr ? *aReply : NoLeader());
-        })) {
+  if (!relay || !m_transport.Relay(status.m_leaderId,
+                                   aCall,
+                                   aRequest,
+                                   [aResponder](const wire::SyncReply* aReply) {
+                                     aResponder(aReply != nullptr ? *aReply
+                                                                  : NoLeader());
+                                   })) {
     aResponder(NoLeader());
   }
 }
@@ -261,19 +263,20 @@
                   SchedulePump();
                   callback(std::move(aIndex));
                 });
+  SchedulePump();
 }
 
 void
 ControlCore::ProposeConfig(wire::GroupConfig aConfig, ProposeCallback aCallback)
 {
-  m_log.ProposeConfig(
-    std::move(aConfig), m_clock.Now(), std::move(aCallback));
+  m_log.ProposeConfig(std::move(aConfig), m_clock.Now(), std::move(aCallback));
 }
 
 void
 ControlCore::ReadBarrier(BarrierCallback aCallback)
 {
   m_log.ReadBarrier(m_clock.Now(), std::move(aCallback));
+  SchedulePump();
 }
 
 void
--- a/modules/control/src/ControlCore.h
+++ b/modules/control/src/ControlCore.h
@@ -71,7 +71,8 @@
 private:
   void ScheduleTick();
   void OnTick();
-  // Runs the coordinator soon, outside of any call into the log.
+  // Runs the log and the coordinator soon, outside of any call into the log.
+  // The log sends what was proposed meanwhile as one batch.
   void SchedulePump();
   void Pump();
   void UpdateRole();
--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -1,7 +1,6 @@
 #include "OperatorApi.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -19,105 +18,10 @@
 
 using nlohmann::json;
 
-// Status codes as the operators' interface uses them.
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kConflict = 409;
-constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
-constexpr int kCatalogueFull = 507;
-
 constexpr size_t kMaxHistory = 10'000;
 constexpr size_t kDefaultHistory = 100;
 constexpr size_t kMaxChangeId = 64;
 
-ApiResponse
-Json(int aStatus, const json& aBody)
-{
-  // Text that operators send may not be valid UTF-8, on which dump() throws.
-  return { .m_status = aStatus,
-           .m_body =
-             aBody.dump(-1, ' ', false, json::error_handler_t::replace) +
-             "\n" };
-}
-
-ApiResponse
-Error(int aStatus, std::string_view aCode, std::string_view aMessage)
-{
-  return Json(aStatus, { { "error", aCode }, { "message", aMessage } });
-}
-
-ApiResponse
-BadField(std::string_view aField, std::string_view aMessage)
-{
-  return Json(
-    kBadRequest,
-    { { "error", "invalid" }, { "field", aField }, { "message", aMessage } });
-}
-
-std::optional<std::string>
-Decode(std::string_view aText)
-{
-  std::string out;
-  for (size_t i = 0; i < aText.size(); ++i) {
-    if (aText[i] != '%') {
-      out += aText[i];
-      continue;
-    }
-    uint8_t byte = 0;
-    const char* begin = aText.data() + i + 1;
-    if (i + 2 >= aText.size() ||
-        std::from_chars(begin, begin + 2, byte, 16).ptr != begin + 2) {
-      return std::nullopt;
-    }
-    out += static_cast<char>(byte);
-    i += 2;
-  }
-  return out;
-}
-
-bool
-ParseQuery(std::string_view aText, std::map<std::string, std::string>& aOut)
-{
-  while (!aText.empty()) {
-    const auto end = aText.find('&');
-    const std::string_view item = aText.substr(0, end);
-    const auto equals = item.find('=');
-    const auto name = Decode(item.substr(0, equals));
-    const auto value = equals == std::string_view::npos
-                         ? std::optional<std::string>("")
-                         : Decode(item.substr(equals + 1));
-    if (!name || !value) {
-      return false;
-    }
-    aOut[*name] = *value;
-    aText =
-      end == std::string_view::npos ? std::string_view{} : aText.substr(end + 1);
-  }
-  return true;
-}
-
-std::string
-QueryText(const ApiRequest& aRequest, const char* aName)
-{
-  const auto found = aRequest.m_query.find(aName);
-  return found == aRequest.m_query.end() ? "" : found->second;
-}
-
-std::optional<uint64_t>
-QueryNumber(const ApiRequest& aRequest, const char* aName)
-{
-  const std::string text = QueryText(aRequest, aName);
-  uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, value);
-  return text.empty() || result.ec != std::errc() || result.ptr != end
-           ? std::nullopt
-           : std::optional(value);
-}
-
 // Fills in what every change names. The error is a response.
 tl::expected<wire::CatalogueChange, ApiResponse>
 ChangeFromQuery(const ApiRequest& aRequest, const Clock& aClock)
@@ -193,30 +97,6 @@
   { "POST", { "v1", "transfer" }, &OperatorApi::Transfer },
 };
 
-bool
-ParseTarget(std::string_view aTarget, ApiRequest& aOut)
-{
-  const auto question = aTarget.find('?');
-  if (question != std::string_view::npos &&
-      !ParseQuery(aTarget.substr(question + 1), aOut.m_query)) {
-    return false;
-  }
-  std::string_view path = aTarget.substr(0, question);
-  if (!path.starts_with('/')) {
-    return false;
-  }
-  while (!path.empty()) {
-    path.remove_prefix(1);
-    const auto segment = Decode(path.substr(0, path.find('/')));
-    if (!segment) {
-      return false;
-    }
-    aOut.m_path.push_back(*segment);
-    path = path.substr(std::min(path.find('/'), path.size()));
-  }
-  return true;
-}
-
 OperatorApi::OperatorApi(ControlCore& aCore)
   : m_core(aCore)
 {
@@ -227,13 +107,12 @@
 {
   bool pathKnown = false;
   for (const Route& route : kRoutes) {
-    const bool matches =
-      std::ranges::equal(route.m_path,
-                         aRequest.m_path,
-                         [](std::string_view aPattern, const std::string& aPart) {
-                           return aPattern == "*" ? !aPart.empty()
-                                                  : aPattern == aPart;
-                         });
+    const bool matches = std::ranges::equal(
+      route.m_path,
+      aRequest.m_path,
+      [](std::string_view aPattern, const std::string& aPart) {
+        return aPattern == "*" ? !aPart.empty() : aPattern == aPart;
+      });
     pathKnown = pathKnown || matches;
     if (matches && aRequest.m_method == route.m_method) {
       (this->*route.m_handler)(aRequest, std::move(aResponder));
@@ -403,10 +282,9 @@
 void
 OperatorApi::GetHistory(const ApiRequest& aRequest, Responder aResponder)
 {
-  const auto max =
-    aRequest.m_query.contains("max")
-      ? QueryNumber(aRequest, "max")
-      : std::optional<uint64_t>(kDefaultHistory);
+  const auto max = aRequest.m_query.contains("max")
+                     ? QueryNumber(aRequest, "max")
+                     : std::optional<uint64_t>(kDefaultHistory);
   if (!max || *max > kMaxHistory) {
     aResponder(BadField("max", "must be a whole number up to 10000"));
     return;
@@ -424,8 +302,7 @@
 OperatorApi::GetRoutes(const ApiRequest& aRequest, Responder aResponder)
 {
   ReadLinearizable(
-    std::move(aResponder),
-    [this, service = QueryText(aRequest, "service")] {
+    std::move(aResponder), [this, service = QueryText(aRequest, "service")] {
       json routes = RoutesToJson(m_core.Cluster(), service);
       return routes.is_null()
                ? Error(kNotFound, "not_found", "the service has no shards")
@@ -455,101 +332,16 @@
       command,
       [this, number = number, aResponder](
         const tl::expected<uint64_t, consensus::LogError>& aIndex) {
-        aResponder(aIndex ? Json(kOk,
-                                 { { "status", "draining" },
-                                   { "backend", number } })
-                          : FromLogError(aIndex.error()));
+        aResponder(
+          aIndex
+            ? Json(kOk, { { "status", "draining" }, { "backend", number } })
+            : FromLogError(aIndex.error()));
       });
     return;
   }
   aResponder(Error(kNotFound, "not_found", "the node has no backend server"));
 }
 
-void
-OperatorApi::AddMember(const ApiRequest& aRequest, Responder aResponder)
-{
-  const json body = json::parse(aRequest.m_body, nullptr, false);
-  const auto text = [&body](const char* aName) {
-    return body.is_object() && body.contains(aName) && body[aName].is_string()
-             ? body[aName].get<std::string>()
-             : std::string();
-  };
-  const auto id = ParseReplicaId(text("replica_id"));
-  if (!id) {
-    aResponder(BadField("replica_id", "must be 16 hexadecimal digits"));
-    return;
-  }
-  for (const char* field : { "grpc_address", "http_address" }) {
-    if (!ParseHostPort(text(field))) {
-      aResponder(BadField(field, "must be an IP address and a port"));
-      return;
-    }
-  }
-  auto config = m_core.Status().m_config;
-  for (const wire::GroupMember& member : config.members()) {
-    if (member.replica_id() == *id) {
-      aResponder(Error(kConflict, "exists", "the replica is a member already"));
-      return;
-    }
-  }
-  wire::GroupMember* member = config.add_members();
-  member->set_replica_id(*id);
-  member->set_grpc_address(text("grpc_address"));
-  member->set_http_address(text("http_address"));
-  member->set_zone(text("zone"));
-  member->set_learner(true);
-  ProposeMembers(std::move(config), std::move(aResponder));
-}
-
-void
-OperatorApi::PromoteMember(const ApiRequest& aRequest, Responder aResponder)
-{
-  const auto id = ParseReplicaId(aRequest.m_path[2]);
-  auto config = m_core.Status().m_config;
-  for (wire::GroupMember& member : *config.mutable_members()) {
-    if (member.replica_id() == id) {
-      member.set_learner(false);
-      ProposeMembers(std::move(config), std::move(aResponder));
-      return;
-    }
-  }
-  aResponder(Error(kNotFound, "not_found", "no member has this replica id"));
-}
-
-void
-OperatorApi::RemoveMember(const ApiRequest& aRequest, Responder aResponder)
-{
-  const auto id = ParseReplicaId(aRequest.m_path[2]);
-  auto config = m_core.Status().m_config;
-  auto& members = *config.mutable_members();
-  const auto found = std::ranges::find_if(members, [&](const auto& aMember) {
-    return aMember.replica_id() == id;
-  });
-  if (found == members.end()) {
-    aResponder(Error(kNotFound, "not_found", "no member has this replica id"));
-    return;
-  }
-  members.erase(found);
-  ProposeMembers(std::move(config), std::move(aResponder));
-}
-
-void
-OperatorApi::ProposeMembers(wire::GroupConfig aConfig, Responder aResponder)
-{
-  if (!m_core.IsLeader()) {
-    aResponder(NotLeader());
-    return;
-  }
-  m_core.ProposeConfig(
-    std::move(aConfig),
-    [this, aResponder](
-      const tl::expected<uint64_t, consensus::LogError>& aIndex) {
-      aResponder(aIndex
-                   ? Json(kOk, { { "status", "accepted" }, { "index", *aIndex } })
-                   : FromLogError(aIndex.error()));
-    });
-}
-
 void
 OperatorApi::Transfer(const ApiRequest& /*aRequest*/, Responder aResponder)
 {
@@ -583,14 +375,14 @@
   for (const wire::GroupMember& member : status.m_config.members()) {
     if (member.replica_id() == status.m_leaderId &&
         status.m_leaderId != status.m_replicaId) {
-      return Json(
-        kMisdirected,
-        { { "error", "not_leader" },
-          { "leader_id", FormatReplicaId(member.replica_id()) },
-          { "leader_http_address", member.http_address() } });
+      return Json(kMisdirected,
+                  { { "error", "not_leader" },
+                    { "leader_id", FormatReplicaId(member.replica_id()) },
+                    { "leader_http_address", member.http_address() } });
     }
   }
-  return Error(kUnavailable, "no_leader", "no control quorum; nothing was done");
+  return Error(
+    kUnavailable, "no_leader", "no control quorum; nothing was done");
 }
 
 ApiResponse
--- a/modules/control/src/OperatorApi.h
+++ b/modules/control/src/OperatorApi.h
@@ -1,37 +1,13 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <string>
-#include <string_view>
-#include <vector>
-
-#include <nlohmann/json_fwd.hpp>
 
+#include "ApiTypes.h"
 #include "ControlCore.h"
 
 namespace rattanloft::control {
 
-struct ApiRequest
-{
-  std::string m_method;
-  // Path segments after /v1, decoded.
-  std::vector<std::string> m_path;
-  std::map<std::string, std::string> m_query;
-  std::string m_body;
-};
-
-struct ApiResponse
-{
-  int m_status = 200;
-  std::string m_contentType = "application/json";
-  std::string m_body;
-};
-
-// Splits and decodes a request target. False if it is malformed.
-bool
-ParseTarget(std::string_view aTarget, ApiRequest& aOut);
-
 // The operators' interface, without sockets. Owned by the control instance and
 // used on its control thread. Each responder is called once.
 class OperatorApi
--- a/tools/rattanloft/ControlCommand.cpp
+++ b/tools/rattanloft/ControlCommand.cpp
@@ -1,14 +1,128 @@
+#include <algorithm>
+#include <string>
+
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include "Commands.h"
+#include "Flags.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/control/ControlInstance.h"
+#include "rattanloft/control/GroupText.h"
+
+DEFINE_string(data_dir, "", "folder for the replicated log, required");
+DEFINE_string(grpc_address,
+              "127.0.0.1:7100",
+              "IP address and port for control instances and nodes");
+DEFINE_string(http_address,
+              "127.0.0.1:7101",
+              "IP address and port for operators");
+DEFINE_string(group,
+              "",
+              "id=grpc_address/http_address/zone,... of the founding members, "
+              "the same list on each; a later member lists the group that it "
+              "joins, without itself");
+DEFINE_bool(init,
+            false,
+            "creates the data folder, prints its replica id and exits");
 
 namespace rattanloft::tool {
 
+namespace {
+
+using control::ControlError;
+using control::ControlErrorCode;
+
+int
+Fail(const ControlError& aError)
+{
+  fmt::print(stderr, "rattanloft control: {}\n", aError.m_message);
+  return aError.m_code == ControlErrorCode::kUsage ? 2 : 1;
+}
+
 int
-ControlCommand(std::span<char*> /*aArgs*/)
+BadFlag(std::string_view aFlag, std::string_view aMessage)
 {
-  fmt::print(stderr, "rattanloft control: not implemented yet\n");
+  fmt::print(stderr, "rattanloft control: --{}: {}\n", aFlag, aMessage);
   return 2;
 }
 
+int
+Init()
+{
+  const auto id = control::InitDataFolder(FLAGS_data_dir);
+  if (!id) {
+    return Fail(id.error());
+  }
+  fmt::print("{}\n", control::FormatReplicaId(*id));
+  return 0;
+}
+
+// The group names every member's zone; --zone guards against a list that was
+// written for another instance.
+bool
+ZoneMatches(const wire::GroupConfig& aGroup)
+{
+  return FLAGS_zone.empty() ||
+         std::ranges::all_of(
+           aGroup.members(), [](const wire::GroupMember& aMember) {
+             return aMember.grpc_address() != FLAGS_grpc_address ||
+                    aMember.zone() == FLAGS_zone;
+           });
+}
+
+int
+RunInstance(control::ControlOptions aOptions)
+{
+  auto instance = control::ControlInstance::Make(std::move(aOptions));
+  if (!instance) {
+    return Fail(instance.error());
+  }
+  LogInfo("control",
+          "replica {} serves gRPC on port {} and HTTP on port {}",
+          control::FormatReplicaId((*instance)->ReplicaId()),
+          (*instance)->GrpcPort(),
+          (*instance)->HttpPort());
+  (*instance)->StopOnSignals();
+  (*instance)->Run();
+  return 0;
+}
+
+} // namespace
+
+int
+ControlCommand(std::span<char*> aArgs)
+{
+  if (!aArgs.empty()) {
+    fmt::print(
+      stderr, "rattanloft control: unexpected argument '{}'\n", aArgs[0]);
+    return 2;
+  }
+  if (FLAGS_data_dir.empty()) {
+    return BadFlag("data_dir", "a folder is required");
+  }
+  if (FLAGS_init) {
+    return Init();
+  }
+  for (const auto& [flag, address] :
+       { std::pair{ "grpc_address", FLAGS_grpc_address },
+         std::pair{ "http_address", FLAGS_http_address } }) {
+    if (!control::ParseHostPort(address)) {
+      return BadFlag(
+        flag, fmt::format("'{}' is not an IP address and port", address));
+    }
+  }
+  auto group = control::ParseGroup(FLAGS_group);
+  if (!group) {
+    return BadFlag("group", group.error());
+  }
+  if (!ZoneMatches(*group)) {
+    return BadFlag("zone", "differs from the zone in --group");
+  }
+  return RunInstance({ .m_dataDir = FLAGS_data_dir,
+                       .m_grpcAddress = FLAGS_grpc_address,
+                       .m_httpAddress = FLAGS_http_address,
+                       .m_group = std::move(*group) });
+}
+
 } // namespace rattanloft::tool
