--- a/modules/admission/src/DeadlineScheduler.cpp
+++ b/modules/admission/src/DeadlineScheduler.cpp
@@ -9,10 +9,14 @@
 
 constexpr double kLongFactor = 4;
 constexpr Duration kProbeInterval = Seconds(1);
-constexpr Duration kMinRetryAfter = Milliseconds(100);
+constexpr Duration kMinRetryAfter = Milliseconds(250);
 constexpr Duration kMaxRetryAfter = Seconds(30);
+// Expected wait by the time left from which a queued job is given up.
+constexpr double kHopelessFactor = 1.25;
 // Part of short work that may have to wait for a slot held by long work.
 constexpr double kMaxWaiting = 0.01;
+// Utilisation up to which short work still keeps up with its arrivals.
+constexpr double kMaxUtilisation = 0.8;
 
 // Probability that a request has to wait, for aLoad requests running on average
 // (Erlang C).
@@ -85,7 +89,7 @@
   // Without a job now and then, learned times that are too long would refuse
   // all further ones and never be corrected.
   const auto tenJobs = Milliseconds(
-    static_cast<int64_t>(std::min(10 * aEntry.m_times.Mean(), 600'000.0)));
+    static_cast<int64_t>(std::min(10 * aEntry.m_times.Mean(), 60'000.0)));
   return aEntry.m_running == 0 &&
          aNow - aEntry.m_startedAt >= std::max(kProbeInterval, tenJobs);
 }
@@ -147,7 +151,7 @@
 DeadlineScheduler::Servers(const Entry& aEntry, TimePoint aNow) const
 {
   if (aEntry.m_long) {
-    return LongLimit();
+    return LongLimit(true);
   }
   // Work of higher classes that arrives later also goes first.
   double higher = 0;
@@ -167,7 +171,7 @@
                                 TimePoint aNow) const
 {
   if (Running().size() < Limit() && aEntry.m_queue.empty() &&
-      (!aEntry.m_long || LongRunning() < LongLimit())) {
+      (!aEntry.m_long || LongRunning() < LongLimit(false))) {
     return 0;
   }
   double wait = Backlog(aEntry, aDeadline, aNow) / Servers(aEntry, aNow);
@@ -179,14 +183,24 @@
 }
 
 uint32_t
-DeadlineScheduler::LongLimit() const
+DeadlineScheduler::LongLimit(bool aUrgent) const
 {
   const uint32_t slots = Limit();
-  const uint32_t reserved =
-    std::max({ 1U, slots / 4, std::min(m_neededByShort, slots) });
+  const uint32_t needed = aUrgent ? m_shortMinimum : m_shortComfort;
+  const uint32_t reserved = std::max({ 1U, slots / 4, needed });
   return slots > reserved ? slots - reserved : 1;
 }
 
+bool
+DeadlineScheduler::IsUrgent(const Entry& aEntry, TimePoint aNow) const
+{
+  const QueuedJob& job = aEntry.m_queue.begin()->second;
+  const auto left = static_cast<double>((job.m_deadline - aNow).m_ms);
+  const auto budget =
+    static_cast<double>((job.m_deadline - job.m_submittedAt).m_ms);
+  return left - NeedOf(aEntry, job) < budget / 2;
+}
+
 uint32_t
 DeadlineScheduler::LongRunning() const
 {
@@ -216,7 +230,6 @@
 DeadlineScheduler::Pick(TimePoint aNow)
 {
   const uint32_t longRunning = LongRunning();
-  const bool longMay = longRunning < LongLimit();
   Entry* best = nullptr;
   Entry* firstLong = nullptr;
   const auto earlier = [](const Entry& aLeft, const Entry& aRight) {
@@ -224,7 +237,7 @@
   };
   for (const auto& entry : AllEntries()) {
     if (entry->m_queue.empty() || !HasRoom(*entry) ||
-        (entry->m_long && !longMay)) {
+        (entry->m_long && longRunning >= LongLimit(IsUrgent(*entry, aNow)))) {
       continue;
     }
     if (entry->m_long &&
@@ -250,37 +263,78 @@
 void
 DeadlineScheduler::OnTick(TimePoint aNow, std::vector<Action>& aActions)
 {
-  double load = 0;
+  Classify();
+  UpdateLoad(aNow);
   for (const auto& entry : AllEntries()) {
-    if (!entry->m_long) {
-      load += entry->m_arrivals.PerSecond(aNow) * entry->m_times.Mean() / 1000;
-    }
     while (!entry->m_queue.empty() &&
            IsLate(*entry, entry->m_queue.begin()->second, aNow)) {
       RefuseFirst(*entry, RefusalReason::kTooLate, aNow, aActions);
     }
   }
-  uint32_t needed = 0;
-  while (needed < Limit() && WaitProbability(needed, load) > kMaxWaiting) {
-    ++needed;
+  // From the longest jobs on, since each of them makes room for several others.
+  for (Entry* entry : m_longestFirst) {
+    while (!entry->m_queue.empty() && IsHopeless(*entry, aNow)) {
+      RefuseLast(*entry, RefusalReason::kTooLate, aNow, aActions);
+    }
   }
-  m_neededByShort = needed;
+}
+
+bool
+DeadlineScheduler::IsHopeless(const Entry& aEntry, TimePoint aNow) const
+{
+  const QueuedJob& last = aEntry.m_queue.rbegin()->second;
+  const auto left = static_cast<double>((last.m_deadline - aNow).m_ms);
+  const double wait = ExpectedWait(aEntry, last.m_deadline, aNow) -
+                      aEntry.m_times.Mean() / Servers(aEntry, aNow);
+  return wait > kHopelessFactor * left;
 }
 
 void
-DeadlineScheduler::OnLearned()
+DeadlineScheduler::UpdateLoad(TimePoint aNow)
+{
+  double load = 0;
+  double longLoad = 0;
+  for (const auto& entry : AllEntries()) {
+    (entry->m_long ? longLoad : load) +=
+      entry->m_arrivals.PerSecond(aNow) * entry->m_times.Mean() / 1000;
+  }
+  m_pressure = std::max(1.0, (load + longLoad) / std::max(1U, Limit()));
+  uint32_t comfort = 0;
+  while (comfort < Limit() && WaitProbability(comfort, load) > kMaxWaiting) {
+    ++comfort;
+  }
+  m_shortComfort = comfort;
+  m_shortMinimum = static_cast<uint32_t>(
+    std::ceil(std::min<double>(Limit(), load / kMaxUtilisation)));
+}
+
+void
+DeadlineScheduler::OnEntriesChanged()
+{
+  Classify();
+}
+
+void
+DeadlineScheduler::Classify()
 {
   std::vector<double> means;
+  m_longestFirst.clear();
   for (const auto& entry : AllEntries()) {
+    m_longestFirst.push_back(entry.get());
     if (entry->m_times.IsKnown()) {
       means.push_back(entry->m_times.Mean());
     }
   }
   const double bound = kLongFactor * Median(means);
-  for (const auto& entry : AllEntries()) {
+  for (Entry* entry : m_longestFirst) {
     entry->m_long = entry->m_limits.m_class == WorkClass::kBulk ||
                     entry->m_times.Mean() > bound;
   }
+  std::sort(m_longestFirst.begin(),
+            m_longestFirst.end(),
+            [](const Entry* aLeft, const Entry* aRight) {
+              return aLeft->m_times.Mean() > aRight->m_times.Mean();
+            });
 }
 
 Duration
@@ -288,7 +342,9 @@
 {
   const TimePoint last = aNow + Seconds(3600);
   const double wait = ExpectedWait(aEntry, last, aNow);
-  const auto ms = static_cast<int64_t>(std::min(wait, 1e9));
+  // Callers that were refused return on top of new arrivals, so the time grows
+  // with the overload.
+  const auto ms = static_cast<int64_t>(std::min(wait * m_pressure, 1e9));
   return std::clamp(Milliseconds(ms), kMinRetryAfter, kMaxRetryAfter);
 }
 
