Give restarted backend servers unique incarnations in the simulation

The harness reused an incarnation: one count went up by 1 on a gone incarnation, the other on a fault. Change: the two counts are apart, and the failure message has epochs and backend numbers. Conclusion: the fault was in the harness, not in the cluster module.

--- a/modules/cluster/tests/Simulation.cpp
+++ b/modules/cluster/tests/Simulation.cpp
@@ -12,6 +12,7 @@
 constexpr int64_t kSyncTimeoutMs = 1000;
 constexpr int64_t kServedWithinMs = 5000;
 constexpr int64_t kStartMs = 12000;
+constexpr uint64_t kIncarnationStep = 1000000;
 const char* const kServices[] = { "shop", "desk" };
 
 } // namespace
@@ -85,7 +86,8 @@
     return;
   }
   if (aReply.status() == wire::SYNC_STATUS_INCARNATION_GONE) {
-    RestartBackend(m_incarnation + 1);
+    // Never equal to one that a fault gives.
+    RestartBackend(m_incarnation + kIncarnationStep);
     return;
   }
   if (aReply.backend_number() != m_number) {
@@ -440,7 +442,11 @@
       }
       if (taken[shard]) {
         FAIL("seed " << m_options.m_seed << " at " << m_now << ": shard "
-                     << shard << " of " << aNode.m_service << " is served by "
+                     << shard << " (epochs "
+                     << taken[shard]->m_routes[shard].m_epoch << ", "
+                     << aNode.m_routes[shard].m_epoch << ", backends "
+                     << taken[shard]->m_number << ", " << aNode.m_number
+                     << ") of " << aNode.m_service << " is served by "
                      << taken[shard]->m_id << " and " << aNode.m_id);
       }
       taken[shard] = &aNode;
