--- a/modules/cluster/src/ClusterData.h
+++ b/modules/cluster/src/ClusterData.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "CatalogueStore.h"
 #include "RouteStore.h"
 #include "rattanloft/cluster/ClusterState.h"
@@ -12,6 +14,17 @@
   CatalogueStore m_catalogue;
   RouteStore m_routes;
   uint64_t m_appliedIndex = 0;
+
+  // Recent route updates of the current revision. Most nodes ask from the same
+  // revision, and after the loss of a zone an update takes milliseconds to
+  // make.
+  static constexpr size_t kMaxCachedUpdates = 8;
+  struct CachedUpdate
+  {
+    uint64_t m_from = 0;
+    wire::RouteUpdate m_update;
+  };
+  std::vector<CachedUpdate> m_updates;
 };
 
 } // namespace rattanloft::cluster
--- a/modules/cluster/src/ClusterState.cpp
+++ b/modules/cluster/src/ClusterState.cpp
@@ -150,7 +150,20 @@
 wire::RouteUpdate
 ClusterState::RoutesSince(uint64_t aRevision) const
 {
-  return m_data->m_routes.Since(aRevision);
+  std::vector<Data::CachedUpdate>& cache = m_data->m_updates;
+  if (!cache.empty() && cache[0].m_update.revision() != RouteRevision()) {
+    cache.clear();
+  }
+  for (const Data::CachedUpdate& cached : cache) {
+    if (cached.m_from == aRevision) {
+      return cached.m_update;
+    }
+  }
+  if (cache.size() >= Data::kMaxCachedUpdates) {
+    cache.erase(cache.begin());
+  }
+  cache.push_back({ aRevision, m_data->m_routes.Since(aRevision) });
+  return cache.back().m_update;
 }
 
 const std::map<std::string, wire::CatalogueEntry>&
--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -14,6 +14,8 @@
 // them as lost. One lost reply alone is common.
 constexpr uint32_t kUnconfirmedReplies = 2;
 constexpr Duration kUnconfirmedFor = Seconds(1);
+// Failure detection looks at all backends, so not after each command.
+constexpr Duration kSweepInterval = Milliseconds(20);
 // News within this time goes into one reply.
 constexpr Duration kBatchInterval = Milliseconds(20);
 
@@ -240,14 +242,17 @@
 Coordinator::Data::Tick(TimePoint aNow)
 {
   TickOutcome outcome;
-  SweepLeases(aNow);
-  UpdateHealth(aNow);
-  for (auto& [nodeId, node] : m_nodes) {
-    if (aNow - node.m_heardAt < kHeardWithin) {
-      Register(node, aNow, outcome.m_commands);
+  if (aNow >= m_nextSweep) {
+    m_nextSweep = aNow + kSweepInterval;
+    SweepLeases(aNow);
+    UpdateHealth(aNow);
+    for (auto& [nodeId, node] : m_nodes) {
+      if (aNow - node.m_heardAt < kHeardWithin) {
+        Register(node, aNow, outcome.m_commands);
+      }
     }
+    EndLeases(aNow, outcome.m_commands);
   }
-  EndLeases(aNow, outcome.m_commands);
   Place(aNow, outcome.m_commands);
   CollectReady(aNow, outcome.m_ready);
   return outcome;
--- a/modules/cluster/src/CoordinatorData.h
+++ b/modules/cluster/src/CoordinatorData.h
@@ -113,6 +113,7 @@
   // Backends whose reported health counts against them.
   std::set<uint32_t> m_unhealthy;
   std::optional<TimePoint> m_deferringSince;
+  TimePoint m_nextSweep;
   TimePoint m_nextPlacement;
 };
 
--- a/modules/cluster/src/Placement.cpp
+++ b/modules/cluster/src/Placement.cpp
@@ -13,6 +13,8 @@
 // A shard may exceed what is missing by this factor, since whole shards cannot
 // meet a target exactly.
 constexpr double kOvershoot = 1.5;
+// Fills closer than this count as equal.
+constexpr double kEqual = 1e-9;
 
 class Planner
 {
@@ -232,12 +234,7 @@
         return;
       }
       Slot& donor = m_slots[static_cast<size_t>(from)];
-      const double limit =
-        kOvershoot * std::min(donor.Excess(), -m_slots[to].Excess());
-      const auto pick = std::find_if(
-        donor.m_shards.begin(), donor.m_shards.end(), [&](ShardNumber aShard) {
-          return m_input.m_shards[aShard].m_weight <= limit;
-        });
+      const auto pick = PickShard(donor, m_slots[to]);
       if (pick == donor.m_shards.end()) {
         exhausted[static_cast<size_t>(from)] = true;
         continue;
@@ -252,6 +249,28 @@
     }
   }
 
+  // The heaviest shard that fits, else the lightest one if the receiver stays
+  // below the donor. The latter lets a new backend reach its target when each
+  // of many donors is above its own by less than a shard.
+  std::vector<ShardNumber>::iterator PickShard(Slot& aDonor,
+                                               const Slot& aReceiver) const
+  {
+    std::vector<ShardNumber>& shards = aDonor.m_shards;
+    const double limit =
+      kOvershoot * std::min(aDonor.Excess(), -aReceiver.Excess());
+    const auto fits =
+      std::find_if(shards.begin(), shards.end(), [&](ShardNumber aShard) {
+        return m_input.m_shards[aShard].m_weight <= limit;
+      });
+    if (fits != shards.end() || shards.empty()) {
+      return fits;
+    }
+    const double weight = m_input.m_shards[shards.back()].m_weight;
+    const bool useful = (aReceiver.m_weight + weight) / aReceiver.m_target <=
+                        (aDonor.m_weight - weight) / aDonor.m_target + kEqual;
+    return useful ? std::prev(shards.end()) : shards.end();
+  }
+
   int FullestDonor(const std::vector<bool>& aExhausted) const
   {
     int best = -1;
--- a/modules/cluster/tests/PlacementTest.cpp
+++ b/modules/cluster/tests/PlacementTest.cpp
@@ -112,6 +112,20 @@
   CHECK(Settle(input) <= 4096 * (2 / 9.0 - 1 / 8.0) * 1.05);
 }
 
+// Guards against a new backend that stays empty since no other is above its
+// target by a whole shard.
+TEST_CASE("A new backend among many reaches its target")
+{
+  PlacementInput input = MakeInput(93, 4096);
+  Settle(input);
+  input.m_rebalance = true;
+  input.m_backends.push_back(input.m_backends[0]);
+  input.m_backends.back().m_number = 94;
+  const size_t moved = Settle(input);
+  REQUIRE(Weights(input).at(94) == 43);
+  REQUIRE(moved <= 43 * 1.05);
+}
+
 // Guards against a service that is overwhelmed by its own repair.
 TEST_CASE("A plan keeps to its limits")
 {
