Count released shards as owned until the routes show the move

Cause: a node that stops once it owns nothing could exit before it reported its last release. Change: OwnsAnyShard looks at the routes only. Measured: routing tests pass. Conclusion: a planned stop waits for the move.

--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -95,6 +95,8 @@
   // Shards that the own backend server owns and has not released, for the grant
   // to it.
   std::vector<OwnShard> OwnedShards() const;
+  // Whether the routes still name the own backend server for any shard, also
+  // for released ones: until then a release may not have been reported.
   bool OwnsAnyShard() const;
 
   std::shared_ptr<const View> CurrentView() const { return m_view; }
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -416,7 +416,14 @@
 bool
 NodeAgent::OwnsAnyShard() const
 {
-  return !OwnedShards().empty();
+  if (m_view->m_backend == 0 || !m_backend) {
+    return false;
+  }
+  const auto shards = m_view->m_routes->Shards(m_backend->service());
+  return std::any_of(
+    shards.begin(), shards.end(), [this](const ShardRoute& aRoute) {
+      return aRoute.m_owner == m_view->m_backend;
+    });
 }
 
 } // namespace rattanloft::routing
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -210,7 +210,9 @@
   agent.MarkReleased("shop", 1, 50);
   REQUIRE(agent.MakeRequest().released_size() == 1);
   REQUIRE(agent.ShardsToRelease().empty());
-  REQUIRE_FALSE(agent.OwnsAnyShard());
+  REQUIRE(agent.OwnedShards().empty());
+  // A node that stops now would lose the release.
+  REQUIRE(agent.OwnsAnyShard());
   // The move is called off before the release arrives.
   agent.OnReply(Reply(7, MakeDelta(7, 1, 7, 50)), kLater, kLater);
   REQUIRE_FALSE(MayServe(agent));
@@ -218,6 +220,8 @@
   agent.OnReply(Reply(7, MakeDelta(8, 1, 7, 70)), kLater, kLater);
   REQUIRE(agent.MakeRequest().released_size() == 0);
   REQUIRE(MayServe(agent));
+  agent.OnReply(Reply(7, MakeDelta(9, 1, 9, 80)), kLater, kLater);
+  REQUIRE_FALSE(agent.OwnsAnyShard());
 }
 
 // Guards against any step back of revisions, confirmation or lease when replies
