--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -64,6 +64,16 @@
   return aLeft.SerializeAsString() == aRight.SerializeAsString();
 }
 
+// The cluster state's message is "field: reason".
+ApiResponse
+InvalidChange(std::string_view aMessage)
+{
+  const auto colon = aMessage.find(": ");
+  return colon == std::string_view::npos
+           ? BadField("", aMessage)
+           : BadField(aMessage.substr(0, colon), aMessage.substr(colon + 2));
+}
+
 const std::string&
 NameOf(const wire::CatalogueChange& aChange)
 {
@@ -275,7 +285,7 @@
     case wire::CHANGE_STATUS_CATALOGUE_FULL:
       return Error(kCatalogueFull, "catalogue_full", result.message());
     default:
-      return Error(kBadRequest, "invalid", result.message());
+      return InvalidChange(result.message());
   }
 }
 
--- /dev/null
+++ b/tools/rattanloft/tests/ControlFailoverTest.cpp
@@ -0,0 +1,209 @@
+#include "ControlProcesses.h"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <thread>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace rattanloft::tool {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kEntries = 5;
+
+struct Accepted
+{
+  std::string m_target;
+  std::string m_body;
+  uint64_t m_revision = 0;
+};
+
+std::string
+EntryBody(int aQueue)
+{
+  return json{
+    { "owner", "team" },
+    { "service", "stand" },
+    { "methods", json::array() },
+    { "class", "interactive" },
+    { "idempotent", true },
+    { "keyed", true },
+    { "limits",
+      { { "deadline_ms", 1000 },
+        { "max_queue", aQueue },
+        { "max_body_bytes", 1000 } } }
+  }.dump();
+}
+
+// Makes changes one after the other on a few entries, each with its own method
+// and service, and records what was accepted under which change id.
+class Writer
+{
+public:
+  explicit Writer(std::vector<std::string> aAddresses)
+    : m_client(std::move(aAddresses), Seconds(15))
+  {
+  }
+
+  void Change(int aNumber)
+  {
+    const int entry = aNumber % kEntries;
+    json body = json::parse(EntryBody(1 + aNumber));
+    body["service"] = fmt::format("service{}", entry);
+    body["methods"] = { "GET" };
+    Accepted change{ .m_target =
+                       fmt::format("/v1/catalogue/e{}?change_id=c{}&"
+                                   "expected_revision={}&operator=test",
+                                   entry,
+                                   aNumber,
+                                   m_revisions[entry]),
+                     .m_body = body.dump() };
+    const auto answer = m_client.Send("PUT", change.m_target, change.m_body);
+    REQUIRE(answer);
+    INFO(answer->m_body.dump());
+    REQUIRE(answer->m_status == 200);
+    change.m_revision = answer->m_body["revision"];
+    m_revisions[entry] = change.m_revision;
+    m_accepted[fmt::format("c{}", aNumber)] = change;
+  }
+
+  ControlClient& Client() { return m_client; }
+  const std::map<std::string, Accepted>& All() const { return m_accepted; }
+  const std::map<int, uint64_t>& Revisions() const { return m_revisions; }
+
+private:
+  ControlClient m_client;
+  std::map<std::string, Accepted> m_accepted;
+  std::map<int, uint64_t> m_revisions;
+};
+
+void
+CheckKept(Writer& aWriter)
+{
+  const auto history = aWriter.Client().Send("GET", "/v1/history?max=1000");
+  REQUIRE(history);
+  std::map<std::string, uint64_t> recorded;
+  for (const json& change : history->m_body["changes"]) {
+    REQUIRE(change["result"] == "accepted");
+    recorded[change["change_id"]] = change["revision"];
+  }
+  for (const auto& [id, change] : aWriter.All()) {
+    INFO(id);
+    CHECK(recorded[id] == change.m_revision);
+    const auto again =
+      aWriter.Client().Send("PUT", change.m_target, change.m_body);
+    REQUIRE(again);
+    CHECK(again->m_status == 200);
+    CHECK(again->m_body["revision"] == change.m_revision);
+    CHECK(again->m_body["repeated"] == true);
+  }
+  for (const auto& [entry, revision] : aWriter.Revisions()) {
+    const auto current =
+      aWriter.Client().Send("GET", fmt::format("/v1/catalogue/e{}", entry));
+    REQUIRE(current);
+    CHECK(current->m_body["revision"] == revision);
+  }
+}
+
+bool
+WaitForRevision(const ControlProcesses& aGroup,
+                size_t aIndex,
+                uint64_t aRevision)
+{
+  for (int i = 0; i < 500; ++i) {
+    const json status = aGroup.Status(aIndex);
+    if (status.is_object() && status["catalogue_revision"] == aRevision) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against an accepted change that is lost or made twice when the leader
+// is killed while changes arrive, and against a restarted replica that stays
+// behind.
+TEST_CASE("Accepted changes survive the loss of the leader")
+{
+  ControlProcesses group(3);
+  const auto first = group.WaitForLeader();
+  REQUIRE(first);
+  Writer writer(group.HttpAddresses());
+  for (int i = 0; i < 20; ++i) {
+    writer.Change(i);
+  }
+  std::thread killer([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    group.Stop(*first, SIGKILL);
+  });
+  for (int i = 20; i < 60; ++i) {
+    writer.Change(i);
+  }
+  killer.join();
+  const auto second = group.WaitForLeader();
+  REQUIRE(second);
+  CHECK(*second != *first);
+  CheckKept(writer);
+  group.Start(*first);
+  writer.Change(60);
+  CHECK(WaitForRevision(group, *first, writer.All().at("c60").m_revision));
+  CheckKept(writer);
+}
+
+// Guards against a planned stop that ends without handing over, and against
+// state that does not survive a restart of all instances.
+TEST_CASE("SIGTERM hands over leadership and exits with 0")
+{
+  ControlProcesses group(3);
+  const auto leader = group.WaitForLeader();
+  REQUIRE(leader);
+  Writer writer(group.HttpAddresses());
+  writer.Change(0);
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(group.Stop(*leader, SIGTERM) == 0);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+  REQUIRE(group.WaitForLeader());
+  writer.Change(1);
+  for (size_t i = 0; i < 3; ++i) {
+    CHECK(group.Stop(i, SIGTERM) == 0);
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    group.Start(i);
+  }
+  REQUIRE(group.WaitForLeader());
+  CheckKept(writer);
+}
+
+// Guards against a replica that starts on damaged data and votes with it.
+TEST_CASE("A replica refuses damaged data and a folder in use")
+{
+  ControlProcesses group(1);
+  REQUIRE(group.WaitForLeader());
+  Writer writer(group.HttpAddresses());
+  for (int i = 0; i < 20; ++i) {
+    writer.Change(i);
+  }
+  CHECK(group.Stop(0, SIGTERM) == 0);
+  for (const auto& file :
+       std::filesystem::directory_iterator(group.DataDir(0))) {
+    if (file.path().filename().string().starts_with("log-")) {
+      std::fstream stream(file.path(),
+                          std::ios::in | std::ios::out | std::ios::binary);
+      stream.seekp(400);
+      stream.write("damage", 6);
+    }
+  }
+  group.Start(0);
+  // Signal 0 only waits: the process ends by itself.
+  CHECK(group.Stop(0, 0) == 1);
+}
+
+} // namespace rattanloft::tool
