Test the HTTP client and add the stand-in backend server

Cause: the client had no tests, and nodes need a backend server to talk to.

Change: client tests for broken answers, silent paths, bounds, time-outs and cancellation; the backend server of docs/backend-protocol.md with grants, slots, service times, faults and an execution log. ServerOptions gains m_beforeWrite for fault injection. GCC 12 miscompiles a loop whose condition is a co_await expression (an invalid instruction in the client tests), so results of co_await are stored in named locals first.

The backend server has not been run yet.

--- /dev/null
+++ b/modules/backend/src/Backend.cpp
@@ -0,0 +1,412 @@
+#include "rattanloft/backend/Backend.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+#include "Executor.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/base/Random.h"
+#include "rattanloft/http/Client.h"
+#include "rattanloft/http/Server.h"
+
+namespace rattanloft::backend {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using beast::http::status;
+using beast::http::verb;
+using http::Request;
+using http::Response;
+
+constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kAnnounceInterval = Milliseconds(500);
+constexpr Duration kAnnounceTimeout = Milliseconds(400);
+// Nodes stop sending within 2 s of a drain, so a server without requests for
+// longer than that has seen its last one.
+constexpr Duration kDrainQuiet = Milliseconds(3000);
+constexpr int64_t kMaxFaultMs = 600'000;
+
+Response
+Answer(status aStatus, const nlohmann::json& aBody = nlohmann::json::object())
+{
+  Response response;
+  response.result(aStatus);
+  response.set(beast::http::field::content_type, "application/json");
+  response.body() = aBody.dump();
+  return response;
+}
+
+// The number in name=number of a query, or the default.
+double
+QueryNumber(std::string_view aTarget, std::string_view aName, double aDefault)
+{
+  const size_t query = aTarget.find('?');
+  if (query == std::string_view::npos) {
+    return aDefault;
+  }
+  std::istringstream items{ std::string(aTarget.substr(query + 1)) };
+  std::string item;
+  while (std::getline(items, item, '&')) {
+    const std::string start = std::string(aName) + "=";
+    if (item.starts_with(start)) {
+      return std::strtod(item.c_str() + start.size(), nullptr);
+    }
+  }
+  return aDefault;
+}
+
+std::string_view
+Path(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+std::string_view
+Target(const Request& aRequest)
+{
+  return { aRequest.target().data(), aRequest.target().size() };
+}
+
+class BackendImpl final : public Backend
+{
+public:
+  BackendImpl(asio::io_context& aContext,
+              BackendOptions aOptions,
+              std::string aIncarnation,
+              std::unique_ptr<ExecutionLog> aLog)
+    : m_context(aContext)
+    , m_options(std::move(aOptions))
+    , m_incarnation(std::move(aIncarnation))
+    , m_random(m_options.m_seed)
+    , m_executor(aContext, m_options, m_incarnation, std::move(aLog))
+    , m_client(http::Client::Make(aContext, {}))
+  {
+  }
+
+  tl::expected<void, std::string> Listen();
+  uint16_t Port() const override { return m_server->Port(); }
+  uint16_t ControlPort() const override { return m_control->Port(); }
+  void Drain() override { m_draining = true; }
+  asio::awaitable<int> Run() override;
+
+private:
+  asio::awaitable<Response> HandleRequest(
+    Request aRequest,
+    std::shared_ptr<http::CancelToken> aCancel);
+  Response HandleGrants(const Request& aRequest);
+  Response HandleControl(const Request& aRequest);
+  bool SetFault(std::string_view aName, std::string_view aTarget);
+  bool SpoilAnswer(const Response& aResponse, int aSocket);
+  nlohmann::json Statistics() const;
+  nlohmann::json Announcement();
+  asio::awaitable<bool> Announce();
+
+  asio::io_context& m_context;
+  BackendOptions m_options;
+  std::string m_incarnation;
+  std::mt19937_64 m_random;
+  BootClock m_clock;
+  Executor m_executor;
+  std::unique_ptr<http::Client> m_client;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<http::Server> m_control;
+  bool m_draining = false;
+};
+
+tl::expected<void, std::string>
+BackendImpl::Listen()
+{
+  http::ServerOptions options;
+  options.m_address = m_options.m_address;
+  options.m_port = m_options.m_port;
+  options.m_maxConnections = m_options.m_connections;
+  options.m_beforeWrite = [this](const Response& aResponse, int aSocket) {
+    return SpoilAnswer(aResponse, aSocket);
+  };
+  auto server = http::Server::Make(
+    m_context,
+    options,
+    [this](Request aRequest, std::shared_ptr<http::CancelToken> aCancel) {
+      return HandleRequest(std::move(aRequest), std::move(aCancel));
+    });
+  if (!server) {
+    return tl::unexpected(server.error().m_message);
+  }
+  m_server = std::move(*server);
+  http::ServerOptions control;
+  control.m_address = m_options.m_address;
+  control.m_port = m_options.m_controlPort;
+  auto second = http::Server::Make(
+    m_context,
+    control,
+    [this](Request aRequest, std::shared_ptr<http::CancelToken>)
+      -> asio::awaitable<Response> { co_return HandleControl(aRequest); });
+  if (!second) {
+    return tl::unexpected(second.error().m_message);
+  }
+  m_control = std::move(*second);
+  return {};
+}
+
+asio::awaitable<Response>
+BackendImpl::HandleRequest(Request aRequest,
+                           std::shared_ptr<http::CancelToken> aCancel)
+{
+  const std::string_view path = Path(Target(aRequest));
+  if (path == "/rattanloft/health") {
+    co_return Answer(status::ok);
+  }
+  if (path == "/rattanloft/grants") {
+    co_return HandleGrants(aRequest);
+  }
+  if (path == "/rattanloft/drain") {
+    Drain();
+    co_return Answer(status::ok);
+  }
+  Response response =
+    co_await m_executor.Handle(std::move(aRequest), std::move(aCancel));
+  co_return response;
+}
+
+Response
+BackendImpl::HandleGrants(const Request& aRequest)
+{
+  if (aRequest.method() != verb::put) {
+    return Answer(status::method_not_allowed);
+  }
+  const auto message = nlohmann::json::parse(aRequest.body(), nullptr, false);
+  switch (m_executor.Grants().Apply(message)) {
+    case GrantTable::Result::kAccepted:
+      return Answer(status::ok);
+    case GrantTable::Result::kConflict:
+      return Answer(status::conflict, { { "error", "other revision held" } });
+    case GrantTable::Result::kMalformed:
+      break;
+  }
+  return Answer(status::bad_request, { { "error", "malformed grants" } });
+}
+
+Response
+BackendImpl::HandleControl(const Request& aRequest)
+{
+  const std::string_view path = Path(Target(aRequest));
+  if (path == "/stats" && aRequest.method() == verb::get) {
+    return Answer(status::ok, Statistics());
+  }
+  if (aRequest.method() != verb::post || path.empty() ||
+      !SetFault(path.substr(1), Target(aRequest))) {
+    return Answer(status::not_found, { { "error", "unknown command" } });
+  }
+  return Answer(status::ok);
+}
+
+// POST /freeze?ms=N stalls the whole process, /shed?ms=N sheds all requests,
+// /slow?factor=F&ms=N lengthens service times, /short?count=N cuts answers off
+// in their body, /close?count=N closes without an answer, /crash ends the
+// process.
+bool
+BackendImpl::SetFault(std::string_view aName, std::string_view aTarget)
+{
+  const int64_t ms =
+    std::clamp(static_cast<int64_t>(QueryNumber(aTarget, "ms", 1000)),
+               int64_t{ 0 },
+               kMaxFaultMs);
+  const auto count =
+    static_cast<uint32_t>(std::max(0.0, QueryNumber(aTarget, "count", 1)));
+  const TimePoint until = m_clock.Now() + Milliseconds(ms);
+  Faults& faults = m_executor.ActiveFaults();
+  LogInfo("backend", "fault command {}", aTarget);
+  if (aName == "freeze") {
+    // After the answer, so that the caller learns that it was accepted.
+    auto timer = std::make_shared<asio::steady_timer>(
+      m_context, std::chrono::milliseconds(5));
+    timer->async_wait([timer, ms](boost::system::error_code) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+    });
+  } else if (aName == "shed") {
+    faults.m_shedUntil = until;
+  } else if (aName == "slow") {
+    faults.m_slowUntil = until;
+    faults.m_slowFactor = std::max(0.0, QueryNumber(aTarget, "factor", 10));
+  } else if (aName == "short") {
+    faults.m_shortAnswers = count;
+  } else if (aName == "close") {
+    faults.m_closedAnswers = count;
+  } else if (aName == "crash") {
+    std::_Exit(EXIT_FAILURE);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool
+BackendImpl::SpoilAnswer(const Response& aResponse, int aSocket)
+{
+  Faults& faults = m_executor.ActiveFaults();
+  if (aResponse.count(beast::http::field::content_type) == 0 ||
+      aResponse.body().size() < 4) {
+    // Health checks and refusals are left alone.
+    return true;
+  }
+  if (faults.m_closedAnswers > 0) {
+    --faults.m_closedAnswers;
+    return false;
+  }
+  if (faults.m_shortAnswers > 0) {
+    --faults.m_shortAnswers;
+    std::ostringstream text;
+    text << aResponse;
+    const std::string all = text.str();
+    const size_t part = all.size() - aResponse.body().size() / 2;
+    send(aSocket, all.data(), part, MSG_DONTWAIT | MSG_NOSIGNAL);
+    return false;
+  }
+  return true;
+}
+
+nlohmann::json
+BackendImpl::Statistics() const
+{
+  const ExecutorCounts& counts = m_executor.Counts();
+  return { { "incarnation", m_incarnation },
+           { "draining", m_draining },
+           { "in_flight", m_executor.InFlight() },
+           { "waiting", m_executor.Waiting() },
+           { "started", counts.m_started },
+           { "done", counts.m_done },
+           { "cancelled", counts.m_cancelled },
+           { "cancelled_waiting", counts.m_cancelledWaiting },
+           { "deadline", counts.m_deadline },
+           { "shed", counts.m_shed },
+           { "refused_token", counts.m_refusedToken },
+           { "refused_expired", counts.m_refusedExpired } };
+}
+
+nlohmann::json
+BackendImpl::Announcement()
+{
+  size_t load = m_executor.InFlight();
+  if (m_options.m_loadReport == "zero") {
+    load = 0;
+  } else if (m_options.m_loadReport == "double") {
+    load *= 2;
+  } else if (m_options.m_loadReport == "random") {
+    load = m_random() % (m_options.m_slots + 1);
+  }
+  return { { "incarnation", m_incarnation },
+           { "service", m_options.m_service },
+           { "address",
+             fmt::format("{}:{}", m_options.m_address, m_server->Port()) },
+           { "slots", m_options.m_slots },
+           { "connections", m_options.m_connections },
+           { "verifies_tokens", m_options.m_verifyTokens },
+           { "draining", m_draining },
+           { "load", { { "in_flight", load } } } };
+}
+
+asio::awaitable<bool>
+BackendImpl::Announce()
+{
+  Request request;
+  request.method(verb::post);
+  request.target("/announce");
+  request.set(beast::http::field::content_type, "application/json");
+  request.body() = Announcement().dump();
+  std::string peer = m_options.m_node;
+  const tl::expected<Response, http::HttpError> result =
+    co_await m_client->Exchange(
+      std::move(peer), std::move(request), kAnnounceTimeout, nullptr);
+  if (!result) {
+    LogDebug("backend", "announcement failed: {}", result.error().m_message);
+    co_return true;
+  }
+  if (result->result() == status::conflict) {
+    LogWarning("backend", "replaced by a newer incarnation, stopping");
+    co_return false;
+  }
+  if (result->result() != status::ok) {
+    LogWarning("backend",
+               "announcement answered {}: {}",
+               result->result_int(),
+               result->body());
+  }
+  co_return true;
+}
+
+asio::awaitable<int>
+BackendImpl::Run()
+{
+  LogInfo("backend",
+          "incarnation {} of {} serves on port {}, control on port {}",
+          m_incarnation,
+          m_options.m_service,
+          Port(),
+          ControlPort());
+  int exitStatus = 0;
+  TimePoint quietSince = m_clock.Now();
+  asio::steady_timer timer(m_context);
+  while (true) {
+    if (!m_options.m_node.empty()) {
+      const bool current = co_await Announce();
+      if (!current) {
+        exitStatus = 1;
+        break;
+      }
+    }
+    const TimePoint now = m_clock.Now();
+    if (!m_draining || m_executor.InFlight() + m_executor.Waiting() > 0) {
+      quietSince = now;
+    }
+    if (m_draining && now - quietSince >= kDrainQuiet) {
+      break;
+    }
+    timer.expires_after(std::chrono::milliseconds(kAnnounceInterval.m_ms));
+    co_await timer.async_wait(kToken);
+  }
+  co_await m_server->Stop();
+  co_await m_control->Stop();
+  LogInfo("backend", "stopped: {}", Statistics().dump());
+  co_return exitStatus;
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<Backend>, std::string>
+Backend::Make(asio::io_context& aContext, BackendOptions aOptions)
+{
+  if (aOptions.m_slots == 0 || aOptions.m_speed <= 0 ||
+      aOptions.m_coldMs <= 0) {
+    return tl::unexpected(
+      std::string("slots, speed and cold time must be positive"));
+  }
+  const std::string incarnation = fmt::format("{:016x}", RandomId());
+  auto log = ExecutionLog::Make(aOptions.m_executionLog, incarnation);
+  if (!log) {
+    return tl::unexpected(log.error());
+  }
+  auto backend = std::make_unique<BackendImpl>(
+    aContext, std::move(aOptions), incarnation, std::move(*log));
+  const auto listening = backend->Listen();
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<Backend>(std::move(backend));
+}
+
+} // namespace rattanloft::backend
--- /dev/null
+++ b/modules/backend/src/ExecutionLog.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace rattanloft::backend {
+
+// What identifies an execution in the log.
+struct Execution
+{
+  std::string m_requestId;
+  std::string m_entry;
+  std::string m_key;
+  std::string m_idempotencyKey;
+  std::string m_method;
+  std::string m_target;
+  uint64_t m_number = 0;
+  uint64_t m_epoch = 0;
+  uint32_t m_shard = 0;
+  bool m_keyed = false;
+};
+
+// A file with one JSON line for each start and end of an execution, for checks
+// of the history. Times are CLOCK_BOOTTIME in microseconds.
+class ExecutionLog
+{
+public:
+  // An empty path gives a log that drops everything.
+  static tl::expected<std::unique_ptr<ExecutionLog>, std::string> Make(
+    const std::string& aPath,
+    std::string aIncarnation);
+  ~ExecutionLog();
+  ExecutionLog(const ExecutionLog&) = delete;
+  ExecutionLog& operator=(const ExecutionLog&) = delete;
+
+  // aEvent is start or end; aResult is empty at the start, then done,
+  // cancelled, deadline or crash. Each line is written with one system call, so
+  // that a crash right after it loses nothing.
+  void Write(std::string_view aEvent,
+             std::string_view aResult,
+             const Execution& aExecution);
+
+private:
+  ExecutionLog(int aFile, std::string aIncarnation);
+
+  int m_file;
+  std::string m_incarnation;
+};
+
+} // namespace rattanloft::backend
--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -147,12 +147,13 @@
 ControlCore::ProposeAll(const std::vector<wire::Command>& aCommands)
 {
   for (const wire::Command& command : aCommands) {
-    Propose(command, [](const tl::expected<uint64_t, consensus::LogError>& aAt) {
-      if (!aAt) {
-        LogWarning(
-          "control", "a command was not applied: {}", aAt.error().m_message);
-      }
-    });
+    Propose(
+      command, [](const tl::expected<uint64_t, consensus::LogError>& aAt) {
+        if (!aAt) {
+          LogWarning(
+            "control", "a command was not applied: {}", aAt.error().m_message);
+        }
+      });
   }
 }
 
@@ -231,14 +232,13 @@
   const auto status = m_log.Status();
   const bool relay = !aRequest.relayed() && status.m_leaderId != 0 &&
                      status.m_leaderId != status.m_replicaId;
-  if (!relay ||
-      !m_transport.Relay(
-        status.m_leaderId,
-        aCall,
-        aRequest,
-        [aResponder](const wire::SyncReply* aReply) {
-          aResponder(aReply != nullptr ? *aReply : NoLeader());
-        })) {
+  if (!relay || !m_transport.Relay(status.m_leaderId,
+                                   aCall,
+                                   aRequest,
+                                   [aResponder](const wire::SyncReply* aReply) {
+                                     aResponder(aReply != nullptr ? *aReply
+                                                                  : NoLeader());
+                                   })) {
     aResponder(NoLeader());
   }
 }
@@ -266,8 +266,7 @@
 void
 ControlCore::ProposeConfig(wire::GroupConfig aConfig, ProposeCallback aCallback)
 {
-  m_log.ProposeConfig(
-    std::move(aConfig), m_clock.Now(), std::move(aCallback));
+  m_log.ProposeConfig(std::move(aConfig), m_clock.Now(), std::move(aCallback));
 }
 
 void
--- a/modules/control/src/GroupText.cpp
+++ b/modules/control/src/GroupText.cpp
@@ -71,8 +71,8 @@
 std::optional<uint64_t>
 ParseReplicaId(std::string_view aText)
 {
-  const auto id = aText.size() == kIdDigits ? ParseNumber<uint64_t>(aText, 16)
-                                            : std::nullopt;
+  const auto id =
+    aText.size() == kIdDigits ? ParseNumber<uint64_t>(aText, 16) : std::nullopt;
   return id == 0 ? std::nullopt : id;
 }
 
@@ -84,7 +84,8 @@
     return std::nullopt;
   }
   std::string host(aText.substr(0, colon));
-  const bool bracketed = host.size() > 2 && host[0] == '[' && host.back() == ']';
+  const bool bracketed =
+    host.size() > 2 && host[0] == '[' && host.back() == ']';
   if (bracketed) {
     host = host.substr(1, host.size() - 2);
   }
@@ -107,14 +108,13 @@
   for (const std::string_view item : Split(aText, ',')) {
     const auto member = ParseMember(item);
     if (!member) {
-      return tl::unexpected(fmt::format(
-        "'{}' is not id=grpc_address/http_address/zone", item));
+      return tl::unexpected(
+        fmt::format("'{}' is not id=grpc_address/http_address/zone", item));
     }
     for (const wire::GroupMember& other : group.members()) {
       if (other.replica_id() == member->replica_id()) {
-        return tl::unexpected(
-          fmt::format("replica {} is named twice",
-                      FormatReplicaId(other.replica_id())));
+        return tl::unexpected(fmt::format("replica {} is named twice",
+                                          FormatReplicaId(other.replica_id())));
       }
     }
     *group.add_members() = *member;
--- a/modules/control/src/HeldSyncs.h
+++ b/modules/control/src/HeldSyncs.h
@@ -14,9 +14,9 @@
 // Sync calls that the leader holds, at most one a node, and the rule which read
 // barrier confirms them. Pure; owned by the control thread.
 //
-// Barriers are numbered as they begin. A call is answered only after the success
-// of a barrier that began after the call became ready, hence after it arrived.
-// One barrier serves every call that was ready before it began.
+// Barriers are numbered as they begin. A call is answered only after the
+// success of a barrier that began after the call became ready, hence after it
+// arrived. One barrier serves every call that was ready before it began.
 class HeldSyncs
 {
 public:
--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -37,10 +37,10 @@
 Json(int aStatus, const json& aBody)
 {
   // Text that operators send may not be valid UTF-8, on which dump() throws.
-  return { .m_status = aStatus,
-           .m_body =
-             aBody.dump(-1, ' ', false, json::error_handler_t::replace) +
-             "\n" };
+  return {
+    .m_status = aStatus,
+    .m_body = aBody.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"
+  };
 }
 
 ApiResponse
@@ -93,8 +93,8 @@
       return false;
     }
     aOut[*name] = *value;
-    aText =
-      end == std::string_view::npos ? std::string_view{} : aText.substr(end + 1);
+    aText = end == std::string_view::npos ? std::string_view{}
+                                          : aText.substr(end + 1);
   }
   return true;
 }
@@ -227,13 +227,12 @@
 {
   bool pathKnown = false;
   for (const Route& route : kRoutes) {
-    const bool matches =
-      std::ranges::equal(route.m_path,
-                         aRequest.m_path,
-                         [](std::string_view aPattern, const std::string& aPart) {
-                           return aPattern == "*" ? !aPart.empty()
-                                                  : aPattern == aPart;
-                         });
+    const bool matches = std::ranges::equal(
+      route.m_path,
+      aRequest.m_path,
+      [](std::string_view aPattern, const std::string& aPart) {
+        return aPattern == "*" ? !aPart.empty() : aPattern == aPart;
+      });
     pathKnown = pathKnown || matches;
     if (matches && aRequest.m_method == route.m_method) {
       (this->*route.m_handler)(aRequest, std::move(aResponder));
@@ -403,10 +402,9 @@
 void
 OperatorApi::GetHistory(const ApiRequest& aRequest, Responder aResponder)
 {
-  const auto max =
-    aRequest.m_query.contains("max")
-      ? QueryNumber(aRequest, "max")
-      : std::optional<uint64_t>(kDefaultHistory);
+  const auto max = aRequest.m_query.contains("max")
+                     ? QueryNumber(aRequest, "max")
+                     : std::optional<uint64_t>(kDefaultHistory);
   if (!max || *max > kMaxHistory) {
     aResponder(BadField("max", "must be a whole number up to 10000"));
     return;
@@ -424,8 +422,7 @@
 OperatorApi::GetRoutes(const ApiRequest& aRequest, Responder aResponder)
 {
   ReadLinearizable(
-    std::move(aResponder),
-    [this, service = QueryText(aRequest, "service")] {
+    std::move(aResponder), [this, service = QueryText(aRequest, "service")] {
       json routes = RoutesToJson(m_core.Cluster(), service);
       return routes.is_null()
                ? Error(kNotFound, "not_found", "the service has no shards")
@@ -455,10 +452,10 @@
       command,
       [this, number = number, aResponder](
         const tl::expected<uint64_t, consensus::LogError>& aIndex) {
-        aResponder(aIndex ? Json(kOk,
-                                 { { "status", "draining" },
-                                   { "backend", number } })
-                          : FromLogError(aIndex.error()));
+        aResponder(
+          aIndex
+            ? Json(kOk, { { "status", "draining" }, { "backend", number } })
+            : FromLogError(aIndex.error()));
       });
     return;
   }
@@ -522,9 +519,8 @@
   const auto id = ParseReplicaId(aRequest.m_path[2]);
   auto config = m_core.Status().m_config;
   auto& members = *config.mutable_members();
-  const auto found = std::ranges::find_if(members, [&](const auto& aMember) {
-    return aMember.replica_id() == id;
-  });
+  const auto found = std::ranges::find_if(
+    members, [&](const auto& aMember) { return aMember.replica_id() == id; });
   if (found == members.end()) {
     aResponder(Error(kNotFound, "not_found", "no member has this replica id"));
     return;
@@ -542,11 +538,11 @@
   }
   m_core.ProposeConfig(
     std::move(aConfig),
-    [this, aResponder](
-      const tl::expected<uint64_t, consensus::LogError>& aIndex) {
-      aResponder(aIndex
-                   ? Json(kOk, { { "status", "accepted" }, { "index", *aIndex } })
-                   : FromLogError(aIndex.error()));
+    [this,
+     aResponder](const tl::expected<uint64_t, consensus::LogError>& aIndex) {
+      aResponder(
+        aIndex ? Json(kOk, { { "status", "accepted" }, { "index", *aIndex } })
+               : FromLogError(aIndex.error()));
     });
 }
 
@@ -583,14 +579,14 @@
   for (const wire::GroupMember& member : status.m_config.members()) {
     if (member.replica_id() == status.m_leaderId &&
         status.m_leaderId != status.m_replicaId) {
-      return Json(
-        kMisdirected,
-        { { "error", "not_leader" },
-          { "leader_id", FormatReplicaId(member.replica_id()) },
-          { "leader_http_address", member.http_address() } });
+      return Json(kMisdirected,
+                  { { "error", "not_leader" },
+                    { "leader_id", FormatReplicaId(member.replica_id()) },
+                    { "leader_http_address", member.http_address() } });
     }
   }
-  return Error(kUnavailable, "no_leader", "no control quorum; nothing was done");
+  return Error(
+    kUnavailable, "no_leader", "no control quorum; nothing was done");
 }
 
 ApiResponse
--- a/modules/control/src/PeerTransport.cpp
+++ b/modules/control/src/PeerTransport.cpp
@@ -222,9 +222,8 @@
     &call->m_request,
     &call->m_reply,
     [this, call](const grpc::Status& aStatus) {
-      asio::post(m_context, [this, call, ok = aStatus.ok()] {
-        OnRelayed(call, ok);
-      });
+      asio::post(m_context,
+                 [this, call, ok = aStatus.ok()] { OnRelayed(call, ok); });
     });
   return true;
 }
--- a/modules/control/src/ReplicatedState.cpp
+++ b/modules/control/src/ReplicatedState.cpp
@@ -10,8 +10,8 @@
   wire::Command command;
   // The log's checksums have verified the bytes, and a replica that skipped a
   // command would differ from the others from then on.
-  RATTANLOFT_ASSERT(command.ParseFromArray(aCommand.data(),
-                                           static_cast<int>(aCommand.size())));
+  RATTANLOFT_ASSERT(
+    command.ParseFromArray(aCommand.data(), static_cast<int>(aCommand.size())));
   m_cluster.Apply(command, aIndex);
   ++m_changes;
 }
--- a/modules/control/src/StatusReport.cpp
+++ b/modules/control/src/StatusReport.cpp
@@ -61,17 +61,17 @@
 {
   json nodes = json::array();
   for (const cluster::NodeStatus& node : aCore.Nodes()) {
-    nodes.push_back({ { "node_id", node.m_nodeId },
-                      { "backend", node.m_backend },
-                      { "since_last_sync_ms", node.m_sinceLastSync.m_ms },
-                      { "lease_held", node.m_leaseHeld },
-                      { "healthy", node.m_healthy },
-                      { "draining", node.m_draining },
-                      { "catalogue_revision", node.m_catalogueRevision },
-                      { "in_flight", node.m_load.in_flight() },
-                      { "queued", node.m_load.queued() },
-                      { "requests_per_second",
-                        node.m_load.requests_per_second() } });
+    nodes.push_back(
+      { { "node_id", node.m_nodeId },
+        { "backend", node.m_backend },
+        { "since_last_sync_ms", node.m_sinceLastSync.m_ms },
+        { "lease_held", node.m_leaseHeld },
+        { "healthy", node.m_healthy },
+        { "draining", node.m_draining },
+        { "catalogue_revision", node.m_catalogueRevision },
+        { "in_flight", node.m_load.in_flight() },
+        { "queued", node.m_load.queued() },
+        { "requests_per_second", node.m_load.requests_per_second() } });
   }
   return nodes;
 }
@@ -181,7 +181,8 @@
           "gauge",
           "1 on the leader",
           status.m_role == consensus::Role::kLeader ? 1 : 0);
-  out.Add("has_leader", "gauge", "1 if a leader is known", status.m_leaderId != 0);
+  out.Add(
+    "has_leader", "gauge", "1 if a leader is known", status.m_leaderId != 0);
   out.Add("term", "gauge", "Raft term", status.m_term);
   out.Add("last_index", "gauge", "Last log index", status.m_lastIndex);
   out.Add("commit_index", "gauge", "Committed index", status.m_commitIndex);
--- a/modules/http/include/rattanloft/http/Server.h
+++ b/modules/http/include/rattanloft/http/Server.h
@@ -36,6 +36,10 @@
   Duration m_stopGrace = Milliseconds(200);
   // Added to the answers that the server gives without calling the handler.
   std::vector<std::pair<std::string, std::string>> m_refusalFields;
+  // For fault injection in stand-ins: called with an answer of the handler and
+  // the socket before the answer is written. False closes the connection
+  // instead.
+  std::function<bool(const Response&, int)> m_beforeWrite;
 };
 
 // An HTTP/1.1 server on one thread's io_context. Malformed requests get 400,
--- a/modules/http/src/Session.cpp
+++ b/modules/http/src/Session.cpp
@@ -135,15 +135,17 @@
 Session::Run()
 {
   const auto self = shared_from_this();
-  while (co_await WaitForRequest()) {
-    std::optional<Request> request = co_await ReadRequest();
-    if (!request) {
+  bool open = true;
+  while (open) {
+    open = co_await WaitForRequest();
+    if (!open) {
       break;
     }
-    const bool keep = co_await Serve(std::move(*request));
-    if (!keep) {
+    std::optional<Request> request = co_await ReadRequest();
+    if (!request) {
       break;
     }
+    open = co_await Serve(std::move(*request));
   }
   if (m_socket.is_open()) {
     if (m_buffer.size() > 0 || (!m_gone && !IsQuiet())) {
@@ -197,8 +199,8 @@
         (m_version >= 11 || head.count(field::host) > 1)) {
       fault = "Host must be given once";
     }
-    if (fault.empty() && !parser.is_done() &&
-        co_await ContinueIfExpected(head)) {
+    if (fault.empty() && !parser.is_done()) {
+      co_await ContinueIfExpected(head);
       auto [bodyError, bodyCount] =
         co_await beast::http::async_read(m_socket, m_buffer, parser, kToken);
       error = bodyError;
@@ -227,16 +229,15 @@
   co_return parser.release();
 }
 
-asio::awaitable<bool>
+asio::awaitable<void>
 Session::ContinueIfExpected(const Request& aRequest)
 {
   if (m_version < 11 || aRequest.count(field::expect) == 0 ||
       m_buffer.size() > 0) {
-    co_return true;
+    co_return;
   }
-  auto [error, count] =
-    co_await asio::async_write(m_socket, asio::buffer(kContinue), kToken);
-  co_return !error;
+  // A failure shows in the read that follows.
+  co_await asio::async_write(m_socket, asio::buffer(kContinue), kToken);
 }
 
 asio::awaitable<bool>
@@ -272,6 +273,11 @@
   }
   const bool keep = keepAsked && !m_core->m_stopping;
   response.keep_alive(keep);
+  const auto& beforeWrite = m_core->m_options.m_beforeWrite;
+  if (beforeWrite && !beforeWrite(response, m_socket.native_handle())) {
+    Close();
+    co_return false;
+  }
   const bool written = co_await Write(response);
   co_return written&& keep;
 }
--- a/modules/http/src/Session.h
+++ b/modules/http/src/Session.h
@@ -78,7 +78,7 @@
 
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<std::optional<Request>> ReadRequest();
-  boost::asio::awaitable<bool> ContinueIfExpected(const Request& aRequest);
+  boost::asio::awaitable<void> ContinueIfExpected(const Request& aRequest);
   boost::asio::awaitable<bool> Serve(Request aRequest);
   boost::asio::awaitable<Response> CallHandler(
     Request aRequest,
--- /dev/null
+++ b/modules/http/tests/ClientTest.cpp
@@ -0,0 +1,464 @@
+#include <sys/socket.h>
+
+#include "TestPeer.h"
+
+namespace rattanloft::http {
+
+namespace {
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// Answers every request on the connection.
+asio::awaitable<void>
+AnswerAll(tcp::socket& aSocket)
+{
+  bool open = co_await ReadHead(aSocket);
+  while (open) {
+    co_await SendText(aSocket, kOk);
+    open = co_await ReadHead(aSocket);
+  }
+}
+
+// Never answers, and notices the end of the connection.
+asio::awaitable<void>
+Swallow(tcp::socket& aSocket)
+{
+  bool open = true;
+  while (open) {
+    open = co_await ReadHead(aSocket);
+  }
+}
+
+// The result of one exchange with a peer that sends aText and then closes.
+Result
+ExchangeWith(std::string aText, ClientOptions aOptions = {})
+{
+  asio::io_context context;
+  ScriptedPeer peer(context,
+                    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+                      co_await ReadHead(aSocket);
+                      co_await SendText(aSocket, aText);
+                    });
+  const auto client = Client::Make(context, aOptions);
+  Result result;
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    Request request = MakeRequest("/");
+    result = co_await client->Exchange(
+      PeerName(peer.Port()), std::move(request), Seconds(2));
+  });
+  CHECK(client->Connections() == 0);
+  return result;
+}
+
+void
+RequireBroken(const std::string& aText, ClientOptions aOptions = {})
+{
+  INFO(aText.substr(0, 100));
+  const Result result = ExchangeWith(aText, aOptions);
+  REQUIRE_FALSE(result);
+  CHECK(result.error().m_code == HttpErrorCode::kBroken);
+  CHECK(result.error().m_maybeSent);
+}
+
+// Runs exchanges against one peer. The script decides what the peer does.
+struct Fixture
+{
+  asio::io_context m_context;
+  ScriptedPeer m_peer;
+  std::unique_ptr<Client> m_client;
+
+  explicit Fixture(ScriptedPeer::Script aScript, ClientOptions aOptions = {})
+    : m_peer(m_context, std::move(aScript))
+    , m_client(Client::Make(m_context, aOptions))
+  {
+  }
+
+  asio::awaitable<Result> Exchange(Duration aTimeout)
+  {
+    Request request = MakeRequest("/");
+    Result result = co_await Exchange(aTimeout, std::move(request), nullptr);
+    co_return result;
+  }
+  asio::awaitable<Result> Exchange(Duration aTimeout,
+                                   Request aRequest,
+                                   std::shared_ptr<CancelToken> aCancel)
+  {
+    std::string peer = PeerName(m_peer.Port());
+    Result result = co_await m_client->Exchange(
+      std::move(peer), std::move(aRequest), aTimeout, std::move(aCancel));
+    co_return result;
+  }
+};
+
+} // namespace
+
+// Guards against passing on a truncated or ambiguous answer as complete.
+TEST_CASE("Short and malformed answers are errors")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  RequireBroken("");
+  RequireBroken("HTTP/1.1 20");
+  RequireBroken(head + "Content-Length: 10\r\n\r\nshort");
+  RequireBroken(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel");
+  RequireBroken(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+  RequireBroken(head + "\r\nthe length is not declared");
+  RequireBroken(head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok");
+  RequireBroken(head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n0\r\n\r\n");
+  RequireBroken("garbage\r\n\r\n");
+  ClientOptions options;
+  options.m_maxBodyBytes = 10;
+  RequireBroken(head + "Content-Length: 11\r\n\r\nhello world", options);
+  RequireBroken(head + "Transfer-Encoding: chunked\r\n\r\n"
+                       "b\r\nhello world\r\n0\r\n\r\n",
+                options);
+  options.m_maxHeaderBytes = 100;
+  RequireBroken(head + "X: " + std::string(200, 'x') + "\r\n\r\n", options);
+}
+
+TEST_CASE("Interim answers are skipped and chunked ones joined")
+{
+  const Result result =
+    ExchangeWith("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                 "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\no \r\n1\r\nk\r\n0\r\n\r\n");
+  REQUIRE(result);
+  CHECK(result->body() == "o k");
+  CHECK(result->count(field::transfer_encoding) == 0);
+}
+
+// Guards against a pool that opens a connection for each request.
+TEST_CASE("Connections are reused")
+{
+  Fixture fixture([](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+    co_await AnswerAll(aSocket);
+  });
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 10; ++i) {
+      const Result result = co_await fixture.Exchange(Seconds(1));
+      CHECK(result);
+    }
+    CHECK(fixture.m_peer.Accepted() == 1);
+    CHECK(fixture.m_client->Connections() == 1);
+    fixture.m_client->DropIdle(PeerName(fixture.m_peer.Port()));
+    CHECK(fixture.m_client->Connections() == 0);
+  });
+}
+
+// Guards against a request lost in a connection that the peer has closed, and
+// against an answer that was sent for an earlier request.
+TEST_CASE("Closed or dirty connections are not picked from the pool")
+{
+  const std::string tail = GENERATE("", "x", "stale");
+  const std::string text = tail == "x" ? kOk + "x" : kOk;
+  Fixture fixture([&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+    co_await ReadHead(aSocket);
+    co_await SendText(aSocket, text);
+    if (tail == "stale") {
+      co_await Sleep(Milliseconds(10));
+      co_await SendText(aSocket, kOk);
+      co_await ReadHead(aSocket);
+    }
+  });
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 3; ++i) {
+      const Result result = co_await fixture.Exchange(Seconds(1));
+      CHECK(result);
+      co_await Sleep(Milliseconds(30));
+    }
+    CHECK(fixture.m_peer.Accepted() == 3);
+  });
+}
+
+TEST_CASE("Idle and old connections are replaced")
+{
+  ClientOptions options;
+  const bool byAge = GENERATE(false, true);
+  (byAge ? options.m_maxAge : options.m_idleTimeout) = Milliseconds(20);
+  Fixture fixture(
+    [](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      co_await AnswerAll(aSocket);
+    },
+    options);
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 3; ++i) {
+      const Result result = co_await fixture.Exchange(Seconds(1));
+      CHECK(result);
+      co_await Sleep(Milliseconds(30));
+    }
+    CHECK(fixture.m_peer.Accepted() == 3);
+  });
+}
+
+// Guards against a silent path that costs one timeout for each idle connection.
+TEST_CASE("A silent path costs one timeout")
+{
+  bool silent = false;
+  Fixture fixture(
+    [&](tcp::socket& aSocket, int aNumber) -> asio::awaitable<void> {
+      bool open = co_await ReadHead(aSocket);
+      while (open) {
+        // Connections opened before the path went silent stay silent.
+        if (silent && aNumber < 8) {
+          co_await Swallow(aSocket);
+          co_return;
+        }
+        co_await Sleep(Milliseconds(5));
+        co_await SendText(aSocket, kOk);
+        open = co_await ReadHead(aSocket);
+      }
+    });
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    int warm = 0;
+    for (int i = 0; i < 8; ++i) {
+      asio::co_spawn(
+        fixture.m_context,
+        [&]() -> asio::awaitable<void> {
+          const Result result = co_await fixture.Exchange(Seconds(1));
+          warm += result ? 1 : 0;
+        },
+        asio::detached);
+    }
+    co_await Sleep(Milliseconds(50));
+    CHECK(warm == 8);
+    CHECK(fixture.m_client->Connections() == 8);
+    silent = true;
+    const Result first = co_await fixture.Exchange(Milliseconds(30));
+    REQUIRE_FALSE(first);
+    CHECK(first.error().m_code == HttpErrorCode::kTimeout);
+    CHECK(first.error().m_maybeSent);
+    CHECK(fixture.m_client->Connections() == 0);
+    for (int i = 0; i < 8; ++i) {
+      const Result next = co_await fixture.Exchange(Milliseconds(500));
+      CHECK(next);
+    }
+  });
+}
+
+// Guards against wrong claims about whether a request may have run.
+TEST_CASE("Errors tell whether bytes may have been sent")
+{
+  Fixture fixture([](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+    co_await Swallow(aSocket);
+  });
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    Request request = MakeRequest("/");
+    const Result bad =
+      co_await fixture.m_client->Exchange("nowhere:1", request, Seconds(1));
+    CHECK(bad.error().m_code == HttpErrorCode::kAddress);
+    CHECK_FALSE(bad.error().m_maybeSent);
+
+    uint16_t unused = 0;
+    {
+      tcp::acceptor closed(fixture.m_context,
+                           { asio::ip::address_v4::loopback(), 0 });
+      unused = closed.local_endpoint().port();
+    }
+    const Result refused = co_await fixture.m_client->Exchange(
+      PeerName(unused), request, Seconds(1));
+    CHECK(refused.error().m_code == HttpErrorCode::kConnect);
+    CHECK_FALSE(refused.error().m_maybeSent);
+
+    auto cancelled = std::make_shared<CancelToken>();
+    cancelled->Cancel();
+    const Result early =
+      co_await fixture.Exchange(Seconds(1), request, cancelled);
+    CHECK(early.error().m_code == HttpErrorCode::kCancelled);
+    CHECK_FALSE(early.error().m_maybeSent);
+
+    // Larger than the socket buffers, so the write itself is cut off.
+    Request large = MakeRequest("/", std::string(64 * 1024 * 1024, 'x'));
+    const Result half =
+      co_await fixture.Exchange(Milliseconds(30), std::move(large), nullptr);
+    CHECK(half.error().m_code == HttpErrorCode::kTimeout);
+    CHECK(half.error().m_maybeSent);
+    CHECK(fixture.m_client->Connections() == 0);
+  });
+}
+
+// Guards against a peer that accepts no connections holding a request for its
+// whole deadline. A full backlog drops further handshakes on loopback.
+TEST_CASE("Connecting has its own limit")
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+  acceptor.listen(0);
+  const tcp::endpoint endpoint = acceptor.local_endpoint();
+  std::vector<tcp::socket> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.emplace_back(context);
+    fillers.back().async_connect(endpoint, [](boost::system::error_code) {});
+  }
+  ClientOptions options;
+  options.m_connectTimeout = Milliseconds(50);
+  const auto client = Client::Make(context, options);
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    co_await Sleep(Milliseconds(20));
+    Request request = MakeRequest("/");
+    const auto start = std::chrono::steady_clock::now();
+    const Result result = co_await client->Exchange(
+      PeerName(endpoint.port()), std::move(request), Seconds(5));
+    REQUIRE_FALSE(result);
+    CHECK(result.error().m_code == HttpErrorCode::kConnect);
+    CHECK_FALSE(result.error().m_maybeSent);
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+    CHECK(client->Connections() == 0);
+  });
+}
+
+// Guards against requests that go on for a caller that has left.
+TEST_CASE("Cancelling closes the connection at once")
+{
+  bool closed = false;
+  Fixture fixture([&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+    co_await Swallow(aSocket);
+    closed = true;
+  });
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    auto token = std::make_shared<CancelToken>();
+    asio::steady_timer timer(fixture.m_context, std::chrono::milliseconds(20));
+    timer.async_wait([&](boost::system::error_code) { token->Cancel(); });
+    Request request = MakeRequest("/");
+    const Result result =
+      co_await fixture.Exchange(Seconds(5), std::move(request), token);
+    REQUIRE_FALSE(result);
+    CHECK(result.error().m_code == HttpErrorCode::kCancelled);
+    CHECK(result.error().m_maybeSent);
+    co_await Sleep(Milliseconds(10));
+    CHECK(closed);
+    CHECK(fixture.m_client->Connections() == 0);
+  });
+}
+
+// Guards against exceeding the connections that a backend server accepts, and
+// against waiters that are never woken.
+TEST_CASE("Exchanges wait for a connection at the pool's bound")
+{
+  ClientOptions options;
+  options.m_maxPerPeer = 2;
+  options.m_maxWaiting = 10;
+  Fixture fixture(
+    [](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      bool open = co_await ReadHead(aSocket);
+      while (open) {
+        co_await Sleep(Milliseconds(20));
+        co_await SendText(aSocket, kOk);
+        open = co_await ReadHead(aSocket);
+      }
+    },
+    options);
+  int answered = 0;
+  int full = 0;
+  int late = 0;
+  int finished = 0;
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 14; ++i) {
+      asio::co_spawn(
+        fixture.m_context,
+        [&, i]() -> asio::awaitable<void> {
+          // The last two that may wait cannot be served in time.
+          const Duration timeout = Milliseconds(i < 10 ? 2000 : 10);
+          const Result result = co_await fixture.Exchange(timeout);
+          ++finished;
+          answered += result ? 1 : 0;
+          if (!result) {
+            const auto code = result.error().m_code;
+            CHECK_FALSE(result.error().m_maybeSent);
+            full += code == HttpErrorCode::kPoolFull ? 1 : 0;
+            late += code == HttpErrorCode::kTimeout ? 1 : 0;
+          }
+        },
+        asio::detached);
+    }
+    while (finished < 14) {
+      CHECK(fixture.m_client->Connections() <= 2);
+      co_await Sleep(Milliseconds(2));
+    }
+  });
+  CHECK(answered == 10);
+  CHECK(full == 2);
+  CHECK(late == 2);
+  CHECK(fixture.m_peer.Accepted() == 2);
+}
+
+// Guards against idle connections to one peer that starve another.
+TEST_CASE("The bound on all connections makes room for other peers")
+{
+  ClientOptions options;
+  options.m_maxTotal = 1;
+  const auto script = [](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+    co_await AnswerAll(aSocket);
+  };
+  Fixture fixture(script, options);
+  ScriptedPeer other(fixture.m_context, script);
+  RunTest(fixture.m_context, [&]() -> asio::awaitable<void> {
+    int finished = 0;
+    for (int i = 0; i < 20; ++i) {
+      const uint16_t port = i % 2 == 0 ? fixture.m_peer.Port() : other.Port();
+      asio::co_spawn(
+        fixture.m_context,
+        [&, port]() -> asio::awaitable<void> {
+          Request request = MakeRequest("/");
+          const Result result = co_await fixture.m_client->Exchange(
+            PeerName(port), std::move(request), Seconds(2));
+          CHECK(result);
+          ++finished;
+        },
+        asio::detached);
+    }
+    while (finished < 20) {
+      CHECK(fixture.m_client->Connections() <= 1);
+      co_await Sleep(Milliseconds(1));
+    }
+  });
+}
+
+// Guards against an answer reaching the wrong request after time-outs.
+TEST_CASE("Answers belong to their requests under random delays")
+{
+  asio::io_context context;
+  auto server = Server::Make(
+    context,
+    {},
+    [](Request aRequest,
+       std::shared_ptr<CancelToken>) -> asio::awaitable<Response> {
+      const int number = std::stoi(aRequest.body());
+      co_await Sleep(Milliseconds(number % 7 == 0 ? 40 : number % 5));
+      Response response;
+      response.body() = aRequest.body();
+      co_return response;
+    });
+  REQUIRE(server);
+  ClientOptions options;
+  options.m_maxPerPeer = 8;
+  const auto client = Client::Make(context, options);
+  int next = 0;
+  int finished = 0;
+  int late = 0;
+  const auto caller = [&]() -> asio::awaitable<void> {
+    while (next < 600) {
+      const std::string body = std::to_string(next++);
+      Request request = MakeRequest("/", body);
+      const Result result = co_await client->Exchange(
+        PeerName((*server)->Port()), std::move(request), Milliseconds(30));
+      late += result ? 0 : 1;
+      if (result) {
+        CHECK(result->body() == body);
+      }
+    }
+    ++finished;
+  };
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 16; ++i) {
+      asio::co_spawn(context, caller(), asio::detached);
+    }
+    while (finished < 16) {
+      co_await Sleep(Milliseconds(2));
+    }
+  });
+  CHECK(late >= 80);
+}
+
+} // namespace rattanloft::http
--- a/tools/rattanloft/BackendCommand.cpp
+++ b/tools/rattanloft/BackendCommand.cpp
@@ -1,14 +1,150 @@
+#include <csignal>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include "Commands.h"
+#include "rattanloft/backend/Backend.h"
+
+DEFINE_string(request_address, "127.0.0.1:0", "address and port for requests");
+DEFINE_int32(fault_port, 0, "port for fault commands and statistics");
+DEFINE_string(agent, "", "agent listener of the node; empty for none");
+DEFINE_string(service, "catalogue", "service it works for");
+DEFINE_int32(slots, 12, "requests that run at once");
+DEFINE_int32(connections, 100, "connections that it accepts");
+DEFINE_int32(max_waiting, 1000, "requests that wait for a slot; 0 sheds");
+DEFINE_bool(verify_tokens, true, "refuse requests outside the grants");
+DEFINE_string(service_ms,
+              "",
+              "mean service times: entry=ms,entry=ms; * for all others");
+DEFINE_bool(fixed_times, false, "every request takes the mean time");
+DEFINE_double(speed, 1, "divides service times");
+DEFINE_double(cold_factor, 1, "multiplies service times at the start");
+DEFINE_double(cold_ms, 10000, "time until service times are normal");
+DEFINE_string(load_report, "true", "reported load: true|zero|double|random");
+DEFINE_string(execution_log, "", "file for starts and ends of executions");
+DEFINE_uint64(backend_seed, 1, "seed of service times");
 
 namespace rattanloft::tool {
 
+namespace {
+
+namespace asio = boost::asio;
+
+bool
+ReadServiceTimes(const std::string& aText, backend::BackendOptions& aOptions)
+{
+  std::istringstream items(aText);
+  std::string item;
+  while (std::getline(items, item, ',')) {
+    const size_t equals = item.find('=');
+    char* end = nullptr;
+    const double ms = equals == std::string::npos
+                        ? -1
+                        : std::strtod(item.c_str() + equals + 1, &end);
+    if (ms < 0 || end == nullptr || *end != '\0') {
+      return false;
+    }
+    const std::string entry = item.substr(0, equals);
+    if (entry == "*") {
+      aOptions.m_defaultServiceMs = ms;
+    } else {
+      aOptions.m_serviceMs[entry] = ms;
+    }
+  }
+  return true;
+}
+
+bool
+ReadListen(const std::string& aText, backend::BackendOptions& aOptions)
+{
+  const size_t colon = aText.rfind(':');
+  char* end = nullptr;
+  const int64_t port = colon == std::string::npos
+                         ? -1
+                         : std::strtol(aText.c_str() + colon + 1, &end, 10);
+  if (port < 0 || port > UINT16_MAX || *end != '\0') {
+    return false;
+  }
+  aOptions.m_address = aText.substr(0, colon);
+  aOptions.m_port = static_cast<uint16_t>(port);
+  return true;
+}
+
+// Empty, or the flag whose value is bad.
+std::string
+ReadOptions(backend::BackendOptions& aOptions)
+{
+  if (!ReadListen(FLAGS_request_address, aOptions)) {
+    return "request_address";
+  }
+  if (FLAGS_fault_port < 0 || FLAGS_fault_port > UINT16_MAX) {
+    return "fault_port";
+  }
+  if (FLAGS_slots < 1) {
+    return "slots";
+  }
+  if (FLAGS_connections < 1) {
+    return "connections";
+  }
+  if (FLAGS_max_waiting < 0) {
+    return "max_waiting";
+  }
+  if (!ReadServiceTimes(FLAGS_service_ms, aOptions)) {
+    return "service_ms";
+  }
+  aOptions.m_controlPort = static_cast<uint16_t>(FLAGS_fault_port);
+  aOptions.m_node = FLAGS_agent;
+  aOptions.m_service = FLAGS_service;
+  aOptions.m_slots = static_cast<uint32_t>(FLAGS_slots);
+  aOptions.m_connections = static_cast<uint32_t>(FLAGS_connections);
+  aOptions.m_maxWaiting = static_cast<uint32_t>(FLAGS_max_waiting);
+  aOptions.m_verifyTokens = FLAGS_verify_tokens;
+  aOptions.m_logNormal = !FLAGS_fixed_times;
+  aOptions.m_speed = FLAGS_speed;
+  aOptions.m_coldFactor = FLAGS_cold_factor;
+  aOptions.m_coldMs = FLAGS_cold_ms;
+  aOptions.m_loadReport = FLAGS_load_report;
+  aOptions.m_executionLog = FLAGS_execution_log;
+  aOptions.m_seed = FLAGS_backend_seed;
+  return {};
+}
+
+} // namespace
+
 int
-BackendCommand(std::span<char*> /*aArgs*/)
+BackendCommand(std::span<char*>)
 {
-  fmt::print(stderr, "rattanloft backend: not implemented yet\n");
-  return 2;
+  backend::BackendOptions options;
+  const std::string bad = ReadOptions(options);
+  if (!bad.empty()) {
+    fmt::print(stderr, "rattanloft backend: bad value for --{}\n", bad);
+    return 2;
+  }
+  asio::io_context context(1);
+  auto made = backend::Backend::Make(context, std::move(options));
+  if (!made) {
+    fmt::print(stderr, "rattanloft backend: {}\n", made.error());
+    return 1;
+  }
+  backend::Backend& server = **made;
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code aError, int) {
+    if (!aError) {
+      server.Drain();
+    }
+  });
+  int status = 1;
+  asio::co_spawn(
+    context, server.Run(), [&](const std::exception_ptr&, int aStatus) {
+      status = aStatus;
+      context.stop();
+    });
+  context.run();
+  return status;
 }
 
 } // namespace rattanloft::tool
