Run the whole path between processes

Cause: nodes died at the first health probe with SIGILL, and some aborted inside gRPC. GCC 12 compiles a co_await inside a condition with an else branch to a trap; gRPC aborts when the last reference to a channel is dropped on one of its own threads, which happened when a node changed to the next control instance. Ruled out: double resumption by timers (the trap was at the first resumption). Change: results of co_await are named before they are tested; a node keeps one channel for each control instance. scripts/lib/cluster.py starts a cluster.

--- a/modules/node/src/BackendMonitor.cpp
+++ b/modules/node/src/BackendMonitor.cpp
@@ -150,20 +150,28 @@
 boost::asio::awaitable<void>
 BackendMonitor::ProbeLoop()
 {
-  for (;;) {
+  while (!m_context.stopped()) {
     co_await Sleep(m_context, kProbeInterval);
-    if (!m_announcement) {
-      continue;
-    }
-    if (co_await Probe()) {
-      m_lastAnswer = m_clock.Now();
-      SetHealthy(true);
-    } else if (m_clock.Now() - m_lastAnswer >= kSilenceLimit) {
-      SetHealthy(false);
+    if (m_announcement) {
+      co_await ProbeOnce();
     }
   }
 }
 
+boost::asio::awaitable<void>
+BackendMonitor::ProbeOnce()
+{
+  // GCC 12 compiles a co_await inside a condition with an else branch to a
+  // trap.
+  const bool answered = co_await Probe();
+  if (answered) {
+    m_lastAnswer = m_clock.Now();
+    SetHealthy(true);
+  } else if (m_clock.Now() - m_lastAnswer >= kSilenceLimit) {
+    SetHealthy(false);
+  }
+}
+
 // Over a new connection: an old one may have gone silent while the backend
 // server is well.
 boost::asio::awaitable<bool>
--- a/modules/node/src/ControlClient.cpp
+++ b/modules/node/src/ControlClient.cpp
@@ -30,9 +30,6 @@
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinReconnectMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
-  // Without its own pool a new channel would take up the silent connection of
-  // the former one.
-  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   return grpc::CreateCustomChannel(
     aAddress, grpc::InsecureChannelCredentials(), arguments);
 }
@@ -47,7 +44,9 @@
     , m_clock(aClock)
     , m_addresses(std::move(aAddresses))
   {
-    Connect();
+    for (const std::string& address : m_addresses) {
+      m_stubs.push_back(wire::ControlSync::NewStub(MakeChannel(address)));
+    }
   }
 
   void Sync(wire::SyncRequest aRequest, Callback aCallback) override
@@ -55,28 +54,23 @@
     auto call = std::make_shared<Call>();
     call->m_request = std::move(aRequest);
     call->m_callback = std::move(aCallback);
-    call->m_stub = m_stub;
     call->m_result.m_sentAt = m_clock.Now();
     call->m_context.set_deadline(std::chrono::system_clock::now() +
                                  std::chrono::milliseconds(kCallTimeout.m_ms));
     boost::asio::io_context& context = m_context;
-    m_stub->async()->Sync(&call->m_context,
-                          &call->m_request,
-                          &call->m_result.m_reply,
-                          [call, &context](const grpc::Status& aStatus) {
-                            call->m_result.m_ok = aStatus.ok();
-                            call->m_result.m_error = aStatus.error_message();
-                            boost::asio::post(context, [call] {
-                              call->m_callback(std::move(call->m_result));
-                            });
-                          });
+    m_stubs[m_next]->async()->Sync(
+      &call->m_context,
+      &call->m_request,
+      &call->m_result.m_reply,
+      [call, &context](const grpc::Status& aStatus) {
+        call->m_result.m_ok = aStatus.ok();
+        call->m_result.m_error = aStatus.error_message();
+        boost::asio::post(
+          context, [call] { call->m_callback(std::move(call->m_result)); });
+      });
   }
 
-  void Rotate() override
-  {
-    m_next = (m_next + 1) % m_addresses.size();
-    Connect();
-  }
+  void Rotate() override { m_next = (m_next + 1) % m_addresses.size(); }
 
   const std::string& Address() const override { return m_addresses[m_next]; }
 
@@ -87,19 +81,16 @@
     wire::SyncRequest m_request;
     Result m_result;
     Callback m_callback;
-    std::shared_ptr<wire::ControlSync::Stub> m_stub;
   };
 
-  void Connect()
-  {
-    m_stub = wire::ControlSync::NewStub(MakeChannel(m_addresses[m_next]));
-  }
-
   boost::asio::io_context& m_context;
   const Clock& m_clock;
   std::vector<std::string> m_addresses;
   size_t m_next = 0;
-  std::shared_ptr<wire::ControlSync::Stub> m_stub;
+  // One for each address, kept for good: gRPC aborts when the last reference to
+  // a channel is dropped on one of its own threads. Keepalive replaces silent
+  // connections.
+  std::vector<std::unique_ptr<wire::ControlSync::Stub>> m_stubs;
 };
 
 } // namespace
--- a/modules/node/src/ControlClient.h
+++ b/modules/node/src/ControlClient.h
@@ -38,7 +38,7 @@
   virtual ~ControlClient() = default;
 
   virtual void Sync(wire::SyncRequest aRequest, Callback aCallback) = 0;
-  // Uses the next control instance from now on, over a new connection.
+  // Uses the next control instance from now on.
   virtual void Rotate() = 0;
   virtual const std::string& Address() const = 0;
 };
--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -149,8 +149,11 @@
     const uint64_t revision = attempt.m_classified.m_view->m_routes->Revision();
     const auto target = m_picker.Pick(attempt.m_classified, attempt.m_excluded);
     if (!target) {
-      if (attempt.m_classified.m_shard &&
-          co_await WaitForRoutes(revision, aDeadline, kUnreachableWait)) {
+      bool routed = false;
+      if (attempt.m_classified.m_shard) {
+        routed = co_await WaitForRoutes(revision, aDeadline, kUnreachableWait);
+      }
+      if (routed) {
         continue;
       }
       co_return MakeResponse(NotRun(503, "no_owner"));
@@ -165,11 +168,14 @@
             target->m_nodeId,
             target->m_epoch);
     http::Response response = co_await SendTo(*target, attempt, aCancel);
-    if (aCancel->IsCancelled() ||
-        !co_await MayTryAgain(attempt, *target, response)) {
-      if (response.result_int() == kStatusMisdirected) {
-        co_return MakeResponse(NotRun(503, "owner_moving"));
-      }
+    bool again = false;
+    if (!aCancel->IsCancelled()) {
+      again = co_await MayTryAgain(attempt, *target, response);
+    }
+    if (!again && response.result_int() == kStatusMisdirected) {
+      co_return MakeResponse(NotRun(503, "owner_moving"));
+    }
+    if (!again) {
       co_return response;
     }
   }
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -349,7 +349,8 @@
   const ClassifiedRequest& request = aRun->m_classified;
   if (request.IsAtMostOnce()) {
     aRun->m_copySent = true;
-    if (!co_await CopyRecord(aRun, false)) {
+    const bool copied = co_await CopyRecord(aRun, false);
+    if (!copied) {
       co_return MakeResponse(NotRun(503, "no_second_record_holder"));
     }
   }
--- a/modules/node/src/RecordService.cpp
+++ b/modules/node/src/RecordService.cpp
@@ -217,8 +217,12 @@
   for (const uint32_t holder : OtherHolders(aService)) {
     // A holder that does not answer may have the only copy. It is waited for
     // until it answers or the cluster has declared it gone.
-    while (IsLive(aService, holder) && !co_await FetchFrom(holder, fetch)) {
-      co_await Sleep(m_context.m_context, kFetchRetryDelay);
+    bool fetched = false;
+    while (!fetched && IsLive(aService, holder)) {
+      fetched = co_await FetchFrom(holder, fetch);
+      if (!fetched) {
+        co_await Sleep(m_context.m_context, kFetchRetryDelay);
+      }
     }
   }
   for (const auto& [shard, epoch] : aShards) {
--- a/modules/node/src/Traffic.cpp
+++ b/modules/node/src/Traffic.cpp
@@ -227,7 +227,7 @@
 boost::asio::awaitable<void>
 Traffic::TickLoop()
 {
-  for (;;) {
+  while (!m_context.m_context.stopped()) {
     co_await Sleep(m_context.m_context, kTickInterval);
     m_context.m_gate.Tick();
     m_context.m_records.Expire(m_context.m_clock.Now());
@@ -237,7 +237,7 @@
 boost::asio::awaitable<void>
 Traffic::ReportLoop()
 {
-  for (;;) {
+  while (!m_context.m_context.stopped()) {
     co_await Sleep(m_context.m_context, kReportInterval);
     m_hooks.m_onLoad(TakeLoad(kReportInterval));
   }
--- /dev/null
+++ b/scripts/lib/cluster.py
@@ -0,0 +1,291 @@
+"""Starts a rattanloft cluster with stand-in backend servers on loopback.
+
+Shared by scripts/quickstart, scripts/bench and the tests of whole processes.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BINARY = os.environ.get(
+    "RATTANLOFT_BINARY", os.path.join(ROOT, "build/tools/rattanloft/rattanloft")
+)
+
+# Services with backend servers per service, slots, and mean service times.
+DEPLOYMENTS = {
+    "adwoa": {
+        "zones": ["accra-1", "accra-2", "kumasi-1", "tema-1"],
+        "services": {
+            "catalogue": {
+                "backends": 4,
+                "slots": 12,
+                "times": "catalogue.browse=8",
+            },
+            "deposits": {"backends": 4, "slots": 12, "times": "deposits.capture=40"},
+            "dispatch": {
+                "backends": 4,
+                "slots": 12,
+                "times": "dispatch.book=60,dispatch.multi=1500",
+            },
+        },
+    },
+    "tidewater": {
+        "zones": ["gulf-1", "gulf-2", "gulf-3", "gulf-4"],
+        "services": {
+            "proof-status": {
+                "backends": 4,
+                "slots": 6,
+                "times": "proof-status.check=6",
+            },
+            "orders": {"backends": 4, "slots": 6, "times": "orders.cut=50"},
+            "plotter": {
+                "backends": 4,
+                "slots": 6,
+                "times": "plotter.release=4000,plotter.check=6",
+            },
+        },
+    },
+}
+
+
+def free_ports(count):
+    """Ports that were free a moment ago."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Answer:
+    """Status, headers and body of an HTTP answer; status 0 for none."""
+
+    def __init__(self, status, headers, body, error=""):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.error = error
+
+    @property
+    def outcome(self):
+        return self.headers.get("Rattanloft-Outcome", "")
+
+    @property
+    def reason(self):
+        return self.headers.get("Rattanloft-Reason", "")
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def call(port, method, target, body=None, headers=None, timeout=10):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, target, body, headers or {})
+        response = connection.getresponse()
+        return Answer(
+            response.status, dict(response.getheaders()), response.read().decode()
+        )
+    except (OSError, http.client.HTTPException) as error:
+        return Answer(0, {}, "", str(error))
+    finally:
+        connection.close()
+
+
+def wait_for(condition, timeout, step=0.02):
+    """Seconds until the condition held, or None."""
+    begun = time.monotonic()
+    while time.monotonic() - begun < timeout:
+        if condition():
+            return time.monotonic() - begun
+        time.sleep(step)
+    return None
+
+
+class Process:
+    """One process of the cluster, with its log file."""
+
+    def __init__(self, name, args, folder):
+        self.name = name
+        self.args = [BINARY] + args
+        self.log_path = os.path.join(folder, name + ".log")
+        self.popen = None
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(
+                self.args, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.popen.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.popen:
+            self.popen.wait()
+
+    def stop(self, timeout=30):
+        """Exit status after SIGTERM, or None if it did not end in time."""
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+class Site:
+    """A node with its backend server."""
+
+    def __init__(self, node, backend, service, zone, ports):
+        self.node = node
+        self.backend = backend
+        self.service = service
+        self.zone = zone
+        self.caller_port, self.peer_port, self.agent_port, self.backend_port, self.fault_port = ports
+
+    @property
+    def name(self):
+        return self.node.name
+
+    def status(self):
+        answer = call(self.agent_port, "GET", "/status", timeout=2)
+        return answer.json() if answer.status == 200 else {}
+
+    def processes(self):
+        return [self.node, self.backend]
+
+
+class Cluster:
+    def __init__(self, deployment, folder=None, control_count=3, backends=None,
+                 node_flags=(), backend_flags=(), log_level="info"):
+        self.spec = DEPLOYMENTS[deployment]
+        self.deployment = deployment
+        self.folder = folder or tempfile.mkdtemp(prefix="rattanloft-")
+        self.backends = backends
+        self.node_flags = list(node_flags)
+        self.backend_flags = list(backend_flags)
+        self.log_level = log_level
+        self.control = []
+        self.control_ports = []
+        self.sites = []
+        self._make_control(control_count)
+        self._make_sites()
+
+    def _make_control(self, count):
+        ports = free_ports(2 * count)
+        members = []
+        for i in range(count):
+            data = os.path.join(self.folder, f"control-{i}")
+            replica = subprocess.run(
+                [BINARY, "control", "--init", "--data_dir", data],
+                check=True, capture_output=True, text=True,
+            ).stdout.strip()
+            grpc, http_port = ports[2 * i], ports[2 * i + 1]
+            zone = self.spec["zones"][i % len(self.spec["zones"])]
+            members.append(f"{replica}=127.0.0.1:{grpc}/127.0.0.1:{http_port}/{zone}")
+            self.control_ports.append((grpc, http_port))
+        self.group = ",".join(members)
+        for i, (grpc, http_port) in enumerate(self.control_ports):
+            self.control.append(Process(
+                f"control-{i}",
+                ["control", "--data_dir", os.path.join(self.folder, f"control-{i}"),
+                 "--grpc_address", f"127.0.0.1:{grpc}",
+                 "--http_address", f"127.0.0.1:{http_port}",
+                 "--group", self.group, "--log_level", self.log_level],
+                self.folder))
+
+    def _make_sites(self):
+        for service, spec in self.spec["services"].items():
+            for i in range(self.backends or spec["backends"]):
+                self.sites.append(self.make_site(service, i))
+
+    def make_site(self, service, number, extra_backend_flags=()):
+        spec = self.spec["services"][service]
+        zones = self.spec["zones"]
+        zone = zones[number % len(zones)]
+        ports = free_ports(5)
+        caller, peer, agent, requests, fault = ports
+        name = f"{service}-{number}"
+        grpc = ",".join(f"127.0.0.1:{port}" for port, _ in self.control_ports)
+        node = Process(name, [
+            "node", "--node_id", name, "--zone", zone,
+            "--caller_port", str(caller), "--peer_port", str(peer),
+            "--agent_port", str(agent), "--control_grpc", grpc,
+            "--log_level", self.log_level] + self.node_flags, self.folder)
+        backend = Process(name + "-backend", [
+            "backend", "--request_address", f"127.0.0.1:{requests}",
+            "--fault_port", str(fault), "--agent", f"127.0.0.1:{agent}",
+            "--service", service, "--slots", str(spec["slots"]),
+            "--service_ms", spec["times"],
+            "--execution_log", os.path.join(self.folder, name + ".executions"),
+            "--backend_seed", str(number + 1),
+            "--log_level", self.log_level]
+            + self.backend_flags + list(extra_backend_flags), self.folder)
+        return Site(node, backend, service, zone, ports)
+
+    def start(self):
+        for process in self.control:
+            process.start()
+        for site in self.sites:
+            for process in site.processes():
+                process.start()
+
+    def processes(self):
+        result = list(self.control)
+        for site in self.sites:
+            result += site.processes()
+        return result
+
+    def leader(self):
+        """Index of the control instance that says it leads, or None."""
+        for i, (_, http_port) in enumerate(self.control_ports):
+            if not self.control[i].running():
+                continue
+            answer = call(http_port, "GET", "/v1/status", timeout=2)
+            if answer.status == 200 and answer.json().get("role") == "leader":
+                return i
+        return None
+
+    def control_http(self):
+        return ",".join(f"127.0.0.1:{port}" for _, port in self.control_ports)
+
+    def operator(self, *args, timeout=30):
+        """Runs an operator command; the completed process."""
+        return subprocess.run(
+            [BINARY, args[0], "--control", self.control_http(), *args[1:]],
+            capture_output=True, text=True, timeout=timeout)
+
+    def sites_of(self, service):
+        return [site for site in self.sites if site.service == service]
+
+    def executions(self):
+        """All lines of the execution logs."""
+        lines = []
+        for name in sorted(os.listdir(self.folder)):
+            if name.endswith(".executions"):
+                with open(os.path.join(self.folder, name), encoding="utf-8") as log:
+                    for line in log:
+                        if line.endswith("\n"):
+                            lines.append(dict(json.loads(line), log=name))
+        return lines
+
+    def kill_all(self):
+        for process in self.processes():
+            if process.running():
+                process.signal(signal.SIGCONT)
+                process.kill()
