Remove a lost backend from its service and stop without waiting in vain

Cause: nodes crashed while they drained: the cluster names only the number of a backend that is gone, and the route table looked for it under an empty service, so its number stayed listed without a record. A stop of all nodes took 45 s, since each waited 10 s for a successor that was draining too. Change: the route table finds the service in its own record; a node without an active backend server of its service does not wait; scripts/quickstart; example catalogues. A new test fails without the fix.

--- a/modules/node/src/AdmissionGate.cpp
+++ b/modules/node/src/AdmissionGate.cpp
@@ -10,7 +10,6 @@
 using admission::Action;
 using admission::ActionKind;
 using admission::JobId;
-using admission::RefusalReason;
 
 namespace {
 
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -20,7 +20,7 @@
 
 // The other nodes need one Sync to learn of the drain.
 constexpr Duration kMinDrain = Milliseconds(1000);
-// Shards that have nowhere to go stay here and are served up to this bound.
+// Shards that do not move in this time stay here until the lease ends.
 constexpr Duration kMaxDrain = Seconds(10);
 constexpr Duration kDrainPoll = Milliseconds(20);
 
@@ -135,7 +135,8 @@
     const TimePoint begun = m_clock.Now();
     m_control->Drain();
     while (m_clock.Now() - begun < kMinDrain ||
-           (m_control->OwnsAnyShard() && m_clock.Now() - begun < kMaxDrain)) {
+           (m_control->OwnsAnyShard() && m_control->HasSuccessor() &&
+            m_clock.Now() - begun < kMaxDrain)) {
       co_await Sleep(m_controlContext, kDrainPoll);
     }
     boost::asio::co_spawn(
--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -133,6 +133,22 @@
   PublishView();
 }
 
+bool
+NodeControl::HasSuccessor() const
+{
+  const auto view = m_agent.CurrentView();
+  const wire::Backend* own = view->m_routes->FindBackend(view->m_backend);
+  if (own == nullptr) {
+    return false;
+  }
+  const auto backends = view->m_routes->BackendsOf(own->service());
+  return std::any_of(backends.begin(), backends.end(), [&](uint32_t aNumber) {
+    return aNumber != view->m_backend &&
+           view->m_routes->FindBackend(aNumber)->state() ==
+             wire::BACKEND_STATE_ACTIVE;
+  });
+}
+
 boost::asio::awaitable<http::Response>
 NodeControl::HandleAgentRequest(http::Request aRequest)
 {
--- a/modules/node/src/NodeControl.h
+++ b/modules/node/src/NodeControl.h
@@ -53,6 +53,8 @@
   // Announces the drain. OwnsAnyShard tells when the shards have moved.
   void Drain();
   bool OwnsAnyShard() const { return m_agent.OwnsAnyShard(); }
+  // Another backend server of the service could take the shards.
+  bool HasSuccessor() const;
 
 private:
   NodeControl(boost::asio::io_context& aContext,
--- a/modules/routing/src/RouteTable.cpp
+++ b/modules/routing/src/RouteTable.cpp
@@ -95,26 +95,31 @@
 
   void SetBackend(const wire::Backend& aBackend)
   {
-    BackendMap& backends = EditBackends();
+    // An update about a backend that is gone may carry no more than its number,
+    // so the service comes from what the table knows.
+    Remove(aBackend.number());
     if (aBackend.state() == wire::BACKEND_STATE_GONE) {
-      backends.erase(aBackend.number());
-    } else {
-      backends.insert_or_assign(aBackend.number(), aBackend);
+      return;
     }
+    EditBackends().insert_or_assign(aBackend.number(), aBackend);
     auto& numbers = Edit(aBackend.service()).m_backends;
-    const auto at =
-      std::lower_bound(numbers.begin(), numbers.end(), aBackend.number());
-    const bool present = at != numbers.end() && *at == aBackend.number();
-    if (aBackend.state() == wire::BACKEND_STATE_GONE) {
-      if (present) {
-        numbers.erase(at);
-      }
-    } else if (!present) {
-      numbers.insert(at, aBackend.number());
-    }
+    numbers.insert(
+      std::lower_bound(numbers.begin(), numbers.end(), aBackend.number()),
+      aBackend.number());
   }
 
 private:
+  void Remove(uint32_t aNumber)
+  {
+    BackendMap& backends = EditBackends();
+    const auto known = backends.find(aNumber);
+    if (known == backends.end()) {
+      return;
+    }
+    std::erase(Edit(known->second.service()).m_backends, aNumber);
+    backends.erase(known);
+  }
+
   BackendMap& EditBackends()
   {
     if (!m_backends) {
--- a/modules/routing/tests/RouteTableTest.cpp
+++ b/modules/routing/tests/RouteTableTest.cpp
@@ -52,6 +52,25 @@
   REQUIRE(before->FindBackend(7) == after->FindBackend(7));
 }
 
+// Guards against a number that is still listed for its service after its record
+// is gone, which crashed nodes that looked it up. The cluster names only the
+// number of a backend that has left.
+TEST_CASE("A backend that is gone leaves its service without being told which")
+{
+  wire::RouteUpdate update = MakeDelta(1, 1, 7, 50);
+  *update.add_backends() = MakeBackend(7);
+  const auto table = RouteTable::MakeEmpty()->With(update);
+  REQUIRE(table->BackendsOf("shop").size() == 1);
+  wire::RouteUpdate gone;
+  gone.set_revision(2);
+  wire::Backend* backend = gone.add_backends();
+  backend->set_number(7);
+  backend->set_state(wire::BACKEND_STATE_GONE);
+  const auto after = table->With(gone);
+  REQUIRE(after->BackendsOf("shop").empty());
+  REQUIRE(after->FindBackend(7) == nullptr);
+}
+
 // Guards against routing to a backend that is gone.
 TEST_CASE("A backend that is gone is no longer listed")
 {
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -27,7 +27,7 @@
                 "slots": 12,
                 "times": "catalogue.browse=8",
             },
-            "deposits": {"backends": 4, "slots": 12, "times": "deposits.capture=40"},
+            "deposits": {"backends": 4, "slots": 12, "times": "deposits.pay=40"},
             "dispatch": {
                 "backends": 4,
                 "slots": 12,
@@ -47,7 +47,7 @@
             "plotter": {
                 "backends": 4,
                 "slots": 6,
-                "times": "plotter.release=4000,plotter.check=6",
+                "times": "plotter.release=4000",
             },
         },
     },
