--- /dev/null
+++ b/modules/control/src/OperatorApi.cpp
@@ -0,0 +1,420 @@
+#include "OperatorApi.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "CatalogueJson.h"
+#include "StatusReport.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/control/GroupText.h"
+
+namespace rattanloft::control {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMaxHistory = 10'000;
+constexpr size_t kDefaultHistory = 100;
+constexpr size_t kMaxChangeId = 64;
+
+// Fills in what every change names. The error is a response.
+tl::expected<wire::CatalogueChange, ApiResponse>
+ChangeFromQuery(const ApiRequest& aRequest, const Clock& aClock)
+{
+  for (const auto& [name, value] : aRequest.m_query) {
+    if (name != "change_id" && name != "expected_revision" &&
+        name != "operator") {
+      return tl::unexpected(BadField(name, "unknown parameter"));
+    }
+  }
+  const std::string id = QueryText(aRequest, "change_id");
+  if (id.empty() || id.size() > kMaxChangeId) {
+    return tl::unexpected(BadField("change_id", "must have 1 to 64 bytes"));
+  }
+  const auto revision = QueryNumber(aRequest, "expected_revision");
+  if (!revision) {
+    return tl::unexpected(
+      BadField("expected_revision", "must be a whole number, 0 for no entry"));
+  }
+  wire::CatalogueChange change;
+  change.set_change_id(id);
+  change.set_expected_revision(*revision);
+  change.set_operator_name(QueryText(aRequest, "operator"));
+  change.set_proposed_at_unix_ms(aClock.UnixMs());
+  return change;
+}
+
+// Whether two changes ask for the same. Times and revisions set by the cluster
+// do not count.
+bool
+SameOperation(wire::CatalogueChange aLeft, wire::CatalogueChange aRight)
+{
+  for (wire::CatalogueChange* change : { &aLeft, &aRight }) {
+    change->clear_proposed_at_unix_ms();
+    change->clear_operator_name();
+    if (change->has_put()) {
+      change->mutable_put()->clear_revision();
+    }
+  }
+  return aLeft.SerializeAsString() == aRight.SerializeAsString();
+}
+
+// The cluster state's message is "field: reason".
+ApiResponse
+InvalidChange(std::string_view aMessage)
+{
+  const auto colon = aMessage.find(": ");
+  return colon == std::string_view::npos
+           ? BadField("", aMessage)
+           : BadField(aMessage.substr(0, colon), aMessage.substr(colon + 2));
+}
+
+const std::string&
+NameOf(const wire::CatalogueChange& aChange)
+{
+  return aChange.has_put() ? aChange.put().name() : aChange.remove();
+}
+
+} // namespace
+
+struct OperatorApi::Route
+{
+  const char* m_method;
+  // Path after /v1 in segments; "*" matches any one.
+  std::vector<std::string_view> m_path;
+  Handler m_handler;
+};
+
+const OperatorApi::Route OperatorApi::kRoutes[] = {
+  { "GET", { "healthz" }, &OperatorApi::GetHealth },
+  { "GET", { "metrics" }, &OperatorApi::GetMetrics },
+  { "GET", { "v1", "status" }, &OperatorApi::GetStatus },
+  { "GET", { "v1", "catalogue" }, &OperatorApi::ListEntries },
+  { "GET", { "v1", "catalogue", "*" }, &OperatorApi::GetEntry },
+  { "PUT", { "v1", "catalogue", "*" }, &OperatorApi::PutEntry },
+  { "DELETE", { "v1", "catalogue", "*" }, &OperatorApi::RemoveEntry },
+  { "GET", { "v1", "history" }, &OperatorApi::GetHistory },
+  { "GET", { "v1", "routes" }, &OperatorApi::GetRoutes },
+  { "POST", { "v1", "drain", "*" }, &OperatorApi::DrainNode },
+  { "POST", { "v1", "members" }, &OperatorApi::AddMember },
+  { "POST", { "v1", "members", "*", "promote" }, &OperatorApi::PromoteMember },
+  { "DELETE", { "v1", "members", "*" }, &OperatorApi::RemoveMember },
+  { "POST", { "v1", "transfer" }, &OperatorApi::Transfer },
+};
+
+OperatorApi::OperatorApi(ControlCore& aCore)
+  : m_core(aCore)
+{
+}
+
+void
+OperatorApi::Handle(const ApiRequest& aRequest, Responder aResponder)
+{
+  bool pathKnown = false;
+  for (const Route& route : kRoutes) {
+    const bool matches = std::ranges::equal(
+      route.m_path,
+      aRequest.m_path,
+      [](std::string_view aPattern, const std::string& aPart) {
+        return aPattern == "*" ? !aPart.empty() : aPattern == aPart;
+      });
+    pathKnown = pathKnown || matches;
+    if (matches && aRequest.m_method == route.m_method) {
+      (this->*route.m_handler)(aRequest, std::move(aResponder));
+      return;
+    }
+  }
+  aResponder(pathKnown
+               ? Error(kMethodNotAllowed, "method_not_allowed", "wrong method")
+               : Error(kNotFound, "not_found", "no such path"));
+}
+
+void
+OperatorApi::GetStatus(const ApiRequest& /*aRequest*/, Responder aResponder)
+{
+  aResponder(Json(kOk, StatusToJson(m_core)));
+}
+
+void
+OperatorApi::GetHealth(const ApiRequest& /*aRequest*/, Responder aResponder)
+{
+  aResponder({ .m_contentType = "text/plain", .m_body = "ok\n" });
+}
+
+void
+OperatorApi::GetMetrics(const ApiRequest& /*aRequest*/, Responder aResponder)
+{
+  aResponder({ .m_contentType = "text/plain; version=0.0.4",
+               .m_body = MetricsText(m_core) });
+}
+
+void
+OperatorApi::ListEntries(const ApiRequest& /*aRequest*/, Responder aResponder)
+{
+  ReadLinearizable(std::move(aResponder), [this] {
+    json entries = json::array();
+    for (const auto& [name, entry] : m_core.Cluster().Entries()) {
+      entries.push_back(EntryToJson(entry));
+    }
+    return Json(kOk,
+                { { "revision", m_core.Cluster().CatalogueRevision() },
+                  { "entries", std::move(entries) } });
+  });
+}
+
+void
+OperatorApi::GetEntry(const ApiRequest& aRequest, Responder aResponder)
+{
+  ReadLinearizable(std::move(aResponder), [this, name = aRequest.m_path[2]] {
+    const auto& entries = m_core.Cluster().Entries();
+    const auto found = entries.find(name);
+    return found != entries.end()
+             ? Json(kOk, EntryToJson(found->second))
+             : Error(kNotFound, "not_found", "no entry of this name");
+  });
+}
+
+void
+OperatorApi::PutEntry(const ApiRequest& aRequest, Responder aResponder)
+{
+  auto change = ChangeFromQuery(aRequest, m_core.TheClock());
+  if (!change) {
+    aResponder(std::move(change.error()));
+    return;
+  }
+  auto entry = EntryFromJson(std::string_view(aRequest.m_body));
+  if (!entry) {
+    aResponder(BadField(entry.error().m_field, entry.error().m_message));
+    return;
+  }
+  if (entry->name().empty()) {
+    entry->set_name(aRequest.m_path[2]);
+  }
+  if (entry->name() != aRequest.m_path[2]) {
+    aResponder(BadField("name", "differs from the name in the path"));
+    return;
+  }
+  *change->mutable_put() = std::move(*entry);
+  ProposeChange(std::move(*change), std::move(aResponder));
+}
+
+void
+OperatorApi::RemoveEntry(const ApiRequest& aRequest, Responder aResponder)
+{
+  auto change = ChangeFromQuery(aRequest, m_core.TheClock());
+  if (!change) {
+    aResponder(std::move(change.error()));
+    return;
+  }
+  change->set_remove(aRequest.m_path[2]);
+  ProposeChange(std::move(*change), std::move(aResponder));
+}
+
+void
+OperatorApi::ProposeChange(wire::CatalogueChange aChange, Responder aResponder)
+{
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  // What was applied is committed, so its result is final.
+  if (m_core.Cluster().FindChange(aChange.change_id()) != nullptr) {
+    aResponder(ChangeResponse(aChange, true));
+    return;
+  }
+  wire::Command command;
+  *command.mutable_change() = aChange;
+  m_core.Propose(command,
+                 [this, change = std::move(aChange), aResponder](
+                   const tl::expected<uint64_t, consensus::LogError>& aIndex) {
+                   if (!aIndex) {
+                     aResponder(FromLogError(aIndex.error()));
+                     return;
+                   }
+                   const auto* record =
+                     m_core.Cluster().FindChange(change.change_id());
+                   aResponder(ChangeResponse(
+                     change, record != nullptr && record->index() != *aIndex));
+                 });
+}
+
+ApiResponse
+OperatorApi::ChangeResponse(const wire::CatalogueChange& aChange,
+                            bool aRepeated) const
+{
+  const auto* record = m_core.Cluster().FindChange(aChange.change_id());
+  if (record == nullptr) {
+    return Error(kUnavailable, "unknown", "the outcome is no longer recorded");
+  }
+  if (aRepeated && !SameOperation(record->change(), aChange)) {
+    return Error(kConflict,
+                 "change_id_reused",
+                 "another change was made under this change id");
+  }
+  const wire::ChangeResult& result = record->result();
+  LogInfo("catalogue",
+          "change {} of {} by '{}': {} at revision {}{}",
+          aChange.change_id(),
+          NameOf(aChange),
+          aChange.operator_name(),
+          wire::ChangeStatus_Name(result.status()),
+          result.revision(),
+          aRepeated ? " (sent again)" : "");
+  json body = { { "change_id", aChange.change_id() },
+                { "name", NameOf(aChange) },
+                { "revision", result.revision() },
+                { "repeated", aRepeated } };
+  switch (result.status()) {
+    case wire::CHANGE_STATUS_ACCEPTED:
+      body["status"] = "accepted";
+      return Json(kOk, body);
+    case wire::CHANGE_STATUS_REVISION_MISMATCH: {
+      const auto& entries = m_core.Cluster().Entries();
+      const auto found = entries.find(NameOf(aChange));
+      body["error"] = "revision_mismatch";
+      body["message"] = "another change came first";
+      body["entry"] =
+        found != entries.end() ? EntryToJson(found->second) : json();
+      return Json(kConflict, body);
+    }
+    case wire::CHANGE_STATUS_CATALOGUE_FULL:
+      return Error(kCatalogueFull, "catalogue_full", result.message());
+    default:
+      return InvalidChange(result.message());
+  }
+}
+
+void
+OperatorApi::GetHistory(const ApiRequest& aRequest, Responder aResponder)
+{
+  const auto max = aRequest.m_query.contains("max")
+                     ? QueryNumber(aRequest, "max")
+                     : std::optional<uint64_t>(kDefaultHistory);
+  if (!max || *max > kMaxHistory) {
+    aResponder(BadField("max", "must be a whole number up to 10000"));
+    return;
+  }
+  ReadLinearizable(std::move(aResponder), [this, max = *max] {
+    json changes = json::array();
+    for (const auto& record : m_core.Cluster().History(max)) {
+      changes.push_back(HistoryToJson(record));
+    }
+    return Json(kOk, { { "changes", std::move(changes) } });
+  });
+}
+
+void
+OperatorApi::GetRoutes(const ApiRequest& aRequest, Responder aResponder)
+{
+  ReadLinearizable(
+    std::move(aResponder), [this, service = QueryText(aRequest, "service")] {
+      json routes = RoutesToJson(m_core.Cluster(), service);
+      return routes.is_null()
+               ? Error(kNotFound, "not_found", "the service has no shards")
+               : Json(kOk, routes);
+    });
+}
+
+void
+OperatorApi::DrainNode(const ApiRequest& aRequest, Responder aResponder)
+{
+  const std::string& node = aRequest.m_path[2];
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  for (const auto& [number, backend] : m_core.Cluster().Backends()) {
+    if (backend.node_id() != node ||
+        backend.state() == wire::BACKEND_STATE_GONE) {
+      continue;
+    }
+    wire::Command command;
+    command.mutable_set_backend_state()->set_backend(number);
+    command.mutable_set_backend_state()->set_state(
+      wire::BACKEND_STATE_DRAINING);
+    LogInfo("control", "drain of node {}, backend {}", node, number);
+    m_core.Propose(
+      command,
+      [this, number = number, aResponder](
+        const tl::expected<uint64_t, consensus::LogError>& aIndex) {
+        aResponder(
+          aIndex
+            ? Json(kOk, { { "status", "draining" }, { "backend", number } })
+            : FromLogError(aIndex.error()));
+      });
+    return;
+  }
+  aResponder(Error(kNotFound, "not_found", "the node has no backend server"));
+}
+
+void
+OperatorApi::Transfer(const ApiRequest& /*aRequest*/, Responder aResponder)
+{
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  m_core.TransferLeadership();
+  aResponder(Json(kOk, { { "status", "started" } }));
+}
+
+void
+OperatorApi::ReadLinearizable(Responder aResponder,
+                              std::function<ApiResponse()> aRead)
+{
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  m_core.ReadBarrier([this, aResponder, read = std::move(aRead)](
+                       const tl::expected<void, consensus::LogError>& aOk) {
+    // A failed read has no effect, so the client may simply ask again.
+    aResponder(aOk ? read() : NotLeader());
+  });
+}
+
+ApiResponse
+OperatorApi::NotLeader() const
+{
+  const auto status = m_core.Status();
+  for (const wire::GroupMember& member : status.m_config.members()) {
+    if (member.replica_id() == status.m_leaderId &&
+        status.m_leaderId != status.m_replicaId) {
+      return Json(kMisdirected,
+                  { { "error", "not_leader" },
+                    { "leader_id", FormatReplicaId(member.replica_id()) },
+                    { "leader_http_address", member.http_address() } });
+    }
+  }
+  return Error(
+    kUnavailable, "no_leader", "no control quorum; nothing was done");
+}
+
+ApiResponse
+OperatorApi::FromLogError(const consensus::LogError& aError) const
+{
+  switch (aError.m_code) {
+    case consensus::LogErrorCode::kNotLeader:
+      return NotLeader();
+    case consensus::LogErrorCode::kLeadershipLost:
+      return Error(kUnavailable,
+                   "unknown",
+                   "leadership was lost; it is unknown whether the change was "
+                   "made; send it again with the same change id");
+    case consensus::LogErrorCode::kInvalid:
+      return Error(kBadRequest, "invalid", aError.m_message);
+    case consensus::LogErrorCode::kBusy:
+    case consensus::LogErrorCode::kStorage:
+      break;
+  }
+  return Error(kUnavailable,
+               "not_accepted",
+               fmt::format("{}; nothing was done", aError.m_message));
+}
+
+} // namespace rattanloft::control
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -205,6 +205,7 @@
       wire::ShardRef* ref = request.add_released();
       ref->set_service(shard.m_service);
       ref->set_shard(shard.m_shard);
+      ref->set_epoch(shard.m_epoch);
     }
   }
   *request.mutable_load() = m_load;
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -209,6 +209,8 @@
   REQUIRE(agent.MakeRequest().released_size() == 0);
   agent.MarkReleased("shop", 1, 50);
   REQUIRE(agent.MakeRequest().released_size() == 1);
+  // Without the epoch the coordinator would not count the release.
+  REQUIRE(agent.MakeRequest().released(0).epoch() == 50);
   REQUIRE(agent.ShardsToRelease().empty());
   REQUIRE(agent.OwnedShards().empty());
   // A node that stops now would lose the release.
