Let the balancer notice changed backends by itself

Cause: the node does not call Update, so records were neither made for new backends nor dropped for those that are gone, and had no bound. Change: ChooseBackend updates when the backends of the routes differ from those seen; attempts at a backend without a record are not counted. Conclusion: records are bounded by the routes.

--- a/modules/routing/include/rattanloft/routing/Balancer.h
+++ b/modules/routing/include/rattanloft/routing/Balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,13 +39,14 @@
                          uint64_t aRandom,
                          TimePoint aNow);
 
-  // Each started attempt is finished exactly once.
+  // Each started attempt is finished exactly once. Attempts at a backend
+  // without a record are not counted.
   void OnStart(uint32_t aBackend, TimePoint aNow);
   void OnFinish(uint32_t aBackend, AttemptResult aResult, TimePoint aNow);
 
   // Learns new backends, which then ramp up, and forgets those that the routes
-  // no longer contain. To be called when the routes change. Backends of the
-  // first call count as warm, since nothing tells them apart.
+  // no longer contain. ChooseBackend calls it when the backends have changed.
+  // Backends of the first call count as warm, since nothing tells them apart.
   void Update(const RouteTable& aRoutes, TimePoint aNow);
 
   uint32_t InFlight(uint32_t aBackend) const;
@@ -103,6 +105,8 @@
 
   std::string m_zone;
   std::unordered_map<uint32_t, Record> m_records;
+  // The backends of the latest update.
+  std::shared_ptr<const RouteTable::BackendMap> m_seen;
 };
 
 } // namespace rattanloft::routing
--- a/modules/routing/include/rattanloft/routing/RouteTable.h
+++ b/modules/routing/include/rattanloft/routing/RouteTable.h
@@ -54,6 +54,11 @@
   using BackendMap = std::unordered_map<uint32_t, wire::Backend>;
   // By number, without those that are gone.
   const BackendMap& Backends() const;
+  // The same, or null without any. Equal pointers mean equal content.
+  std::shared_ptr<const BackendMap> SharedBackends() const
+  {
+    return m_backends;
+  }
   const wire::Backend* FindBackend(uint32_t aNumber) const;
   // Backends of a service that are not gone.
   std::span<const uint32_t> BackendsOf(std::string_view aService) const;
--- a/modules/routing/src/Balancer.cpp
+++ b/modules/routing/src/Balancer.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::routing {
@@ -55,6 +54,9 @@
                         uint64_t aRandom,
                         TimePoint aNow)
 {
+  if (aRoutes.SharedBackends() != m_seen) {
+    Update(aRoutes, aNow);
+  }
   const auto backends = aRoutes.BackendsOf(aService);
   if (backends.empty()) {
     return 0;
@@ -84,17 +86,22 @@
 }
 
 void
-Balancer::OnStart(uint32_t aBackend, TimePoint aNow)
+Balancer::OnStart(uint32_t aBackend, TimePoint)
 {
-  // A backend that Update has not named yet counts as new.
-  ++m_records.try_emplace(aBackend, aNow).first->second.m_inFlight;
+  const auto found = m_records.find(aBackend);
+  if (found != m_records.end()) {
+    ++found->second.m_inFlight;
+  }
 }
 
 void
 Balancer::OnFinish(uint32_t aBackend, AttemptResult aResult, TimePoint aNow)
 {
   const auto found = m_records.find(aBackend);
-  RATTANLOFT_ASSERT(found != m_records.end() && found->second.m_inFlight > 0);
+  // An attempt that began before its backend had a record was not counted.
+  if (found == m_records.end() || found->second.m_inFlight == 0) {
+    return;
+  }
   Record& record = found->second;
   --record.m_inFlight;
   switch (aResult) {
@@ -118,6 +125,7 @@
 Balancer::Update(const RouteTable& aRoutes, TimePoint aNow)
 {
   const bool first = m_records.empty();
+  m_seen = aRoutes.SharedBackends();
   std::erase_if(m_records, [&](const auto& aItem) {
     return aItem.second.m_inFlight == 0 &&
            aRoutes.FindBackend(aItem.first) == nullptr;
