--- a/cmake/RattanloftModule.cmake
+++ b/cmake/RattanloftModule.cmake
@@ -1,6 +1,7 @@
 # rattanloft_module(NAME DEPS...): a static library from modules/NAME, and one
-# test program from modules/NAME/tests/*Test.cpp. Each modules/NAME/tests/*Bench.cpp
-# becomes an executable of its own, which ctest does not run.
+# test program from modules/NAME/tests/*Test.cpp. Each *Bench.cpp in
+# modules/NAME/bench or tests becomes an executable of its own, which ctest does
+# not run.
 function(rattanloft_module NAME)
   set(root ${CMAKE_SOURCE_DIR}/modules/${NAME})
   file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cpp)
@@ -32,7 +33,8 @@
   list(FILTER harness EXCLUDE REGEX "(Test|Bench)\\.cpp$")
   if(tests AND RATTANLOFT_BUILD_TESTS)
     add_executable(${NAME}_tests ${tests} ${harness})
-    target_include_directories(${NAME}_tests PRIVATE ${root}/src ${root}/tests)
+    target_include_directories(${NAME}_tests PRIVATE ${root}/src ${root}/tests
+                                                     ${root}/bench)
     target_link_libraries(${NAME}_tests PRIVATE ${target} rattanloft_test_main)
     add_test(NAME ${NAME} COMMAND ${NAME}_tests)
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -205,6 +205,7 @@
       wire::ShardRef* ref = request.add_released();
       ref->set_service(shard.m_service);
       ref->set_shard(shard.m_shard);
+      ref->set_epoch(shard.m_epoch);
     }
   }
   *request.mutable_load() = m_load;
@@ -325,7 +326,7 @@
     aView.m_backend = 0;
     aView.m_released = nullptr;
   }
-  if (late || !IsOwnNumber(number, aView)) {
+  if (!IsOwnNumber(number, aView)) {
     return;
   }
   if (number != aView.m_backend) {
@@ -333,7 +334,7 @@
     aView.m_backend = number;
     aView.m_leaseEnd = TimePoint{};
   }
-  m_numberSentAt = aSentAt;
+  m_numberSentAt = std::max(m_numberSentAt, aSentAt);
   m_numberEnded = false;
   if (aReply.lease_ms() > 0) {
     aView.m_leaseEnd = std::max(
