--- a/modules/consensus/tests/ReplicatedLogTest.cpp
+++ b/modules/consensus/tests/ReplicatedLogTest.cpp
@@ -27,6 +27,20 @@
 
 } // namespace
 
+// Guards the harness itself: without faults every command commits in order.
+TEST_CASE("A group of three commits commands")
+{
+  TestCluster cluster(1);
+  cluster.Found(3);
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(cluster.Commit("c" + std::to_string(i)) != 0);
+  }
+  cluster.Run(Seconds(1));
+  for (uint64_t id = 1; id <= 3; ++id) {
+    REQUIRE(cluster.At(id).m_machine->m_applied.size() == 20);
+  }
+}
+
 // Guards against a replica that lost contact forcing an election when it is
 // back.
 TEST_CASE("A replica that returns does not disturb the term")
--- a/modules/consensus/tests/TestClusterTest.cpp
+++ b/modules/consensus/tests/TestCluster.cpp
@@ -1,7 +1,5 @@
 #include "TestCluster.h"
 
-#include <catch2/catch.hpp>
-
 #include "rattanloft/base/Assert.h"
 
 namespace rattanloft::consensus {
@@ -302,18 +300,4 @@
   return result;
 }
 
-// Guards the harness itself: without faults every command commits in order.
-TEST_CASE("A group of three commits commands")
-{
-  TestCluster cluster(1);
-  cluster.Found(3);
-  for (int i = 0; i < 20; ++i) {
-    REQUIRE(cluster.Commit("c" + std::to_string(i)) != 0);
-  }
-  cluster.Run(Seconds(1));
-  for (uint64_t id = 1; id <= 3; ++id) {
-    REQUIRE(cluster.At(id).m_machine->m_applied.size() == 20);
-  }
-}
-
 } // namespace rattanloft::consensus
