--- a/modules/cluster/src/ServicePlacer.cpp
+++ b/modules/cluster/src/ServicePlacer.cpp
@@ -20,6 +20,8 @@
 // Part of a shard's weight that does not depend on its load, so that idle
 // shards are spread too.
 constexpr double kFixedWeight = 0.2;
+constexpr double kMaxRate = 1e6;
+constexpr uint32_t kMaxSlots = 10000;
 constexpr double kMinSpeed = 0.5;
 constexpr double kMaxSpeed = 2;
 // Before the first placement, time without a new backend; spares moving most
@@ -37,6 +39,14 @@
 constexpr size_t kMaxKeyCandidates = 1024;
 constexpr size_t kMaxHotKeyChanges = 8;
 
+// Reports may hold anything, and one absurd figure must not upset the weights
+// of all shards.
+double
+SaneRate(double aReported)
+{
+  return aReported > 0 ? std::min(aReported, kMaxRate) : 0;
+}
+
 bool
 IsFirstPlacement(const ServiceTable& aTable)
 {
@@ -145,14 +155,14 @@
     std::map<ShardNumber, double> reported;
     double sum = 0;
     for (const wire::ShardLoad& load : view.m_load.shards()) {
-      if (load.service() == m_service && load.requests_per_second() >= 0) {
-        reported[load.shard()] = load.requests_per_second();
-        sum += load.requests_per_second();
+      if (load.service() == m_service) {
+        reported[load.shard()] = SaneRate(load.requests_per_second());
+        sum += SaneRate(load.requests_per_second());
       }
     }
     const std::vector<ShardNumber>& shards = owned[view.m_backend->number()];
     const double others =
-      std::max(0.0, view.m_load.requests_per_second() - sum) /
+      std::max(0.0, SaneRate(view.m_load.requests_per_second()) - sum) /
       static_cast<double>(std::max<size_t>(
         1, shards.size() - std::min(shards.size(), reported.size())));
     for (const ShardNumber shard : shards) {
@@ -177,7 +187,8 @@
     const wire::NodeLoad& load = view.m_load;
     if (view.m_reachable && load.in_flight() > 0 &&
         load.requests_per_second() >= kMinBackendRate) {
-      const double speed = load.requests_per_second() / load.in_flight();
+      const double speed =
+        SaneRate(load.requests_per_second()) / load.in_flight();
       raw[view.m_backend->number()] = speed;
       sum += speed;
     }
@@ -209,7 +220,7 @@
   for (const BackendView& view : aBackends) {
     for (const wire::KeyLoad& load : view.m_load.keys()) {
       if (view.m_reachable && load.service() == m_service) {
-        rates[load.key()] += load.requests_per_second();
+        rates[load.key()] += SaneRate(load.requests_per_second());
       }
     }
   }
@@ -242,7 +253,7 @@
     added.m_number = backend.number();
     added.m_zone = backend.zone();
     const auto speed = m_speeds.find(backend.number());
-    added.m_capacity = std::max(1U, backend.slots()) *
+    added.m_capacity = std::clamp(backend.slots(), 1U, kMaxSlots) *
                        (speed == m_speeds.end() ? 1 : speed->second.m_used);
     added.m_leaving =
       backend.state() == wire::BACKEND_STATE_DRAINING || !view.m_healthy;
--- a/modules/cluster/tests/CoordinatorTest.cpp
+++ b/modules/cluster/tests/CoordinatorTest.cpp
@@ -1,7 +1,10 @@
 #include "rattanloft/cluster/Coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
+#include <memory>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -56,11 +59,10 @@
     aNode.set_sequence(aNode.sequence() + 1);
     Apply(m_coordinator->OnSync(aNode, m_now));
   }
-  // Answers what is ready and returns when no call is left to be answered.
-  void Answer()
+  // Answers the calls that are ready. The commands are left to the caller.
+  std::vector<wire::Command> Answer()
   {
     const TickOutcome outcome = m_coordinator->Tick(m_now);
-    Apply(outcome.m_commands);
     for (const ReadyReply& ready : outcome.m_ready) {
       wire::SyncRequest& node = m_nodes[ready.m_nodeId];
       const wire::SyncReply reply =
@@ -72,6 +74,7 @@
         node.set_answered(node.sequence());
       }
     }
+    return outcome.m_commands;
   }
   void Run(Duration aSpan)
   {
@@ -84,7 +87,7 @@
           Sync(node);
         }
       }
-      Answer();
+      Apply(Answer());
     }
   }
   // Releases each shard that its node was asked for.
@@ -178,6 +181,41 @@
   REQUIRE(shop.m_replies["n0"].lease_ms() == 0);
 }
 
+// Guards against a lease that is granted while the command that ends it is on
+// its way through the log.
+TEST_CASE("A lease is not renewed once its end has been proposed")
+{
+  Shop shop(4);
+  shop.m_silent.insert("n0");
+  wire::SyncRequest old = shop.m_nodes["n0"];
+  bool gone = true;
+  SECTION("The node is silent") {}
+  SECTION("A new process of the node waits")
+  {
+    gone = false;
+    shop.m_nodes["n0"].set_session(8);
+  }
+  std::vector<wire::Command> late;
+  while (late.empty()) {
+    if (!gone) {
+      shop.Sync(shop.m_nodes["n0"]);
+    }
+    shop.m_now = shop.m_now + Milliseconds(20);
+    for (const char* name : { "n1", "n2", "n3" }) {
+      shop.Sync(shop.m_nodes[name]);
+    }
+    late = shop.Answer();
+  }
+  REQUIRE(late[0].has_set_backend_state() == gone);
+  REQUIRE(late[0].has_register_backend() == !gone);
+  old.set_sequence(old.sequence() + 1000);
+  shop.Sync(old);
+  const wire::SyncReply reply =
+    shop.m_coordinator->BuildReply("n0", shop.m_now);
+  REQUIRE(reply.backend_number() == shop.Number("n0"));
+  REQUIRE(reply.lease_ms() == 0);
+}
+
 // Guards against a new leader that does not know the leases of the old one.
 TEST_CASE("A new leader waits before it gives a silent node up")
 {
@@ -362,6 +400,29 @@
   REQUIRE(shop.m_state.m_state.Snapshot().hot_keys_size() == 0);
 }
 
+// Guards against reports that mislead: one absurd figure moves nothing of the
+// backends whose figures are sound.
+TEST_CASE("Absurd load figures do no harm")
+{
+  Shop shop(4);
+  for (auto& [name, node] : shop.m_nodes) {
+    node.mutable_load()->set_requests_per_second(1000);
+  }
+  const double absurd[] = { std::nan(""), INFINITY, -1e300, 1e300 };
+  for (const double value : absurd) {
+    wire::NodeLoad* load = shop.m_nodes["n0"].mutable_load();
+    load->set_requests_per_second(value);
+    load->clear_shards();
+    load->add_shards()->set_service("shop");
+    load->mutable_shards(0)->set_requests_per_second(value);
+    shop.Run(Seconds(20));
+  }
+  REQUIRE(shop.Owned(0) == 0);
+  for (const char* name : { "n1", "n2", "n3" }) {
+    REQUIRE(shop.Owned(shop.Number(name)) >= 1024);
+  }
+}
+
 // Guards against a late request that overwrites a newer report or takes a
 // shard away that was granted again.
 TEST_CASE("An overtaken request is ignored")
