Ignore late requests of a replaced node process

A late request of the old process renewed the lease whose end the new process waited for. Besides, an unhealthy backend got its time to release anew from each new leader. Change: requests of the previous session are ignored while the current one is heard; a backend that a leader never saw well gets no further time to release.

--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -101,7 +101,7 @@
     return commands;
   }
   Node& node = m_nodes[nodeId];
-  if (IsStale(node, aRequest)) {
+  if (IsStale(node, aRequest, aNow)) {
     return commands;
   }
   TakeReport(node, aRequest, aNow);
@@ -111,14 +111,22 @@
   return commands;
 }
 
-// A request that was overtaken by a later one of the same process.
+// A request that was overtaken by a later one of the same process, or by those
+// of a new process. A late request of the old process would otherwise renew the
+// lease whose end the new one waits for.
 bool
 Coordinator::Data::IsStale(const Node& aNode,
-                           const wire::SyncRequest& aRequest) const
+                           const wire::SyncRequest& aRequest,
+                           TimePoint aNow) const
 {
-  return !aNode.m_last.node_id().empty() &&
-         aRequest.session() == aNode.m_last.session() &&
-         aRequest.sequence() <= aNode.m_last.sequence();
+  if (aNode.m_last.node_id().empty()) {
+    return false;
+  }
+  if (aRequest.session() == aNode.m_last.session()) {
+    return aRequest.sequence() <= aNode.m_last.sequence();
+  }
+  return aRequest.session() == aNode.m_previousSession &&
+         aNow - aNode.m_heardAt < kHeardWithin;
 }
 
 void
@@ -133,6 +141,9 @@
     aNode.m_unconfirmed = 0;
     aNode.m_confirmedAt = aNow;
   }
+  if (!sameSession && !aNode.m_last.node_id().empty()) {
+    aNode.m_previousSession = aNode.m_last.session();
+  }
   aNode.m_last = aRequest;
   aNode.m_heardAt = aNow;
   // A node that replaces its call again and again still gets its lease renewed.
--- a/modules/cluster/src/CoordinatorData.h
+++ b/modules/cluster/src/CoordinatorData.h
@@ -47,6 +47,8 @@
     TimePoint m_nextRegistration;
     // Incarnation that the node was told to be gone.
     uint64_t m_toldGone = 0;
+    // Session of the process before the current one.
+    std::optional<uint64_t> m_previousSession;
     // Replies built since the node last confirmed a new one, and that time.
     uint32_t m_unconfirmed = 0;
     TimePoint m_confirmedAt;
@@ -66,13 +68,16 @@
     // When SetBackendState was proposed last.
     std::optional<TimePoint> m_proposedAt;
     TimePoint m_coldUntil;
+    bool m_seenHealthy = false;
     std::optional<TimePoint> m_unhealthySince;
   };
 
   const CatalogueStore& Catalogue() const;
   const RouteStore& Routes() const;
 
-  bool IsStale(const Node& aNode, const wire::SyncRequest& aRequest) const;
+  bool IsStale(const Node& aNode,
+               const wire::SyncRequest& aRequest,
+               TimePoint aNow) const;
   void TakeReport(Node& aNode,
                   const wire::SyncRequest& aRequest,
                   TimePoint aNow);
--- a/modules/cluster/src/Leases.cpp
+++ b/modules/cluster/src/Leases.cpp
@@ -116,9 +116,13 @@
   }
   for (auto& [number, lease] : m_leases) {
     if (!m_unhealthy.contains(number)) {
+      const wire::Backend* backend = Routes().Find(number);
+      lease.m_seenHealthy |= backend && NodeOf(*backend);
       lease.m_unhealthySince.reset();
     } else if (!lease.m_unhealthySince) {
-      lease.m_unhealthySince = aNow;
+      // A backend that this leader never saw well has had its time to release
+      // under the old one.
+      lease.m_unhealthySince = lease.m_seenHealthy ? aNow : m_startedAt;
     }
   }
 }
--- a/modules/cluster/tests/CoordinatorTest.cpp
+++ b/modules/cluster/tests/CoordinatorTest.cpp
@@ -439,6 +439,14 @@
   wire::SyncRequest late = shop.m_nodes["n0"];
   late.set_draining(true);
   REQUIRE(shop.m_coordinator->OnSync(late, shop.m_now).empty());
+
+  // A request of a replaced process must not renew the old lease.
+  late.set_sequence(late.sequence() + 1);
+  shop.m_nodes["n0"].set_session(8);
+  shop.Run(Seconds(1));
+  REQUIRE(shop.m_coordinator->OnSync(late, shop.m_now).empty());
+  shop.Run(Seconds(2));
+  REQUIRE(shop.m_replies["n0"].lease_ms() == 2500);
 }
 
 // Guards against a crash or a spin when there is nowhere to place anything.
--- a/modules/cluster/tests/Simulation.cpp
+++ b/modules/cluster/tests/Simulation.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "rattanloft/base/Log.h"
+
 namespace rattanloft::cluster {
 
 namespace {
@@ -241,6 +243,7 @@
   m_nextFault = m_now + Random(0, 9000);
   m_lastFault = m_now;
   const int64_t kind = Random(0, 9);
+  LogInfo("sim", "at {}: fault {}", m_now, kind);
   if (kind == 0) {
     // The old leader is lost and the new one needs up to 1 s.
     m_noQuorumUntil = m_now + Random(0, 1000);
@@ -268,6 +271,7 @@
 Simulation::LoseNode(SimNode& aNode, int64_t aKind)
 {
   const int64_t until = m_now + Random(100, 9000);
+  LogInfo("sim", "at {}: node {}, until {}", m_now, aNode.m_id, until);
   switch (aKind) {
     case 2:
       aNode.m_pausedUntil = until;
