--- a/modules/cluster/src/ServicePlacer.cpp
+++ b/modules/cluster/src/ServicePlacer.cpp
@@ -13,13 +13,21 @@
 // An imbalance must last this long, so that swings of the load move nothing.
 constexpr Duration kHysteresis = Seconds(10);
 constexpr Duration kLoadInterval = Seconds(1);
-// Weight of a new report each second: a time constant of about 10 s.
-constexpr double kSmoothing = 0.1;
+// Weights of a new report each second: time constants of 30 s for shards, 50 s
+// for speeds and 10 s for keys. With 10 s for all, reports that swing by 50 %
+// moved 27 % of all shards in 120 s.
+constexpr double kShardSmoothing = 0.033;
+constexpr double kSpeedSmoothing = 0.02;
+constexpr double kKeySmoothing = 0.1;
+// A speed is used until the smoothed one differs by more than this.
+constexpr double kSpeedTolerance = 0.2;
 // Below this rate for each backend the reports are too thin to weigh shards.
 constexpr double kMinBackendRate = 10;
 // Part of a shard's weight that does not depend on its load, so that idle
 // shards are spread too.
 constexpr double kFixedWeight = 0.2;
+constexpr double kMaxRate = 1e6;
+constexpr uint32_t kMaxSlots = 10000;
 constexpr double kMinSpeed = 0.5;
 constexpr double kMaxSpeed = 2;
 // Before the first placement, time without a new backend; spares moving most
@@ -37,6 +45,14 @@
 constexpr size_t kMaxKeyCandidates = 1024;
 constexpr size_t kMaxHotKeyChanges = 8;
 
+// Reports may hold anything, and one absurd figure must not upset the weights
+// of all shards.
+double
+SaneRate(double aReported)
+{
+  return aReported > 0 ? std::min(aReported, kMaxRate) : 0;
+}
+
 bool
 IsFirstPlacement(const ServiceTable& aTable)
 {
@@ -145,20 +161,20 @@
     std::map<ShardNumber, double> reported;
     double sum = 0;
     for (const wire::ShardLoad& load : view.m_load.shards()) {
-      if (load.service() == m_service && load.requests_per_second() >= 0) {
-        reported[load.shard()] = load.requests_per_second();
-        sum += load.requests_per_second();
+      if (load.service() == m_service) {
+        reported[load.shard()] = SaneRate(load.requests_per_second());
+        sum += SaneRate(load.requests_per_second());
       }
     }
     const std::vector<ShardNumber>& shards = owned[view.m_backend->number()];
     const double others =
-      std::max(0.0, view.m_load.requests_per_second() - sum) /
+      std::max(0.0, SaneRate(view.m_load.requests_per_second()) - sum) /
       static_cast<double>(std::max<size_t>(
         1, shards.size() - std::min(shards.size(), reported.size())));
     for (const ShardNumber shard : shards) {
       const auto found = reported.find(shard);
       const double rate = found == reported.end() ? others : found->second;
-      m_shardRates[shard] += kSmoothing * (rate - m_shardRates[shard]);
+      m_shardRates[shard] += kShardSmoothing * (rate - m_shardRates[shard]);
       total += m_shardRates[shard];
     }
     count++;
@@ -177,7 +193,8 @@
     const wire::NodeLoad& load = view.m_load;
     if (view.m_reachable && load.in_flight() > 0 &&
         load.requests_per_second() >= kMinBackendRate) {
-      const double speed = load.requests_per_second() / load.in_flight();
+      const double speed =
+        SaneRate(load.requests_per_second()) / load.in_flight();
       raw[view.m_backend->number()] = speed;
       sum += speed;
     }
@@ -191,10 +208,10 @@
       const double mean = sum / static_cast<double>(raw.size());
       const double relative =
         std::clamp(found->second / mean, kMinSpeed, kMaxSpeed);
-      speed.m_smoothed += kSmoothing * (relative - speed.m_smoothed);
+      speed.m_smoothed += kSpeedSmoothing * (relative - speed.m_smoothed);
     }
     // Small changes are not used, since each would move shards.
-    if (std::abs(speed.m_smoothed / speed.m_used - 1) > kPlacementTolerance) {
+    if (std::abs(speed.m_smoothed / speed.m_used - 1) > kSpeedTolerance) {
       speed.m_used = speed.m_smoothed;
     }
     speeds[number] = speed;
@@ -209,7 +226,7 @@
   for (const BackendView& view : aBackends) {
     for (const wire::KeyLoad& load : view.m_load.keys()) {
       if (view.m_reachable && load.service() == m_service) {
-        rates[load.key()] += load.requests_per_second();
+        rates[load.key()] += SaneRate(load.requests_per_second());
       }
     }
   }
@@ -223,10 +240,10 @@
     }
     KeyState& state = m_keys[name];
     state.m_reported = true;
-    state.m_rate += kSmoothing * (rate - state.m_rate);
+    state.m_rate += kKeySmoothing * (rate - state.m_rate);
   }
   for (auto& [key, state] : m_keys) {
-    state.m_rate *= state.m_reported ? 1 : 1 - kSmoothing;
+    state.m_rate *= state.m_reported ? 1 : 1 - kKeySmoothing;
   }
 }
 
@@ -242,7 +259,7 @@
     added.m_number = backend.number();
     added.m_zone = backend.zone();
     const auto speed = m_speeds.find(backend.number());
-    added.m_capacity = std::max(1U, backend.slots()) *
+    added.m_capacity = std::clamp(backend.slots(), 1U, kMaxSlots) *
                        (speed == m_speeds.end() ? 1 : speed->second.m_used);
     added.m_leaving =
       backend.state() == wire::BACKEND_STATE_DRAINING || !view.m_healthy;
@@ -308,19 +325,20 @@
 {
   // A started rebalancing goes on until nothing is left to move, so that it
   // does not stop just inside the tolerance.
-  const bool finished = m_rebalancing && !aPlan.m_rebalances && aIdle;
-  m_rebalancing = m_rebalancing && !finished;
-  if (!aPlan.m_unbalanced || finished) {
-    m_unbalanced = false;
+  if (m_rebalancing && !aPlan.m_rebalances && aIdle) {
+    m_rebalancing = false;
+    m_outsideSince.clear();
     return;
   }
-  if (!m_unbalanced) {
-    m_unbalanced = true;
-    m_unbalancedSince = aNow;
-  }
-  if (aPlan.m_joined || aNow - m_unbalancedSince >= kHysteresis) {
-    m_rebalancing = true;
+  // Each backend counts for itself: of many, some are always outside.
+  std::map<uint32_t, TimePoint> since;
+  for (const uint32_t backend : aPlan.m_outside) {
+    const auto known = m_outsideSince.find(backend);
+    since[backend] = known == m_outsideSince.end() ? aNow : known->second;
+    m_rebalancing |= aNow - since[backend] >= kHysteresis;
   }
+  m_outsideSince = std::move(since);
+  m_rebalancing |= aPlan.m_joined;
 }
 
 std::vector<wire::Command>
