Pause between attempts only after all control instances were tried

Cause: the failover test took 12 s to 24 s: with a dead instance first in the list, every request paused 100 ms before it tried the next one. Change: the client pauses after a full round and starts with the instance that answered last.

--- a/tools/rattanloft/ControlClient.cpp
+++ b/tools/rattanloft/ControlClient.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <fmt/format.h>
@@ -52,24 +53,25 @@
   const TimePoint end = clock.Now() + m_timeout;
   tl::expected<ControlAnswer, std::string> last =
     tl::unexpected(std::string("no control instance was tried"));
-  std::string leader;
-  for (size_t next = 0;;) {
-    const bool follow = !leader.empty();
+  std::string redirect = std::exchange(m_answered, "");
+  for (size_t tried = 0;;) {
+    const bool follow = !redirect.empty();
     const std::string address =
-      follow ? leader : m_addresses[next++ % m_addresses.size()];
+      follow ? redirect : m_addresses[tried++ % m_addresses.size()];
     const Duration left = end - clock.Now();
     if (left.m_ms <= 0) {
       return last;
     }
     auto answer =
       SendTo(address, aMethod, aTarget, aBody, std::min(left, kAttemptTimeout));
-    leader = answer && !follow ? LeaderAddress(*answer) : "";
+    redirect = answer && !follow ? LeaderAddress(*answer) : "";
     if (answer && answer->m_status != kMisdirected &&
         answer->m_status != kUnavailable) {
+      m_answered = address;
       return answer;
     }
     last = std::move(answer);
-    if (leader.empty()) {
+    if (redirect.empty() && tried > 0 && tried % m_addresses.size() == 0) {
       std::this_thread::sleep_for(kPause);
     }
   }
--- a/tools/rattanloft/ControlClient.h
+++ b/tools/rattanloft/ControlClient.h
@@ -44,6 +44,8 @@
 private:
   std::vector<std::string> m_addresses;
   Duration m_timeout;
+  // Where the last request was answered; tried first.
+  std::string m_answered;
 };
 
 // From --control and --timeout_ms; the error is a line for the user.
