--- /dev/null
+++ b/tools/rattanloft/tests/ChangeBench.cpp
@@ -0,0 +1,141 @@
+// Rate of accepted catalogue changes, and the gap in them after the leader is
+// killed. Starts three control instances on loopback:
+// ChangeBench WRITERS SECONDS [kill]
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <mutex>
+#include <string_view>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "ControlProcesses.h"
+
+namespace rattanloft::tool {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+struct Shared
+{
+  std::mutex m_lock;
+  std::vector<Clock::time_point> m_accepted;
+  std::vector<double> m_latenciesMs;
+  std::atomic<bool> m_stopping = false;
+  std::atomic<uint64_t> m_refused = 0;
+};
+
+void
+Write(const std::vector<std::string>& aAddresses, int aWriter, Shared& aShared)
+{
+  ControlClient client(aAddresses, Seconds(15));
+  const std::string entry = fmt::format("entry{}", aWriter);
+  const json body = { { "owner", "bench" },
+                      { "service", entry },
+                      { "methods", { "GET" } },
+                      { "class", "interactive" },
+                      { "idempotent", true },
+                      { "keyed", false },
+                      { "limits",
+                        { { "deadline_ms", 1000 },
+                          { "max_queue", 100 },
+                          { "max_body_bytes", 1000 } } } };
+  uint64_t revision = 0;
+  for (int i = 0; !aShared.m_stopping; ++i) {
+    const auto begin = Clock::now();
+    const auto answer =
+      client.Send("PUT",
+                  fmt::format("/v1/catalogue/{}?change_id=w{}-{}"
+                              "&expected_revision={}",
+                              entry,
+                              aWriter,
+                              i,
+                              revision),
+                  body.dump());
+    if (!answer || answer->m_status != 200) {
+      ++aShared.m_refused;
+      continue;
+    }
+    revision = answer->m_body["revision"];
+    const auto end = Clock::now();
+    const std::lock_guard guard(aShared.m_lock);
+    aShared.m_accepted.push_back(end);
+    aShared.m_latenciesMs.push_back(
+      std::chrono::duration<double, std::milli>(end - begin).count());
+  }
+}
+
+double
+LongestGapMs(std::vector<Clock::time_point> aTimes)
+{
+  std::ranges::sort(aTimes);
+  Clock::duration longest{};
+  for (size_t i = 1; i < aTimes.size(); ++i) {
+    longest = std::max(longest, aTimes[i] - aTimes[i - 1]);
+  }
+  return std::chrono::duration<double, std::milli>(longest).count();
+}
+
+int
+Run(int aWriters, int aSeconds, bool aKill)
+{
+  ControlProcesses group(3);
+  const auto leader = group.WaitForLeader();
+  if (!leader) {
+    fmt::print(stderr, "no leader\n");
+    return 1;
+  }
+  Shared shared;
+  std::vector<std::thread> writers;
+  for (int i = 0; i < aWriters; ++i) {
+    writers.emplace_back([&, i] { Write(group.HttpAddresses(), i, shared); });
+  }
+  const auto half = std::chrono::milliseconds(500 * aSeconds);
+  std::this_thread::sleep_for(half);
+  if (aKill) {
+    group.Stop(*leader, SIGKILL);
+  }
+  std::this_thread::sleep_for(half);
+  shared.m_stopping = true;
+  for (std::thread& writer : writers) {
+    writer.join();
+  }
+  auto& latencies = shared.m_latenciesMs;
+  std::ranges::sort(latencies);
+  const auto quantile = [&](double aShare) {
+    return latencies.empty()
+             ? 0
+             : latencies[static_cast<size_t>(
+                 static_cast<double>(latencies.size() - 1) * aShare)];
+  };
+  fmt::print("{} writers{}: {:.0f} changes/s, {} refused, p50 {:.1f} ms, p99 "
+             "{:.1f} ms, longest gap {:.0f} ms\n",
+             aWriters,
+             aKill ? ", leader killed" : "",
+             static_cast<double>(latencies.size()) / aSeconds,
+             shared.m_refused.load(),
+             quantile(0.5),
+             quantile(0.99),
+             LongestGapMs(shared.m_accepted));
+  return 0;
+}
+
+} // namespace
+
+} // namespace rattanloft::tool
+
+int
+main(int aCount, char** aArgs)
+{
+  if (aCount < 3) {
+    fmt::print(stderr, "usage: ChangeBench WRITERS SECONDS [kill]\n");
+    return 2;
+  }
+  const bool kill = aCount > 3 && std::string_view(aArgs[3]) == "kill";
+  return rattanloft::tool::Run(std::atoi(aArgs[1]), std::atoi(aArgs[2]), kill);
+}
