--- a/modules/control/tests/SyncBench.cpp
+++ b/modules/control/tests/SyncBench.cpp
@@ -18,6 +18,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "control.grpc.pb.h"
+#include "rattanloft/base/Random.h"
 #include "rattanloft/wire/GrpcChannel.h"
 
 namespace rattanloft::control {
@@ -49,10 +50,11 @@
     , m_totals(aTotals)
   {
     m_request.set_node_id(fmt::format("node-{}", aNumber));
-    m_request.set_session(static_cast<uint64_t>(aNumber) + 1);
+    // A run must not meet the incarnations of an earlier one, which are gone.
+    m_request.set_session(RandomId());
     wire::Backend* backend = m_request.mutable_backend();
     backend->set_node_id(m_request.node_id());
-    backend->set_incarnation(static_cast<uint64_t>(aNumber) + 1);
+    backend->set_incarnation(RandomId());
     backend->set_service("stand");
     backend->set_zone(fmt::format("z{}", aNumber % 3));
     backend->set_peer_address(fmt::format("127.0.0.1:{}", 30000 + aNumber));
