--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -92,7 +92,12 @@
 {
   UpdateRole();
   m_pumpedChanges = m_state.Changes();
-  if (m_coordinator == nullptr || !m_leaderReady) {
+  if (m_coordinator == nullptr) {
+    return;
+  }
+  if (!m_leaderReady) {
+    // Again after a refusal, for example while too many reads wait.
+    AwaitAppliedState();
     return;
   }
   const auto outcome = m_coordinator->Tick(m_clock.Now());
@@ -124,15 +129,25 @@
   m_leaderReady = false;
   m_coordinator = std::make_unique<cluster::Coordinator>(
     cluster::CoordinatorOptions{}, m_state.Cluster(), m_clock.Now());
-  // Placement on a state that lacks committed entries would start from wrong
-  // owners.
-  m_log.ReadBarrier(m_clock.Now(),
-                    [this, aTerm](tl::expected<void, consensus::LogError> aOk) {
-                      if (aOk && m_coordinator && m_leaderTerm == aTerm) {
-                        m_leaderReady = true;
-                        SchedulePump();
-                      }
-                    });
+  AwaitAppliedState();
+}
+
+// Placement on a state that lacks committed entries would start from wrong
+// owners.
+void
+ControlCore::AwaitAppliedState()
+{
+  if (std::exchange(m_awaitingState, true)) {
+    return;
+  }
+  ReadBarrier([this, term = m_leaderTerm](
+                const tl::expected<void, consensus::LogError>& aOk) {
+    m_awaitingState = false;
+    if (aOk && m_coordinator != nullptr && m_leaderTerm == term) {
+      m_leaderReady = true;
+      SchedulePump();
+    }
+  });
 }
 
 void
--- a/modules/control/src/ControlCore.h
+++ b/modules/control/src/ControlCore.h
@@ -77,6 +77,7 @@
   void Pump();
   void UpdateRole();
   void BecomeLeader(uint64_t aTerm);
+  void AwaitAppliedState();
   void StepDown();
   void ProposeAll(const std::vector<wire::Command>& aCommands);
   void ConfirmReadyCalls();
@@ -98,6 +99,7 @@
   uint64_t m_leaderTerm = 0;
   // The leader has applied everything that earlier leaders committed.
   bool m_leaderReady = false;
+  bool m_awaitingState = false;
   bool m_barrierInFlight = false;
   bool m_pumpScheduled = false;
   uint64_t m_pumpedChanges = 0;
--- a/tools/rattanloft/tests/ControlProcesses.cpp
+++ b/tools/rattanloft/tests/ControlProcesses.cpp
@@ -123,6 +123,12 @@
   return fmt::format("127.0.0.1:{}", m_instances[aIndex].m_httpPort);
 }
 
+std::string
+ControlProcesses::GrpcAddress(size_t aIndex) const
+{
+  return fmt::format("127.0.0.1:{}", m_instances[aIndex].m_grpcPort);
+}
+
 std::vector<std::string>
 ControlProcesses::HttpAddresses() const
 {
--- a/tools/rattanloft/tests/ControlProcesses.h
+++ b/tools/rattanloft/tests/ControlProcesses.h
@@ -25,6 +25,7 @@
   // The exit status, or minus the signal.
   int Stop(size_t aIndex, int aSignal);
   std::string HttpAddress(size_t aIndex) const;
+  std::string GrpcAddress(size_t aIndex) const;
   std::vector<std::string> HttpAddresses() const;
   std::string DataDir(size_t aIndex) const;
   pid_t Pid(size_t aIndex) const { return m_instances[aIndex].m_pid; }
