Answer a resent invalid change with its first result

Cause: the record of an invalid change holds no content, so the comparison that detects a reused change id took a resent one for a different change: 409 in place of the first 400. Change: invalid changes are not compared; a test covers each kind of result. Conclusion: every resent change id gets the first result.

--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -251,7 +251,10 @@
   if (record == nullptr) {
     return Error(kUnavailable, "unknown", "the outcome is no longer recorded");
   }
-  if (aRepeated && !SameOperation(record->change(), aChange)) {
+  // The record of an invalid change does not hold its content.
+  const bool comparable =
+    record->result().status() != wire::CHANGE_STATUS_INVALID;
+  if (aRepeated && comparable && !SameOperation(record->change(), aChange)) {
     return Error(kConflict,
                  "change_id_reused",
                  "another change was made under this change id");
--- a/tools/rattanloft/tests/ControlFailoverTest.cpp
+++ b/tools/rattanloft/tests/ControlFailoverTest.cpp
@@ -158,6 +158,35 @@
   CheckKept(writer);
 }
 
+// Guards against a resent change that gets another answer than the first time,
+// and against a change id that stands for two changes.
+TEST_CASE("A resent change id gets the first result")
+{
+  ControlProcesses group(1);
+  REQUIRE(group.WaitForLeader());
+  ControlClient client(group.HttpAddresses(), Seconds(10));
+  const auto put = [&](const char* aQuery, int aQueue) {
+    json body = json::parse(EntryBody(aQueue));
+    body["methods"] = { "GET" };
+    const auto answer = client.Send(
+      "PUT", std::string("/v1/catalogue/browse?") + aQuery, body.dump());
+    REQUIRE(answer);
+    return *answer;
+  };
+  const auto first = put("change_id=a&expected_revision=0", 1);
+  REQUIRE(first.m_status == 200);
+  CHECK(put("change_id=b&expected_revision=0", 2).m_status == 409);
+  CHECK(put("change_id=c&expected_revision=0", 2'000'000'000).m_status == 400);
+  const auto again = put("change_id=a&expected_revision=0", 1);
+  CHECK(again.m_status == 200);
+  CHECK(again.m_body["revision"] == first.m_body["revision"]);
+  CHECK(put("change_id=b&expected_revision=0", 2).m_status == 409);
+  CHECK(put("change_id=c&expected_revision=0", 2'000'000'000).m_status == 400);
+  const auto reused = put("change_id=a&expected_revision=0", 3);
+  CHECK(reused.m_status == 409);
+  CHECK(reused.m_body["error"] == "change_id_reused");
+}
+
 // Guards against a planned stop that ends without handing over, and against
 // state that does not survive a restart of all instances.
 TEST_CASE("SIGTERM hands over leadership and exits with 0")
