Measure the gap in changes at a planned stop of the leader

Cause: the benchmark covered only the kill of the leader. Change: ChangeBench takes 'term' besides 'kill'.

--- a/tools/rattanloft/tests/ChangeBench.cpp
+++ b/tools/rattanloft/tests/ChangeBench.cpp
@@ -82,7 +82,7 @@
 }
 
 int
-Run(int aWriters, int aSeconds, bool aKill)
+Run(int aWriters, int aSeconds, std::string_view aLoss)
 {
   ControlProcesses group(3);
   const auto leader = group.WaitForLeader();
@@ -97,8 +97,8 @@
   }
   const auto half = std::chrono::milliseconds(500 * aSeconds);
   std::this_thread::sleep_for(half);
-  if (aKill) {
-    group.Stop(*leader, SIGKILL);
+  if (!aLoss.empty()) {
+    group.Stop(*leader, aLoss == "kill" ? SIGKILL : SIGTERM);
   }
   std::this_thread::sleep_for(half);
   shared.m_stopping = true;
@@ -116,7 +116,7 @@
   fmt::print("{} writers{}: {:.0f} changes/s, {} refused, p50 {:.1f} ms, p99 "
              "{:.1f} ms, longest gap {:.0f} ms\n",
              aWriters,
-             aKill ? ", leader killed" : "",
+             aLoss.empty() ? "" : fmt::format(", leader lost by {}", aLoss),
              static_cast<double>(latencies.size()) / aSeconds,
              shared.m_refused.load(),
              quantile(0.5),
@@ -132,10 +132,10 @@
 int
 main(int aCount, char** aArgs)
 {
-  if (aCount < 3) {
-    fmt::print(stderr, "usage: ChangeBench WRITERS SECONDS [kill]\n");
+  const std::string_view loss = aCount > 3 ? aArgs[3] : "";
+  if (aCount < 3 || (!loss.empty() && loss != "kill" && loss != "term")) {
+    fmt::print(stderr, "usage: ChangeBench WRITERS SECONDS [kill|term]\n");
     return 2;
   }
-  const bool kill = aCount > 3 && std::string_view(aArgs[3]) == "kill";
-  return rattanloft::tool::Run(std::atoi(aArgs[1]), std::atoi(aArgs[2]), kill);
+  return rattanloft::tool::Run(std::atoi(aArgs[1]), std::atoi(aArgs[2]), loss);
 }
