--- /dev/null
+++ b/modules/backend/src/LoadReport.cpp
@@ -0,0 +1,115 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "rattanloft/backend/Load.h"
+
+namespace rattanloft::backend {
+
+namespace {
+
+// aSorted in ascending order; 0 if empty.
+float
+Percentile(const std::vector<float>& aSorted, double aShare)
+{
+  if (aSorted.empty()) {
+    return 0;
+  }
+  const auto last = static_cast<double>(aSorted.size() - 1);
+  return aSorted[static_cast<size_t>(last * aShare + 0.5)];
+}
+
+uint64_t
+Outcome(const KindReport& aKind, const std::string& aName)
+{
+  const auto found = aKind.m_outcomes.find(aName);
+  return found == aKind.m_outcomes.end() ? 0 : found->second;
+}
+
+nlohmann::json
+KindJson(const KindReport& aKind)
+{
+  nlohmann::json statuses = nlohmann::json::object();
+  for (const auto& [code, count] : aKind.m_statuses) {
+    statuses[std::to_string(code)] = count;
+  }
+  const auto& times = aKind.m_latencies;
+  return { { "arrivals", aKind.m_arrivals },
+           { "attempts", aKind.m_attempts },
+           { "outcomes", aKind.m_outcomes },
+           { "statuses", statuses },
+           { "repeats", aKind.m_repeats },
+           { "repeat_mismatches", aKind.m_repeatMismatches },
+           { "digest_mismatches", aKind.m_digestMismatches },
+           { "latency_ms",
+             { { "p50", Percentile(times, 0.5) },
+               { "p90", Percentile(times, 0.9) },
+               { "p99", Percentile(times, 0.99) },
+               { "p999", Percentile(times, 0.999) },
+               { "max", Percentile(times, 1) } } } };
+}
+
+void
+SortLatencies(std::map<std::string, KindReport>& aKinds)
+{
+  for (auto& [name, kind] : aKinds) {
+    std::sort(kind.m_latencies.begin(), kind.m_latencies.end());
+  }
+}
+
+} // namespace
+
+bool
+LoadReport::HasMismatch() const
+{
+  return std::any_of(m_kinds.begin(), m_kinds.end(), [](const auto& aEntry) {
+    return aEntry.second.m_digestMismatches > 0 ||
+           aEntry.second.m_repeatMismatches > 0;
+  });
+}
+
+std::string
+LoadReport::Table()
+{
+  SortLatencies(m_kinds);
+  std::string text = fmt::format("{:20} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}\n",
+                                 "kind",
+                                 "arrivals",
+                                 "answered",
+                                 "not-run",
+                                 "unknown",
+                                 "p50 ms",
+                                 "p99 ms");
+  for (const auto& [name, kind] : m_kinds) {
+    text += fmt::format("{:20} {:9} {:9} {:9} {:9} {:9.1f} {:9.1f}\n",
+                        name,
+                        kind.m_arrivals,
+                        Outcome(kind, "answered"),
+                        Outcome(kind, "not-run"),
+                        Outcome(kind, "unknown"),
+                        Percentile(kind.m_latencies, 0.5),
+                        Percentile(kind.m_latencies, 0.99));
+  }
+  text +=
+    fmt::format("{:.1f} s, {} arrivals not sent at the generator's own bound\n",
+                m_seconds,
+                m_notSent);
+  return text;
+}
+
+std::string
+LoadReport::Json()
+{
+  SortLatencies(m_kinds);
+  nlohmann::json kinds = nlohmann::json::object();
+  for (const auto& [name, kind] : m_kinds) {
+    kinds[name] = KindJson(kind);
+  }
+  const nlohmann::json all = { { "seconds", m_seconds },
+                               { "not_sent", m_notSent },
+                               { "kinds", kinds } };
+  return all.dump();
+}
+
+} // namespace rattanloft::backend
--- /dev/null
+++ b/modules/backend/src/Profile.cpp
@@ -0,0 +1,43 @@
+#include <array>
+
+#include "rattanloft/backend/Load.h"
+
+namespace rattanloft::backend {
+
+namespace {
+
+// Section 1.5 of the design. Deadlines are those of examples/*/catalogue.json
+// by day. Shares are assumptions: mostly reads, few long jobs.
+constexpr std::array<LoadKind, 4> kAdwoa = { {
+  { "catalogue.browse", "catalogue", "GET", true, 0.70, Milliseconds(400) },
+  { "deposits.pay", "deposits", "POST", false, 0.18, Milliseconds(1500) },
+  { "dispatch.book", "dispatch", "POST", false, 0.10, Milliseconds(2000) },
+  { "dispatch.multi", "dispatch", "PUT", false, 0.02, Milliseconds(20'000) },
+} };
+
+constexpr std::array<LoadKind, 3> kTidewater = { {
+  { "proof-status.check",
+    "proof-status",
+    "GET",
+    true,
+    0.70,
+    Milliseconds(500) },
+  { "orders.cut", "orders", "POST", false, 0.22, Milliseconds(2000) },
+  { "plotter.release", "plotter", "POST", false, 0.08, Milliseconds(30'000) },
+} };
+
+} // namespace
+
+std::span<const LoadKind>
+ProfileKinds(std::string_view aProfile)
+{
+  if (aProfile == "adwoa") {
+    return kAdwoa;
+  }
+  if (aProfile == "tidewater") {
+    return kTidewater;
+  }
+  return {};
+}
+
+} // namespace rattanloft::backend
--- a/tools/rattanloft/LoadCommand.cpp
+++ b/tools/rattanloft/LoadCommand.cpp
@@ -1,14 +1,124 @@
+#include <csignal>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include "Commands.h"
+#include "rattanloft/backend/Load.h"
+
+DEFINE_string(profile, "adwoa", "mix of requests: adwoa|tidewater");
+DEFINE_string(targets, "", "caller listeners of nodes, host:port,...");
+DEFINE_double(rate, 100, "requests a second");
+DEFINE_double(duration_s, 10, "time during which requests arrive");
+DEFINE_double(step_at_s, -1, "time of the demand step; negative for none");
+DEFINE_double(step_factor, 5, "rate after the step over rate before");
+DEFINE_double(step_ramp_s, 2, "time over which the step rises");
+DEFINE_int32(keys, 10000, "number of keys");
+DEFINE_double(zipf, 0.9, "exponent of the key distribution; 0 is uniform");
+DEFINE_int32(body_bytes, 200, "size of request bodies");
+DEFINE_double(repeat_share,
+              0.1,
+              "share of answered non-idempotent requests sent again");
+DEFINE_int32(retries, 0, "attempts after refused or unknown outcomes");
+DEFINE_int32(max_outstanding, 5000, "requests at once");
+DEFINE_string(history, "", "file for invocations and returns");
+DEFINE_uint64(load_seed, 1, "seed of arrivals, kinds, keys and targets");
 
 namespace rattanloft::tool {
 
+namespace {
+
+namespace asio = boost::asio;
+
+Duration
+FromSeconds(double aSeconds)
+{
+  return Milliseconds(static_cast<int64_t>(aSeconds * 1000));
+}
+
+backend::LoadOptions
+ReadOptions()
+{
+  backend::LoadOptions options;
+  options.m_profile = FLAGS_profile;
+  std::istringstream targets(FLAGS_targets);
+  std::string target;
+  while (std::getline(targets, target, ',')) {
+    options.m_targets.push_back(target);
+  }
+  options.m_rate = FLAGS_rate;
+  options.m_duration = FromSeconds(FLAGS_duration_s);
+  options.m_stepAt = FromSeconds(FLAGS_step_at_s);
+  options.m_stepFactor = FLAGS_step_factor;
+  options.m_stepRamp = FromSeconds(FLAGS_step_ramp_s);
+  options.m_keys = static_cast<uint32_t>(FLAGS_keys);
+  options.m_zipf = FLAGS_zipf;
+  options.m_bodyBytes = static_cast<uint32_t>(FLAGS_body_bytes);
+  options.m_repeatShare = FLAGS_repeat_share;
+  options.m_retries = static_cast<uint32_t>(FLAGS_retries);
+  options.m_maxOutstanding = static_cast<uint32_t>(FLAGS_max_outstanding);
+  options.m_history = FLAGS_history;
+  options.m_seed = FLAGS_load_seed;
+  return options;
+}
+
+// Empty, or the flag whose value is bad.
+std::string
+BadFlag()
+{
+  if (FLAGS_targets.empty()) {
+    return "targets";
+  }
+  if (FLAGS_keys < 1 || FLAGS_keys > 1'000'000) {
+    return "keys";
+  }
+  if (FLAGS_body_bytes < 0) {
+    return "body_bytes";
+  }
+  if (FLAGS_retries < 0) {
+    return "retries";
+  }
+  if (FLAGS_max_outstanding < 1) {
+    return "max_outstanding";
+  }
+  return {};
+}
+
+} // namespace
+
 int
-LoadCommand(std::span<char*> /*aArgs*/)
+LoadCommand(std::span<char*>)
 {
-  fmt::print(stderr, "rattanloft load: not implemented yet\n");
-  return 2;
+  const std::string bad = BadFlag();
+  if (!bad.empty()) {
+    fmt::print(stderr, "rattanloft load: bad value for --{}\n", bad);
+    return 2;
+  }
+  asio::io_context context(1);
+  auto generator = backend::LoadGenerator::Make(context, ReadOptions());
+  if (!generator) {
+    fmt::print(stderr, "rattanloft load: {}\n", generator.error());
+    return 2;
+  }
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code aError, int) {
+    if (!aError) {
+      (*generator)->Stop();
+    }
+  });
+  backend::LoadReport report;
+  asio::co_spawn(context,
+                 (*generator)->Run(),
+                 [&](const std::exception_ptr&, backend::LoadReport aReport) {
+                   report = std::move(aReport);
+                   context.stop();
+                 });
+  context.run();
+  fmt::print("{}{}\n", report.Table(), report.Json());
+  return report.HasMismatch() ? 1 : 0;
 }
 
 } // namespace rattanloft::tool
