--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -14,6 +14,8 @@
 // them as lost. One lost reply alone is common.
 constexpr uint32_t kUnconfirmedReplies = 2;
 constexpr Duration kUnconfirmedFor = Seconds(1);
+// Failure detection looks at all backends, so not after each command.
+constexpr Duration kSweepInterval = Milliseconds(20);
 // News within this time goes into one reply.
 constexpr Duration kBatchInterval = Milliseconds(20);
 
@@ -133,7 +135,9 @@
   }
   aNode.m_last = aRequest;
   aNode.m_heardAt = aNow;
-  aNode.m_held = HeldCall{ aRequest.sequence(), aNow, false };
+  // A node that replaces its call again and again still gets its lease renewed.
+  const TimePoint since = aNode.m_held ? aNode.m_held->m_since : aNow;
+  aNode.m_held = HeldCall{ aRequest.sequence(), since, false };
 }
 
 const wire::Backend*
@@ -238,14 +242,17 @@
 Coordinator::Data::Tick(TimePoint aNow)
 {
   TickOutcome outcome;
-  SweepLeases(aNow);
-  UpdateHealth(aNow);
-  for (auto& [nodeId, node] : m_nodes) {
-    if (aNow - node.m_heardAt < kHeardWithin) {
-      Register(node, aNow, outcome.m_commands);
+  if (aNow >= m_nextSweep) {
+    m_nextSweep = aNow + kSweepInterval;
+    SweepLeases(aNow);
+    UpdateHealth(aNow);
+    for (auto& [nodeId, node] : m_nodes) {
+      if (aNow - node.m_heardAt < kHeardWithin) {
+        Register(node, aNow, outcome.m_commands);
+      }
     }
+    EndLeases(aNow, outcome.m_commands);
   }
-  EndLeases(aNow, outcome.m_commands);
   Place(aNow, outcome.m_commands);
   CollectReady(aNow, outcome.m_ready);
   return outcome;
@@ -305,6 +312,7 @@
   if (!known) {
     return reply;
   }
+  reply.set_incarnation(known->incarnation());
   if (known->state() == wire::BACKEND_STATE_GONE) {
     reply.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
     node.m_toldGone = known->incarnation();
--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -81,6 +81,7 @@
   if (!std::exchange(m_pumpScheduled, true)) {
     asio::post(m_context, [this] {
       m_pumpScheduled = false;
+      m_log.Tick(m_clock.Now());
       Pump();
     });
   }
@@ -177,6 +178,7 @@
       ++m_counters.m_failedBarriers;
       m_held.AnswerAll(wire::SYNC_STATUS_NO_LEADER);
     });
+  SchedulePump();
 }
 
 void
@@ -261,6 +263,7 @@
                   SchedulePump();
                   callback(std::move(aIndex));
                 });
+  SchedulePump();
 }
 
 void
@@ -273,6 +276,7 @@
 ControlCore::ReadBarrier(BarrierCallback aCallback)
 {
   m_log.ReadBarrier(m_clock.Now(), std::move(aCallback));
+  SchedulePump();
 }
 
 void
