--- a/modules/http/tests/HttpBench.cpp
+++ b/modules/http/tests/HttpBench.cpp
@@ -66,8 +66,8 @@
   const auto client = Client::Make(context, {});
   Run run{ *client,
            fmt::format("127.0.0.1:{}", aPort),
-           Clock::now() + std::chrono::milliseconds(
-                            static_cast<int64_t>(aSeconds * 1000)),
+           Clock::now() +
+             std::chrono::milliseconds(static_cast<int64_t>(aSeconds * 1000)),
            {},
            0 };
   int left = aCallers;
@@ -87,14 +87,15 @@
   auto& times = run.m_microseconds;
   std::sort(times.begin(), times.end());
   const auto count = static_cast<double>(times.size());
-  fmt::print("{:3} concurrent: {:7.0f} exchanges/s, p50 {:6.0f} us, p99 {:6.0f} "
-             "us, client CPU {:5.1f} us each, {} failures\n",
-             aCallers,
-             count / elapsed,
-             times[times.size() / 2],
-             times[times.size() * 99 / 100],
-             cpu / count * 1e6,
-             run.m_failures);
+  fmt::print(
+    "{:3} concurrent: {:7.0f} exchanges/s, p50 {:6.0f} us, p99 {:6.0f} "
+    "us, client CPU {:5.1f} us each, {} failures\n",
+    aCallers,
+    count / elapsed,
+    times[times.size() / 2],
+    times[times.size() * 99 / 100],
+    cpu / count * 1e6,
+    run.m_failures);
 }
 
 } // namespace
@@ -108,16 +109,15 @@
   const double seconds = aCount > 1 ? std::atof(aArgs[1]) : 2;
   boost::asio::io_context context(1);
   uint64_t handled = 0;
-  auto server = Server::Make(
-    context,
-    {},
-    [&](Request aRequest,
-        std::shared_ptr<CancelToken>) -> boost::asio::awaitable<Response> {
-      ++handled;
-      Response response;
-      response.body() = std::move(aRequest.body());
-      co_return response;
-    });
+  auto server = Server::Make(context,
+                             {},
+                             [&](Request aRequest, std::shared_ptr<CancelToken>)
+                               -> boost::asio::awaitable<Response> {
+                               ++handled;
+                               Response response;
+                               response.body() = std::move(aRequest.body());
+                               co_return response;
+                             });
   if (!server) {
     return 1;
   }
