Repeat the cancellation of a read that is past its limit

Cause: a cancellation has no effect on a socket operation whose completion is queued, so a sender that kept bytes coming could pass the read limit.

The queued case was found by reading and has not been reproduced.

--- a/modules/http/src/Session.cpp
+++ b/modules/http/src/Session.cpp
@@ -94,12 +94,13 @@
 void
 Session::CheckDeadline(TimePoint aNow)
 {
-  if (m_state == State::kRunning || aNow < m_deadline || m_timedOut) {
+  if (m_state == State::kRunning || aNow < m_deadline) {
     return;
   }
   m_timedOut = true;
   if (m_state == State::kReading) {
-    // The coroutine answers 408.
+    // The coroutine answers 408. A cancellation has no effect on a read whose
+    // completion is already queued, so it is repeated in each sweep.
     beast::error_code ignored;
     m_socket.cancel(ignored);
     return;
@@ -199,7 +200,7 @@
         (m_version >= 11 || head.count(field::host) > 1)) {
       fault = "Host must be given once";
     }
-    if (fault.empty() && !parser.is_done()) {
+    if (fault.empty() && !parser.is_done() && !m_timedOut) {
       co_await ContinueIfExpected(head);
       auto [bodyError, bodyCount] =
         co_await beast::http::async_read(m_socket, m_buffer, parser, kToken);
--- a/modules/http/tests/ServerTest.cpp
+++ b/modules/http/tests/ServerTest.cpp
@@ -163,6 +163,59 @@
   CHECK(expect.m_text.substr(0, 12) == "HTTP/1.0 200");
 }
 
+// Guards against clients that wait in vain for leave to send the body.
+TEST_CASE("An expected 100 Continue is sent before the body")
+{
+  asio::io_context context;
+  const auto server = MakeServer(context);
+  RawClient client(context, server->Port());
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    co_await client.Send("POST /x HTTP/1.1\r\n" + kHost +
+                         "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    const std::string interim = co_await client.ReadUntil("\r\n\r\n");
+    CHECK(interim.substr(0, 12) == "HTTP/1.1 100");
+    co_await client.Send("ok");
+    const std::string answer = co_await client.ReadUntil("/x|ok");
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
+  });
+}
+
+// Guards against a refusal that is lost because the server closes while the
+// client still sends.
+TEST_CASE("A refusal reaches a client that is still sending")
+{
+  asio::io_context context;
+  const auto server = MakeServer(context);
+  const auto client = Client::Make(context, {});
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    Request request = MakeRequest("/", std::string(3 * 1024 * 1024, 'x'));
+    const Result result = co_await client->Exchange(
+      PeerName(server->Port()), std::move(request), Seconds(5), nullptr);
+    REQUIRE(result);
+    CHECK(result->result_int() == 413);
+    CHECK(client->Connections() == 0);
+  });
+}
+
+// Guards against a trickle of bytes that keeps a read alive past its limit.
+TEST_CASE("A steady trickle does not extend the read limit")
+{
+  asio::io_context context;
+  ServerOptions options;
+  options.m_readTimeout = Milliseconds(60);
+  const auto server = MakeServer(context, options);
+  RawClient client(context, server->Port());
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    co_await client.Send("GET / HTTP/1.1\r\nX: ");
+    for (int i = 0; i < 100; ++i) {
+      co_await client.Send("x");
+      co_await Sleep(Milliseconds(2));
+    }
+    const std::string answer = co_await client.ReadUntil("\r\n\r\n");
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 408");
+  });
+}
+
 // Guards against unbounded connections.
 TEST_CASE("Connections above the bound get 503")
 {
