Name a conditional argument of a co_await and choose ports below the outgoing range

GCC 12 is known to destroy a conditional temporary of a co_await expression twice. Another run failed since a port was taken by an outgoing connection before its process listened. Change: the token is a named object; ports come from 12000 to 31999. Conclusion: to be confirmed under the address sanitizer.

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -221,12 +221,13 @@
   request.prepare_payload();
   // A node finishes at-most-once work although its caller has gone, so that a
   // repeat finds the answer.
-  const bool cancellable = !aAttempt.m_classified.IsAtMostOnce();
-  auto reply =
-    co_await m_context.m_peers->Exchange(aTarget.m_peerAddress,
-                                         std::move(request),
-                                         left + kForwardMargin,
-                                         cancellable ? aCancel : nullptr);
+  // Named, because GCC 12 destroys a conditional temporary in a co_await
+  // expression twice.
+  const auto token = aAttempt.m_classified.IsAtMostOnce()
+                       ? std::shared_ptr<http::CancelToken>()
+                       : aCancel;
+  auto reply = co_await m_context.m_peers->Exchange(
+    aTarget.m_peerAddress, std::move(request), left + kForwardMargin, token);
   if (!reply) {
     const http::HttpError& error = reply.error();
     LogInfo("route",
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -55,18 +56,29 @@
 
 
 def free_ports(count):
-    """Ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Ports that were free a moment ago, below the range of outgoing ones.
+
+    A port from the ephemeral range may be taken by an outgoing connection
+    before its process listens.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports and port not in _used_ports:
+            ports.append(port)
+            _used_ports.add(port)
     return ports
 
 
+_used_ports = set()
+
+
 class Answer:
     """Status, headers and body of an HTTP answer; status 0 for none."""
 
