Match the profiles with the deployments and add short plotter work

Cause: scripts/lib/cluster.py names deposits.capture and plotter.check, and without short work on plotter servers head-of-line blocking does not show.

--- a/modules/backend/src/Profile.cpp
+++ b/modules/backend/src/Profile.cpp
@@ -10,18 +10,21 @@
 // by day. Shares are assumptions: mostly reads, few long jobs.
 constexpr std::array<LoadKind, 4> kAdwoa = { {
   { "catalogue.browse", "catalogue", "GET", true, 0.70, Milliseconds(400) },
-  { "deposits.pay", "deposits", "POST", false, 0.18, Milliseconds(1500) },
+  { "deposits.capture", "deposits", "POST", false, 0.18, Milliseconds(1500) },
   { "dispatch.book", "dispatch", "POST", false, 0.10, Milliseconds(2000) },
   { "dispatch.multi", "dispatch", "PUT", false, 0.02, Milliseconds(20'000) },
 } };
 
-constexpr std::array<LoadKind, 3> kTidewater = { {
+constexpr std::array<LoadKind, 4> kTidewater = { {
   { "proof-status.check",
     "proof-status",
     "GET",
     true,
-    0.70,
+    0.60,
     Milliseconds(500) },
+  // Short work on the servers that run the plotter jobs, which shows
+  // head-of-line blocking.
+  { "plotter.check", "plotter", "GET", true, 0.10, Milliseconds(500) },
   { "orders.cut", "orders", "POST", false, 0.22, Milliseconds(2000) },
   { "plotter.release", "plotter", "POST", false, 0.08, Milliseconds(30'000) },
 } };
