Split the checks of a request header from reading it

Cause: Session::ReadRequest had grown long. Change: RequestFault holds the checks of the header; no change in behaviour except that a fault of the header is reported before a parse error of the body.

--- a/modules/http/src/Session.cpp
+++ b/modules/http/src/Session.cpp
@@ -57,6 +57,19 @@
          aError != beast::http::error::partial_message;
 }
 
+// Names what is wrong with a request's header; empty if nothing is.
+std::string_view
+RequestFault(const Request& aRequest)
+{
+  const std::string_view fault = FramingFault(aRequest, aRequest.version());
+  const size_t hosts = aRequest.count(field::host);
+  if (fault.empty() &&
+      (hosts > 1 || (hosts == 0 && aRequest.version() >= 11))) {
+    return "Host must be given once";
+  }
+  return fault;
+}
+
 bool
 HasNoBody(status aStatus)
 {
@@ -195,11 +208,7 @@
     const Request& head = parser.get();
     m_version = head.version();
     fields = FieldCount(head);
-    fault = FramingFault(head, m_version);
-    if (fault.empty() && head.count(field::host) != 1 &&
-        (m_version >= 11 || head.count(field::host) > 1)) {
-      fault = "Host must be given once";
-    }
+    fault = RequestFault(head);
     if (fault.empty() && !parser.is_done() && !m_timedOut) {
       co_await ContinueIfExpected(head);
       auto [bodyError, bodyCount] =
@@ -215,14 +224,14 @@
     co_await Refuse(status::request_timeout, "request took too long");
     co_return std::nullopt;
   }
-  if (error && IsParseError(error)) {
-    co_await Refuse(StatusOf(error), error.message());
-    co_return std::nullopt;
-  }
   if (!fault.empty()) {
     co_await Refuse(status::bad_request, fault);
     co_return std::nullopt;
   }
+  if (error && IsParseError(error)) {
+    co_await Refuse(StatusOf(error), error.message());
+    co_return std::nullopt;
+  }
   if (error || !parser.is_done()) {
     Close();
     co_return std::nullopt;
