Report the busiest keys of a node so that hot keys are placed

Cause: the coordinator places hot keys singly from KeyLoad reports, but no node sent any. Load reports also travelled with every Sync, although they change once a second. Conclusion: the path from measured keys to placement is closed.

--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -145,7 +145,11 @@
   if (!sameSession && !aNode.m_last.node_id().empty()) {
     aNode.m_previousSession = aNode.m_last.session();
   }
+  wire::NodeLoad load = std::move(*aNode.m_last.mutable_load());
   aNode.m_last = aRequest;
+  if (!aRequest.has_load()) {
+    *aNode.m_last.mutable_load() = std::move(load);
+  }
   aNode.m_heardAt = aNow;
   // A node that replaces its call again and again still gets its lease renewed.
   const TimePoint since = aNode.m_held ? aNode.m_held->m_since : aNow;
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -153,6 +153,9 @@
   if (run->m_classified.m_shard) {
     const ShardNumber shard = *run->m_classified.m_shard;
     run->m_hold.emplace(m_shards, run->m_classified.m_service, shard);
+    if (!run->m_classified.m_key.empty()) {
+      m_context.m_keys.Add(run->m_classified.m_key);
+    }
     run->m_epoch = run->m_classified.m_view->m_routes
                      ->Find(run->m_classified.m_service, shard)
                      ->m_epoch;
--- a/modules/node/src/Traffic.cpp
+++ b/modules/node/src/Traffic.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kTickInterval = Milliseconds(10);
 constexpr Duration kReportInterval = Seconds(1);
 constexpr size_t kReportedShards = 32;
+constexpr size_t kReportedKeys = 16;
+// Rarer keys are not worth a place of their own, nor the bytes to report them.
+constexpr uint64_t kMinReportedKeyCount = 10;
 constexpr size_t kPeerConnections = 32;
 constexpr size_t kMaxPeerConnections = 512;
 
@@ -261,6 +264,17 @@
     out->set_shard(shard.m_shard);
     out->set_requests_per_second(static_cast<double>(count) * perSecond);
   }
+  const wire::Backend* own =
+    m_context.m_view->m_routes->FindBackend(m_context.m_view->m_backend);
+  for (const auto& key : m_context.m_keys.Take(kReportedKeys)) {
+    if (own == nullptr || key.m_count < kMinReportedKeyCount) {
+      break;
+    }
+    wire::KeyLoad* out = load.add_keys();
+    out->set_service(own->service());
+    out->set_key(key.m_key);
+    out->set_requests_per_second(static_cast<double>(key.m_count) * perSecond);
+  }
   return load;
 }
 
--- a/modules/node/src/TrafficContext.h
+++ b/modules/node/src/TrafficContext.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "AdmissionGate.h"
+#include "KeyCounter.h"
 #include "Signal.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/http/Client.h"
@@ -63,6 +64,8 @@
   std::string m_backendAddress;
   AdmissionGate m_gate;
   idempotency::RecordTable m_records;
+  // Keys of the own backend server's service.
+  KeyCounter m_keys;
   std::unique_ptr<http::Client> m_peers;
   std::unique_ptr<http::Client> m_backends;
   TrafficCounters m_counters;
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -127,7 +127,8 @@
   bool m_numberEnded = false;
   bool m_healthy = true;
   bool m_wantFullRoutes = false;
-  wire::NodeLoad m_load;
+  // Sent once; the leader keeps the last one.
+  std::optional<wire::NodeLoad> m_load;
   std::shared_ptr<const View> m_view;
 };
 
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -208,7 +208,10 @@
       ref->set_epoch(shard.m_epoch);
     }
   }
-  *request.mutable_load() = m_load;
+  if (m_load) {
+    *request.mutable_load() = std::move(*m_load);
+    m_load.reset();
+  }
   return request;
 }
 
