Refuse bad announcements and settings, and test bad input on real processes

Cause: nothing sent bad input to a whole process. Answers that the HTTP server gives by itself on the caller listener stated no outcome. The node had its own copy of the channel settings.

Change: the address parser of the HTTP client is http::ParseEndpoint, which the announcement and the settings of the node use as well. The caller listener sets Rattanloft-Outcome: not-run on what the server refuses. ControlClient uses wire::MakeChannel, still one channel per address, kept for good. tests/BadInputTest.py sends bad input to the caller, peer, agent, gRPC and operator ports and to the flags, and compares the file descriptors of a node and a control instance before and after. In AnnouncementTest the case of slots now uses an IP address, since "x:1" is refused for its address; it still demands the refusal by "slots", and four cases are new.

Conclusion: bad input gets a 4xx, 503 or exit status 2 and leaks no descriptor in these processes.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -1,6 +1,5 @@
 #include "rattanloft/http/Client.h"
 
-#include <charconv>
 #include <optional>
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,6 +12,7 @@
 #include "Message.h"
 #include "Pool.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/http/Endpoint.h"
 
 namespace rattanloft::http {
 
@@ -34,30 +34,6 @@
 
 using Parser = beast::http::response_parser<beast::http::string_body>;
 
-std::optional<tcp::endpoint>
-ParsePeer(std::string_view aPeer)
-{
-  const size_t colon = aPeer.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::string_view host = aPeer.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::string_view port = aPeer.substr(colon + 1);
-  uint16_t number = 0;
-  const auto [end, fault] =
-    std::from_chars(port.data(), port.data() + port.size(), number);
-  beast::error_code error;
-  const auto address = asio::ip::make_address(std::string(host), error);
-  if (error || fault != std::errc{} || end != port.data() + port.size() ||
-      number == 0) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, number);
-}
-
 void
 SetSocketOptions(tcp::socket& aSocket)
 {
@@ -407,7 +383,7 @@
             Duration aTimeout,
             std::shared_ptr<CancelToken> aCancel)
 {
-  const std::optional<tcp::endpoint> endpoint = ParsePeer(aPeer);
+  const std::optional<tcp::endpoint> endpoint = ParseEndpoint(aPeer);
   if (!endpoint) {
     HttpError error;
     error.m_code = HttpErrorCode::kAddress;
--- a/modules/node/src/Announcement.cpp
+++ b/modules/node/src/Announcement.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "rattanloft/http/Endpoint.h"
+
 namespace rattanloft::node {
 
 namespace {
@@ -44,6 +46,32 @@
   return found->get<std::string>();
 }
 
+tl::expected<std::string, std::string>
+ParseAddress(const Json& aJson)
+{
+  auto address = ParseText(aJson, "address");
+  if (address && !http::ParseEndpoint(*address)) {
+    return tl::unexpected<std::string>(
+      "address must be an IP address and port");
+  }
+  return address;
+}
+
+// A wrong type is an error, since a flag that is taken for false would turn the
+// verification of tokens off unnoticed.
+tl::expected<bool, std::string>
+ParseFlag(const Json& aJson, const char* aField)
+{
+  const auto found = aJson.find(aField);
+  if (found == aJson.end()) {
+    return false;
+  }
+  if (!found->is_boolean()) {
+    return tl::unexpected(fmt::format("{} must be true or false", aField));
+  }
+  return found->get<bool>();
+}
+
 tl::expected<uint32_t, std::string>
 ParseCount(const Json& aJson, const char* aField, uint32_t aDefault)
 {
@@ -76,7 +104,7 @@
   if (!service) {
     return tl::unexpected(service.error());
   }
-  const auto address = ParseText(json, "address");
+  const auto address = ParseAddress(json);
   if (!address) {
     return tl::unexpected(address.error());
   }
@@ -88,18 +116,22 @@
   if (!connections) {
     return tl::unexpected(connections.error());
   }
+  const auto verifies = ParseFlag(json, "verifies_tokens");
+  if (!verifies) {
+    return tl::unexpected(verifies.error());
+  }
+  const auto draining = ParseFlag(json, "draining");
+  if (!draining) {
+    return tl::unexpected(draining.error());
+  }
   Announcement result;
   result.m_backend.set_incarnation(*incarnation);
   result.m_backend.set_service(*service);
   result.m_backend.set_slots(*slots);
-  const auto flag = [&](const char* aField) {
-    const auto found = json.find(aField);
-    return found != json.end() && found->is_boolean() && found->get<bool>();
-  };
-  result.m_backend.set_verifies_tokens(flag("verifies_tokens"));
+  result.m_backend.set_verifies_tokens(*verifies);
   result.m_address = *address;
   result.m_connections = *connections;
-  result.m_draining = flag("draining");
+  result.m_draining = *draining;
   return result;
 }
 
--- a/modules/node/src/ControlClient.cpp
+++ b/modules/node/src/ControlClient.cpp
@@ -5,10 +5,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <grpcpp/create_channel.h>
-#include <grpcpp/security/credentials.h>
+#include <grpcpp/channel.h>
 
 #include "control.grpc.pb.h"
+#include "rattanloft/wire/GrpcChannel.h"
 
 namespace rattanloft::node {
 
@@ -16,23 +16,6 @@
 
 // A Sync is held at most 400 ms; the rest covers the barrier and the way.
 constexpr Duration kCallTimeout = Milliseconds(900);
-constexpr int kKeepaliveMs = 2000;
-constexpr int kKeepaliveTimeoutMs = 1000;
-constexpr int kMinReconnectMs = 100;
-constexpr int kMaxReconnectMs = 500;
-
-std::shared_ptr<grpc::Channel>
-MakeChannel(const std::string& aAddress)
-{
-  grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
-  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
-  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinReconnectMs);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectMs);
-  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
-  return grpc::CreateCustomChannel(
-    aAddress, grpc::InsecureChannelCredentials(), arguments);
-}
 
 class GrpcControlClient final : public ControlClient
 {
@@ -45,7 +28,7 @@
     , m_addresses(std::move(aAddresses))
   {
     for (const std::string& address : m_addresses) {
-      m_stubs.push_back(wire::ControlSync::NewStub(MakeChannel(address)));
+      m_stubs.push_back(wire::ControlSync::NewStub(wire::MakeChannel(address)));
     }
   }
 
--- a/modules/node/src/Traffic.cpp
+++ b/modules/node/src/Traffic.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "Headers.h"
+#include "Outcome.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::node {
@@ -109,6 +110,9 @@
   http::ServerOptions options;
   options.m_address = aOptions.m_address;
   options.m_port = aOptions.m_callerPort;
+  // What the server refuses by itself never reached the handler.
+  options.m_refusalFields = { { std::string(header::kOutcome),
+                                std::string(OutcomeName(Outcome::kNotRun)) } };
   auto callers = http::Server::Make(
     m_context.m_context,
     options,
@@ -121,6 +125,7 @@
   }
   m_callers = std::move(*callers);
   options.m_port = aOptions.m_peerPort;
+  options.m_refusalFields.clear();
   // Every other node may hold its whole pool towards this one.
   options.m_maxConnections = 20'000;
   auto peers = http::Server::Make(
--- a/modules/node/tests/AnnouncementTest.cpp
+++ b/modules/node/tests/AnnouncementTest.cpp
@@ -41,9 +41,20 @@
     { R"({"incarnation":"00000000000000zz"})", "incarnation" },
     { R"({"incarnation":"00000000000000af"})", "service" },
     { R"({"incarnation":"00000000000000af","service":"a"})", "address" },
-    { R"({"incarnation":"00000000000000af","service":"a","address":"x:1",)"
-      R"("slots":0})",
+    { R"({"incarnation":"00000000000000af","service":"a","address":"x:1"})",
+      "address" },
+    { R"({"incarnation":"00000000000000af","service":"a",)"
+      R"("address":"127.0.0.1:99999"})",
+      "address" },
+    { R"({"incarnation":"00000000000000af","service":"a",)"
+      R"("address":"127.0.0.1:1","slots":0})",
       "slots" },
+    { R"({"incarnation":"00000000000000af","service":"a",)"
+      R"("address":"127.0.0.1:1","verifies_tokens":"yes"})",
+      "verifies_tokens" },
+    { R"({"incarnation":"00000000000000af","service":"a",)"
+      R"("address":"127.0.0.1:1","draining":1})",
+      "draining" },
   };
   for (const auto& one : cases) {
     const auto parsed = ParseAnnouncement(one.m_json);
--- /dev/null
+++ b/tests/BadInputTest.py
@@ -0,0 +1,360 @@
+#!/usr/bin/env python3
+"""Sends bad input to every listener of a real node and control instance.
+
+Guards against crashes, leaked file descriptors, requests that run although they
+are malformed, headers that a caller forges, and settings that are accepted
+although they are unusable.
+"""
+
+import json
+import os
+import shutil
+import socket
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
+
+from cluster import BINARY, Cluster, call, wait_for  # noqa: E402
+
+# Bounds of the server and of the catalogue of adwoa.
+READ_TIMEOUT_S = 10
+MAX_CALLER_CONNECTIONS = 1000
+MAX_SERVER_BODY = 1024 * 1024
+MAX_BROWSE_BODY = 4096
+
+NOT_RUN = "Rattanloft-Outcome: not-run"
+
+
+def exchange(port, data, timeout=5, shut=False):
+    """All bytes that come back for data until the peer closes or is silent."""
+    received = b""
+    with socket.create_connection(("127.0.0.1", port), timeout=timeout) as sock:
+        try:
+            sock.sendall(data)
+            if shut:
+                sock.shutdown(socket.SHUT_WR)
+            while chunk := sock.recv(65536):
+                received += chunk
+        except OSError:
+            pass
+    return received.decode("latin-1")
+
+
+def status_of(text):
+    parts = text.split(" ", 2)
+    return int(parts[1]) if text.startswith("HTTP/1.1 ") else 0
+
+
+def fd_count(process):
+    return len(os.listdir(f"/proc/{process.popen.pid}/fd"))
+
+
+class BadInputTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = Cluster("adwoa", control_count=1, backends=1)
+        try:
+            cls.cluster.start()
+            if wait_for(lambda: cls.cluster.leader() is not None, 10) is None:
+                raise RuntimeError("no leader")
+            applied = cls.cluster.operator("catalogue", "apply", os.path.join(
+                ROOT, "examples", "adwoa", "catalogue.json"))
+            if applied.returncode != 0:
+                raise RuntimeError(applied.stderr)
+            if wait_for(cls.owns_shards, 15) is None:
+                raise RuntimeError("a backend server owns no shards")
+        except Exception:
+            cls.cluster.kill_all()
+            raise
+        cls.site = cls.cluster.sites_of("catalogue")[0]
+        cls.port = cls.site.caller_port
+        cls.grpc_port, cls.http_port = cls.cluster.control_ports[0]
+
+    @classmethod
+    def owns_shards(cls):
+        return all(site.status().get("owned_shards") == 4096
+                   for site in cls.cluster.sites)
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.cluster.kill_all()
+        shutil.rmtree(cls.cluster.folder)
+
+    def setUp(self):
+        self.watched = [self.site.node, self.cluster.control[0]]
+        # The answer opens the connections that the processes keep.
+        self.assert_serves()
+        self.before = [fd_count(process) for process in self.watched]
+
+    def tearDown(self):
+        self.assert_serves()
+        for process, before in zip(self.watched, self.before):
+            # Lingering connections close within a second; pooled connections
+            # to other processes may differ by a few.
+            wait_for(lambda p=process, b=before: fd_count(p) <= b + 4, 5)
+            self.assertLessEqual(fd_count(process), before + 4, process.name)
+        for process in self.cluster.processes():
+            self.assertTrue(process.running(), f"{process.name} has ended")
+
+    def assert_serves(self):
+        answer = call(self.port, "GET", "/catalogue/stand-1")
+        self.assertEqual((answer.status, answer.outcome), (200, "answered"),
+                         answer.body)
+
+    def assert_refused(self, data, status, **options):
+        text = exchange(self.port, data, **options)
+        self.assertEqual(status_of(text), status, f"{data[:200]!r}: {text!r}")
+        self.assertIn(NOT_RUN, text)
+
+    def started(self, word):
+        return [e for e in self.cluster.executions()
+                if e["event"] == "start" and word in e["target"]]
+
+    def test_malformed_http(self):
+        for data in (b"garbage\r\n\r\n", b"\x00\xff\x01\r\n\r\n",
+                     b"GET /catalogue/a HTTP/9.9\r\n\r\n",
+                     b"GET  HTTP/1.1\r\n\r\n",
+                     b"GET /catalogue/a HTTP/1.1\r\nHost x\r\n\r\n",
+                     b"GET /catalogue/a HTTP/1.1\r\nHost: x\r\nA\x00: b\r\n\r\n",
+                     b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"):
+            with self.subTest(data=data):
+                self.assert_refused(data, 400)
+
+    def test_smuggling(self):
+        head = b"POST /deposits/smuggled HTTP/1.1\r\nHost: x\r\n" \
+               b"Idempotency-Key: \"s\"\r\n"
+        hidden = b"GET /catalogue/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+        for fields in (b"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+                       b"Content-Length: 0\r\nContent-Length: 54\r\n",
+                       b"Content-Length: +5\r\n",
+                       b"Content-Length: 0x10\r\n",
+                       b"Content-Length: 99999999999999999999\r\n",
+                       b"Content-Length: -1\r\n",
+                       b"Transfer-Encoding: chunked\r\n"
+                       b"Transfer-Encoding: identity\r\n",
+                       b"Transfer-Encoding: xchunked\r\n",
+                       b"Transfer-Encoding : chunked\r\n",
+                       b"Transfer-Encoding: chunked, chunked\r\n"):
+            with self.subTest(fields=fields):
+                text = exchange(self.port, head + fields + b"\r\n0\r\n\r\n" + hidden)
+                self.assertIn(status_of(text), (400, 413), text)
+                self.assertIn(NOT_RUN, text)
+                self.assertEqual(text.count("HTTP/1.1 "), 1, text)
+        self.assertEqual(self.started("smuggled"), [])
+
+    def test_oversize(self):
+        self.assert_refused(
+            b"GET /catalogue/a HTTP/1.1\r\nHost: x\r\nA: "
+            + b"a" * 17000 + b"\r\n\r\n", 431)
+        self.assert_refused(
+            b"POST /deposits/big HTTP/1.1\r\nHost: x\r\nContent-Length: "
+            + str(MAX_SERVER_BODY + 1).encode() + b"\r\n\r\n", 413)
+        answer = call(self.port, "GET", "/catalogue/big",
+                      "x" * (MAX_BROWSE_BODY + 1))
+        self.assertEqual((answer.status, answer.outcome, answer.reason),
+                         (413, "not-run", "body_too_large"))
+        answer = call(self.port, "GET", "/catalogue/" + "k" * 600)
+        self.assertEqual((answer.status, answer.outcome, answer.reason),
+                         (400, "not-run", "key_too_long"))
+        self.assertEqual(self.started("big"), [])
+
+    def test_outside_the_catalogue(self):
+        for method, target, status, reason in (
+                ("GET", "/nothing/1", 404, "unknown_service"),
+                ("GET", "/", 404, "unknown_service"),
+                ("GET", "/../etc/passwd", 404, "unknown_service"),
+                ("DELETE", "/catalogue/1", 405, "method_not_in_catalogue"),
+                ("BREW", "/catalogue/1", 405, "method_not_in_catalogue"),
+                ("GET", "/catalogue", 400, "missing_key"),
+                ("GET", "/catalogue/", 400, "missing_key"),
+                ("POST", "/deposits/1", 400, "missing_idempotency_key")):
+            with self.subTest(method=method, target=target):
+                answer = call(self.port, method, target)
+                self.assertEqual((answer.status, answer.outcome, answer.reason),
+                                 (status, "not-run", reason))
+        for key, reason in (('""', "missing_idempotency_key"),
+                            ("k" * 300, "idempotency_key_too_long")):
+            answer = call(self.port, "POST", "/deposits/1", "{}",
+                          {"Idempotency-Key": key})
+            self.assertEqual((answer.status, answer.outcome, answer.reason),
+                             (400, "not-run", reason))
+        self.assertEqual(self.started("/deposits/1"), [])
+
+    def test_forged_headers(self):
+        forged = {"Rattanloft-Epoch": "999999", "rattanloft-shard": "1",
+                  "RATTANLOFT-EXPIRES": "1", "Rattanloft-Key": "other",
+                  "Rattanloft-Entry": "deposits.capture",
+                  "Rattanloft-Deadline-Ms": "0",
+                  "Rattanloft-Request-Id": "forged-id"}
+        answer = call(self.port, "GET", "/catalogue/forged", headers=forged)
+        self.assertEqual((answer.status, answer.outcome), (200, "answered"))
+        self.assertEqual(answer.json()["key"], "forged")
+        runs = self.started("forged")
+        self.assertEqual([run["entry"] for run in runs], ["catalogue.browse"])
+        self.assertNotIn("forged-id", [run["request_id"] for run in runs])
+
+    def test_peer_listener(self):
+        for headers in ({}, {"Rattanloft-Epoch": "x"},
+                        {"Rattanloft-Epoch": "1", "Rattanloft-Deadline-Ms": "-1"}):
+            answer = call(self.site.peer_port, "GET", "/catalogue/peer", None,
+                          headers)
+            self.assertTrue(400 <= answer.status < 500,
+                            f"{headers}: {answer.status} {answer.body}")
+        text = exchange(self.site.peer_port, b"garbage\r\n\r\n")
+        self.assertEqual(status_of(text), 400)
+
+    def test_slow_and_short(self):
+        head = b"POST /deposits/short HTTP/1.1\r\nHost: x\r\n" \
+               b"Idempotency-Key: \"short\"\r\nContent-Length: 100\r\n\r\n"
+        # A body that ends early: closed without running, with any 4xx or none.
+        text = exchange(self.port, head + b"12345", shut=True)
+        self.assertIn(status_of(text), (0, 400), text)
+        begun = time.monotonic()
+        texts = {}
+        senders = [threading.Thread(target=lambda n=name, d=data: texts.__setitem__(
+            n, exchange(self.port, d, READ_TIMEOUT_S + 3)))
+            for name, data in (("body", head + b"1"),
+                               ("header", b"GET /catalogue/slow HTTP/1.1\r\nHo"))]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+        self.assertLess(time.monotonic() - begun, READ_TIMEOUT_S + 2)
+        for name, text in texts.items():
+            self.assertEqual(status_of(text), 408, f"{name}: {text}")
+            self.assertIn(NOT_RUN, text)
+        self.assertEqual(self.started("short"), [])
+
+    def test_idle_connections(self):
+        idle = []
+        try:
+            for _ in range(MAX_CALLER_CONNECTIONS):
+                idle.append(socket.create_connection(("127.0.0.1", self.port)))
+            # The last ones may still wait to be accepted.
+            self.assertIsNotNone(wait_for(
+                lambda: fd_count(self.site.node) >= MAX_CALLER_CONNECTIONS, 3))
+            text = exchange(
+                self.port, b"GET /catalogue/idle HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual(status_of(text), 503, text)
+            self.assertIn(NOT_RUN, text)
+            self.assertIn("Retry-After", text)
+            self.assertLessEqual(
+                fd_count(self.site.node), MAX_CALLER_CONNECTIONS + 100)
+        finally:
+            for sock in idle:
+                sock.close()
+        served = wait_for(lambda: call(
+            self.port, "GET", "/catalogue/idle").status == 200, 5)
+        self.assertIsNotNone(served, "not served after the connections closed")
+
+    def test_grpc_port(self):
+        for data in (b"garbage\r\n\r\n", os.urandom(4096),
+                     b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 200,
+                     b"GET / HTTP/1.1\r\n\r\n"):
+            exchange(self.grpc_port, data, timeout=1, shut=True)
+        self.assertIsNotNone(self.cluster.leader())
+
+    def test_agent_port(self):
+        good = {"incarnation": "00000000000000aa", "service": "catalogue",
+                "address": "127.0.0.1:1", "slots": 1, "connections": 1,
+                "verifies_tokens": True, "draining": False,
+                "load": {"in_flight": 0}}
+        bodies = ["", "garbage", "[]", "null", "{}", '{"incarnation": 5}',
+                  "[" * 5000, '"\ud800"'.encode("utf-8", "surrogatepass")]
+        for field, bad in (("incarnation", "xyz"), ("incarnation", 7),
+                           ("service", ""), ("service", 1), ("address", "nowhere"),
+                           ("address", "127.0.0.1:99999"), ("slots", -1),
+                           ("slots", "many"), ("slots", 0), ("slots", 1e300),
+                           ("draining", "yes"), ("verifies_tokens", 3)):
+            bodies.append(json.dumps(dict(good, **{field: bad})))
+        before = self.site.status()["backend"]
+        for body in bodies:
+            with self.subTest(body=body[:80]):
+                answer = call(self.site.agent_port, "POST", "/announce", body)
+                self.assertEqual(answer.status, 400, answer.body)
+        self.assertEqual(call(self.site.agent_port, "GET", "/announce").status, 405)
+        self.assertEqual(call(self.site.agent_port, "GET", "/none").status, 404)
+        self.assertEqual(
+            status_of(exchange(self.site.agent_port, b"garbage\r\n\r\n")), 400)
+        self.assertEqual(self.site.status()["backend"], before)
+
+    def test_operator_interface(self):
+        entry = {"name": "bad.entry", "owner": "o", "service": "bad",
+                 "methods": ["GET"], "class": "interactive", "idempotent": True,
+                 "keyed": False, "limits": {"deadline_ms": 100}}
+        bodies = ["", "garbage", "[]", "null", "{}", "[" * 5000, '{"name": 3}']
+        for field, bad in (("class", "none"), ("methods", "GET"), ("methods", []),
+                           ("owner", ""), ("idempotent", "yes"),
+                           ("limits", {"deadline_ms": -1}),
+                           ("limits", {"deadline_ms": "soon"}), ("unknown", 1)):
+            bodies.append(json.dumps(dict(entry, **{field: bad})))
+        for number, body in enumerate(bodies):
+            with self.subTest(body=body[:80]):
+                answer = call(self.http_port, "PUT", "/v1/catalogue/bad.entry"
+                              f"?change_id=bad-{number}&expected_revision=0"
+                              "&operator=test", body)
+                self.assertEqual(answer.status, 400, answer.body)
+        for method, target, statuses in (
+                ("PUT", "/v1/catalogue/bad.entry", (400,)),
+                ("PUT", "/v1/catalogue/bad.entry?change_id=x&expected_revision=z",
+                 (400,)),
+                ("GET", "/v1/catalogue/none", (404,)),
+                ("GET", "/v1/none", (404,)),
+                ("DELETE", "/v1/status", (404, 405)),
+                ("GET", "/v1/history?max=x", (400,)),
+                ("GET", "/v1/catalogue/%zz", (400, 404)),
+                ("POST", "/v1/drain/none", (400, 404)),
+                ("POST", "/v1/members", (400,)),
+                ("POST", "/v1/members/zz/promote", (400, 404)),
+                ("DELETE", "/v1/members/00000000000000aa", (400, 404))):
+            with self.subTest(method=method, target=target):
+                answer = call(self.http_port, method, target, "{}"
+                              if method in ("PUT", "POST") else None)
+                self.assertIn(answer.status, statuses, answer.body)
+        self.assertEqual(
+            status_of(exchange(self.http_port, b"garbage\r\n\r\n")), 400)
+        names = [e["name"] for e in call(
+            self.http_port, "GET", "/v1/catalogue").json()["entries"]]
+        self.assertNotIn("bad.entry", names)
+
+    def test_flags(self):
+        node = ["node", "--node_id", "n", "--zone", "z", "--control_grpc",
+                "127.0.0.1:1"]
+        data = os.path.join(self.cluster.folder, "bad-flags")
+        control = ["control", "--data_dir", data]
+        for args in ([], ["none"], ["node"], ["control"],
+                     node + ["--none", "1"], node + ["--caller_port", "x"],
+                     node + ["--caller_port", "-1"], node + ["--peer_port", "70000"],
+                     node + ["--node_id", "BAD ID"], node + ["--zone", ""],
+                     node + ["--control_grpc", ""], node + ["--caller_port"],
+                     node + ["--strategy", "none"], node + ["--log_level", "loud"],
+                     node + ["--address", "not-an-address"],
+                     node + ["--advertised_address", "not-an-address"],
+                     node + ["--control_grpc", "no port here"],
+                     node + ["--control_grpc", "127.0.0.1:1,127.0.0.1:0"],
+                     node + ["extra"], node + ["--flagfile", "/nonexistent"],
+                     control + ["--none"], control + ["--grpc_address", "x"],
+                     control + ["--http_address", "127.0.0.1:99999"],
+                     control + ["--group", "garbage"],
+                     ["backend", "--slots", "0"], ["backend", "--slots", "x"],
+                     ["backend", "--request_address", "x"],
+                     ["backend", "--fault_port", "70000"],
+                     ["backend", "--service_ms", "x=y"],
+                     ["catalogue", "none"], ["catalogue"], ["drain"]):
+            with self.subTest(args=args):
+                try:
+                    done = subprocess.run([BINARY] + args, capture_output=True,
+                                          text=True, timeout=2, check=False)
+                except subprocess.TimeoutExpired:
+                    self.fail("the process runs with this setting")
+                self.assertEqual(done.returncode, 2, done.stderr)
+                self.assertNotEqual(done.stderr, "")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/rattanloft/NodeCommand.cpp
+++ b/tools/rattanloft/NodeCommand.cpp
@@ -8,6 +8,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "rattanloft/http/Endpoint.h"
 #include "rattanloft/node/Node.h"
 
 DEFINE_string(node_id,
@@ -61,6 +62,12 @@
            std::string::npos;
 }
 
+bool
+IsAddress(const std::string& aText)
+{
+  return http::ParseEndpoint(aText + ":1").has_value();
+}
+
 // Empty if all settings are usable.
 std::string
 CheckSettings()
@@ -71,9 +78,23 @@
   if (FLAGS_zone.empty()) {
     return "--zone must name the availability zone";
   }
-  if (SplitList(FLAGS_control_grpc).empty()) {
+  const std::vector<std::string> control = SplitList(FLAGS_control_grpc);
+  if (control.empty()) {
     return "--control_grpc must name at least one control instance";
   }
+  for (const std::string& address : control) {
+    if (!http::ParseEndpoint(address)) {
+      return fmt::format("--control_grpc: '{}' is not an IP address and port",
+                         address);
+    }
+  }
+  if (!IsAddress(FLAGS_address)) {
+    return "--address must be an IP address";
+  }
+  if (!FLAGS_advertised_address.empty() &&
+      !IsAddress(FLAGS_advertised_address)) {
+    return "--advertised_address must be an IP address";
+  }
   const struct
   {
     const char* m_name;
