Try an owner again that learns of its shard later than the entry node

Cause: after a 421 the entry node waited for any newer route revision. When the last moves of a drain had ended and the new owner learnt of its shard later than the entry node, no further revision came, so the request ended after 1 s with 503 owner_moving. In other runs changes of other shards used up the attempts. Seen once in 4,951 reads under an operator's drain.

Change: the entry node waits for a new epoch of the request's own shard, for 20, 80, 300 and 600 ms, and tries again after each wait. The sum stays at 1 s and the number of attempts after a 421 at 4.

Conclusion: a short lag between two nodes no longer fails a request.

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -1,6 +1,7 @@
 #include "EntryHandler.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -12,9 +13,16 @@
 namespace {
 
 // Nothing ran after a 421, so these attempts cost no backend time.
-constexpr int kMaxMisdirected = 4;
-// A planned move takes tens of milliseconds.
-constexpr Duration kMoveWait = Seconds(1);
+constexpr size_t kMaxMisdirected = 4;
+// How long to wait for a new owner of the shard after each 421. A planned move
+// takes tens of milliseconds. The new owner may learn of it later than this
+// node, so the same owner is tried again when the wait is over.
+constexpr std::array<Duration, kMaxMisdirected> kMoveWaits = {
+  Milliseconds(20),
+  Milliseconds(80),
+  Milliseconds(300),
+  Milliseconds(600)
+};
 // An unreachable owner is lost or restarting. Longer waits would fill the entry
 // nodes with requests while the lease of a lost owner ends.
 constexpr Duration kUnreachableWait = Milliseconds(500);
@@ -70,7 +78,7 @@
   std::string m_requestId;
   TimePoint m_deadline;
   ClassifiedRequest m_classified;
-  int m_misdirected = 0;
+  size_t m_misdirected = 0;
   // Backends that have refused or could not be reached.
   std::vector<uint32_t> m_excluded;
 };
@@ -269,6 +277,33 @@
   co_return true;
 }
 
+// Completes when the shard has a new owner or the limit has passed. False if
+// there is no time or no room to wait.
+boost::asio::awaitable<bool>
+EntryHandler::WaitForOwner(const Attempt& aAttempt, Duration aLimit)
+{
+  const ClassifiedRequest& request = aAttempt.m_classified;
+  const auto epochIn = [&request](const routing::View& aView) {
+    const routing::ShardRoute* route =
+      aView.m_routes->Find(request.m_service, *request.m_shard);
+    return route == nullptr ? 0 : route->m_epoch;
+  };
+  const uint64_t epoch = epochIn(*request.m_view);
+  const TimePoint end =
+    std::min(aAttempt.m_deadline, m_context.m_clock.Now() + aLimit);
+  while (epochIn(*m_context.m_view) == epoch) {
+    const Duration left = end - m_context.m_clock.Now();
+    if (left <= Milliseconds(0)) {
+      break;
+    }
+    if (m_context.m_viewChanged.Waiting() >= kMaxWaiting) {
+      co_return false;
+    }
+    co_await m_context.m_viewChanged.Wait(left);
+  }
+  co_return m_context.m_clock.Now() < aAttempt.m_deadline;
+}
+
 boost::asio::awaitable<bool>
 EntryHandler::MayTryAgain(Attempt& aAttempt,
                           const Target& aTarget,
@@ -288,7 +323,8 @@
       aAttempt.m_excluded.push_back(aTarget.m_backend);
       co_return true;
     }
-    co_return co_await WaitForRoutes(revision, aAttempt.m_deadline, kMoveWait);
+    co_return co_await WaitForOwner(aAttempt,
+                                    kMoveWaits[aAttempt.m_misdirected - 1]);
   }
   if (outcome == Outcome::kUnknown) {
     co_return request.m_entry->idempotent() &&
--- a/modules/node/src/EntryHandler.h
+++ b/modules/node/src/EntryHandler.h
@@ -49,6 +49,8 @@
   boost::asio::awaitable<bool> WaitForRoutes(uint64_t aRevision,
                                              TimePoint aDeadline,
                                              Duration aLimit);
+  boost::asio::awaitable<bool> WaitForOwner(const Attempt& aAttempt,
+                                            Duration aLimit);
   boost::asio::awaitable<bool> MayTryAgain(Attempt& aAttempt,
                                            const Target& aTarget,
                                            const http::Response& aResponse);
--- a/modules/node/tests/EntryHandlerTest.cpp
+++ b/modules/node/tests/EntryHandlerTest.cpp
@@ -59,6 +59,42 @@
   REQUIRE(node.m_peers->m_requests.back().first == "10.0.0.3:1");
 }
 
+// Guards against a request that fails since the new owner learnt of the move
+// later than the entry node, with no further change of routes to come.
+TEST_CASE("An owner that does not know of its shard yet is tried again")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  int refusals = 2;
+  node.m_peers->m_script = [&](const auto&, const auto&) -> Reply {
+    if (refusals-- > 0) {
+      return NodeAnswer(421, "not-run", "not_owner");
+    }
+    return NodeAnswer(200, "answered", "");
+  };
+  const TimePoint begun = node.m_clock.Now();
+  REQUIRE(node.AtEntry(TrafficFixture::Order("k1")).result_int() == 200);
+  REQUIRE(node.m_clock.Now() - begun < Milliseconds(400));
+}
+
+// Guards against changes of other shards that use up the attempts while the
+// own shard still moves.
+TEST_CASE("Only a new owner of the own shard ends the wait after a 421")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_peers->m_script = [&](const auto&, const auto&) -> Reply {
+    // The revision rises, the owner stays.
+    node.SetOwner(2, 10);
+    return NodeAnswer(421, "not-run", "not_owner");
+  };
+  const TimePoint begun = node.m_clock.Now();
+  const auto response = node.AtEntry(TrafficFixture::Order("k1"));
+  REQUIRE(response.result_int() == 503);
+  REQUIRE(OutcomeText(response) == "not-run");
+  REQUIRE(node.m_clock.Now() - begun >= Milliseconds(900));
+}
+
 // Guards against work that may have run being sent a second time.
 TEST_CASE("Unknown outcomes of non-idempotent work are not sent again")
 {
