Make an operator's drain last until it is undone

Cause: the operator's drain set only the state of the backend, and the next Sync of its node that did not say draining set that back to active. The node and its backend server were not told.

Change: the registration has a flag operator_drain in the replicated state, set and cleared by a command of its own (POST and DELETE /v1/drain/NODE, rattanloft drain [--undo]). It keeps the state at draining and ends with the incarnation. The Sync reply passes it to the node, which refuses new work with 421 and tells its backend server (POST and DELETE /rattanloft/drain, repeated until confirmed). The node's own drain now follows the announcements, so it ends with a new incarnation, too. Up to 128 shards of a service, formerly 32, may move at once away from backends that leave; balancing stays at 32.

--- a/modules/backend/src/Backend.cpp
+++ b/modules/backend/src/Backend.cpp
@@ -110,6 +110,7 @@
     std::shared_ptr<http::CancelToken> aCancel);
   Response HandleGrants(const Request& aRequest);
   Response HandleControl(const Request& aRequest);
+  bool IsDraining() const { return m_draining || m_drainedByOperator; }
   bool SetFault(std::string_view aName, std::string_view aTarget);
   bool SpoilAnswer(const Response& aResponse, int aSocket);
   nlohmann::json Statistics() const;
@@ -126,6 +127,8 @@
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<http::Server> m_control;
   bool m_draining = false;
+  // Ends when the operator undoes it, unlike a drain of its own.
+  bool m_drainedByOperator = false;
 };
 
 tl::expected<void, std::string>
@@ -175,7 +178,7 @@
     co_return HandleGrants(aRequest);
   }
   if (path == "/rattanloft/drain") {
-    Drain();
+    m_drainedByOperator = aRequest.method() != verb::delete_;
     co_return Answer(status::ok);
   }
   Response response =
@@ -285,7 +288,7 @@
 {
   const ExecutorCounts& counts = m_executor.Counts();
   return { { "incarnation", m_incarnation },
-           { "draining", m_draining },
+           { "draining", IsDraining() },
            { "in_flight", m_executor.InFlight() },
            { "waiting", m_executor.Waiting() },
            { "started", counts.m_started },
@@ -316,7 +319,7 @@
            { "slots", m_options.m_slots },
            { "connections", m_options.m_connections },
            { "verifies_tokens", m_options.m_verifyTokens },
-           { "draining", m_draining },
+           { "draining", IsDraining() },
            { "load", { { "in_flight", load } } } };
 }
 
@@ -370,10 +373,10 @@
       }
     }
     const TimePoint now = m_clock.Now();
-    if (!m_draining || m_executor.InFlight() + m_executor.Waiting() > 0) {
+    if (!IsDraining() || m_executor.InFlight() + m_executor.Waiting() > 0) {
       quietSince = now;
     }
-    if (m_draining && now - quietSince >= kDrainQuiet) {
+    if (IsDraining() && now - quietSince >= kDrainQuiet) {
       break;
     }
     timer.expires_after(std::chrono::milliseconds(kAnnounceInterval.m_ms));
--- a/modules/cluster/include/rattanloft/cluster/Placement.h
+++ b/modules/cluster/include/rattanloft/cluster/Placement.h
@@ -48,6 +48,8 @@
   size_t m_maxAssignments = 0;
   // Moves that may be added to those in flight.
   size_t m_maxMoves = 0;
+  // Further ones away from backends that leave.
+  size_t m_extraLeavingMoves = 0;
   // Also even out the load, besides assigning and evicting.
   bool m_rebalance = false;
 };
--- a/modules/cluster/src/ClusterState.cpp
+++ b/modules/cluster/src/ClusterState.cpp
@@ -72,6 +72,9 @@
     case wire::Command::kSetBackendState:
       routes.Apply(aCommand.set_backend_state(), aIndex);
       break;
+    case wire::Command::kSetOperatorDrain:
+      routes.Apply(aCommand.set_operator_drain(), aIndex);
+      break;
     case wire::Command::kAssignShards:
       routes.Apply(aCommand.assign_shards(), aIndex);
       break;
--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -211,9 +211,9 @@
   if (!known || known->session() != aNode.m_last.session()) {
     return;
   }
-  const wire::BackendState wanted = aNode.m_last.draining()
-                                      ? wire::BACKEND_STATE_DRAINING
-                                      : wire::BACKEND_STATE_ACTIVE;
+  const bool drains = aNode.m_last.draining() || known->operator_drain();
+  const wire::BackendState wanted =
+    drains ? wire::BACKEND_STATE_DRAINING : wire::BACKEND_STATE_ACTIVE;
   if (known->state() == wanted || known->state() == wire::BACKEND_STATE_GONE) {
     return;
   }
@@ -331,6 +331,7 @@
     return reply;
   }
   reply.set_backend_number(known->number());
+  reply.set_operator_drain(known->operator_drain());
   if (MayGrant(node, *known, aNow)) {
     LeaseOf(known->number(), aNow).m_grantedAt = aNow;
     reply.set_lease_ms(static_cast<uint32_t>(m_options.m_lease.m_ms));
--- a/modules/cluster/src/Placement.cpp
+++ b/modules/cluster/src/Placement.cpp
@@ -198,6 +198,7 @@
   void MoveLeaving()
   {
     Queue queue = Receivers();
+    const size_t limit = m_input.m_maxMoves + m_input.m_extraLeavingMoves;
     size_t added = 0;
     for (ShardNumber shard = 0; shard < m_input.m_shards.size(); shard++) {
       const PlacementShard& state = m_input.m_shards[shard];
@@ -208,7 +209,7 @@
         moving && (!target || target->m_backend->m_leaving);
       const bool leaving = owner && owner->m_backend->m_leaving && !moving;
       if (!state.m_used || !owner || (!leaving && !targetLost) ||
-          (!moving && added >= m_input.m_maxMoves)) {
+          (!moving && added >= limit)) {
         continue;
       }
       const Slot* slot = Give(queue, state.m_weight);
@@ -218,7 +219,7 @@
       added += !moving;
       m_plan.m_moves.push_back({ shard, slot->m_backend->m_number });
     }
-    m_movesLeft = m_input.m_maxMoves - added;
+    m_movesLeft = m_input.m_maxMoves - std::min(m_input.m_maxMoves, added);
   }
 
   void Rebalance()
--- a/modules/cluster/src/RouteStore.cpp
+++ b/modules/cluster/src/RouteStore.cpp
@@ -40,6 +40,7 @@
     return 0;
   }
   wanted.set_state(wire::BACKEND_STATE_ACTIVE);
+  wanted.clear_operator_drain();
   const wire::Backend* known = Find(wanted.node_id(), wanted.incarnation());
   if (known) {
     // A gone incarnation never revives, and an incarnation keeps its service,
@@ -50,6 +51,7 @@
     }
     wanted.set_number(known->number());
     wanted.set_state(known->state());
+    wanted.set_operator_drain(known->operator_drain());
     m_backends[wanted.number()] = wanted;
     Touch(aIndex).m_backends.push_back(wanted.number());
     return wanted.number();
@@ -83,10 +85,34 @@
     SetGone(backend, aIndex);
     return;
   }
+  // May have been proposed before the operator's drain was committed.
+  if (backend.operator_drain() &&
+      aCommand.state() == wire::BACKEND_STATE_ACTIVE) {
+    return;
+  }
   backend.set_state(aCommand.state());
   Touch(aIndex).m_backends.push_back(backend.number());
 }
 
+void
+RouteStore::Apply(const wire::SetOperatorDrain& aCommand, uint64_t aIndex)
+{
+  const auto found = m_backends.find(aCommand.backend());
+  if (found == m_backends.end() ||
+      found->second.state() == wire::BACKEND_STATE_GONE ||
+      found->second.operator_drain() == aCommand.drain()) {
+    return;
+  }
+  wire::Backend& backend = found->second;
+  backend.set_operator_drain(aCommand.drain());
+  // When undone, the state stays until the next Sync of the node says whether
+  // the backend server itself drains.
+  if (aCommand.drain()) {
+    backend.set_state(wire::BACKEND_STATE_DRAINING);
+  }
+  Touch(aIndex).m_backends.push_back(backend.number());
+}
+
 void
 RouteStore::Apply(const wire::AssignShards& aCommand, uint64_t aIndex)
 {
--- a/modules/cluster/src/RouteStore.h
+++ b/modules/cluster/src/RouteStore.h
@@ -20,7 +20,11 @@
 // Gone incarnations that are remembered of one node. An older one that
 // announces itself late would register under a new number, without grants.
 constexpr size_t kMaxGonePerNode = 8;
-constexpr size_t kMaxMovesPerService = 32;
+// Away from backends that leave. With 32, one of 4 backends still had 262 of
+// its 1,062 shards 2.9 s after its drain began, and new work with them.
+constexpr size_t kMaxMovesPerService = 128;
+// While as many moves are in flight, none is begun for balance.
+constexpr size_t kMaxBalancingMoves = 32;
 constexpr size_t kMaxShardedServices = 64;
 constexpr size_t kMaxAddress = 256;
 // Route revisions that a delta can reach back.
@@ -54,6 +58,7 @@
 
   uint32_t Apply(const wire::RegisterBackend& aCommand, uint64_t aIndex);
   void Apply(const wire::SetBackendState& aCommand, uint64_t aIndex);
+  void Apply(const wire::SetOperatorDrain& aCommand, uint64_t aIndex);
   void Apply(const wire::AssignShards& aCommand, uint64_t aIndex);
   void Apply(const wire::BeginMoves& aCommand, uint64_t aIndex);
   void Apply(const wire::ReleaseShards& aCommand, uint64_t aIndex);
--- a/modules/cluster/src/ServicePlacer.cpp
+++ b/modules/cluster/src/ServicePlacer.cpp
@@ -274,7 +274,10 @@
     input.m_maxAssignments = settled ? aTable.m_shards.size() : 0;
   }
   input.m_maxMoves =
-    kMaxMovesPerService - std::min(kMaxMovesPerService, aTable.m_moves);
+    kMaxBalancingMoves - std::min(kMaxBalancingMoves, aTable.m_moves);
+  input.m_extraLeavingMoves = kMaxMovesPerService -
+                              std::min(kMaxMovesPerService, aTable.m_moves) -
+                              input.m_maxMoves;
   input.m_rebalance = m_rebalancing;
   AddShards(input, aTable, first);
   return input;
--- a/modules/cluster/tests/CoordinatorTest.cpp
+++ b/modules/cluster/tests/CoordinatorTest.cpp
@@ -285,6 +285,66 @@
   REQUIRE_FALSE(shop.IsGone(number));
 }
 
+// Guards against a drained backend server that gets new work for more than 3 s
+// and against a rebalancing that moves as many shards at once as a drain.
+TEST_CASE("128 shards move at once from a draining backend, else 32")
+{
+  Shop shop(2);
+  const auto inFlight = [&] {
+    const wire::ServiceRoutes routes = shop.m_state.Routes();
+    return routes.move_targets_size() -
+           std::count(
+             routes.move_targets().begin(), routes.move_targets().end(), 0U);
+  };
+  const auto most = [&](Duration aSpan) {
+    std::ptrdiff_t highest = 0;
+    const TimePoint end = shop.m_now + aSpan;
+    while (shop.m_now < end) {
+      shop.Run(Milliseconds(20));
+      highest = std::max<std::ptrdiff_t>(highest, inFlight());
+    }
+    return highest;
+  };
+  wire::SyncRequest& joined = shop.m_nodes["n2"];
+  joined = shop.m_nodes["n1"];
+  joined.set_node_id("n2");
+  joined.mutable_backend()->set_node_id("n2");
+  joined.set_sequence(0);
+  REQUIRE(most(Seconds(30)) == 32);
+  shop.m_nodes["n0"].set_draining(true);
+  REQUIRE(most(Milliseconds(3000)) == 128);
+  REQUIRE(shop.Owned(shop.Number("n0")) == 0);
+}
+
+// Guards against an operator's drain that the next Sync of the node ends, also
+// under a new leader, and against one that cannot be undone.
+TEST_CASE("An operator's drain outlasts the announcements of the node")
+{
+  Shop shop(4);
+  const uint32_t number = shop.Number("n0");
+  shop.Apply({ MakeOperatorDrain(number, true) });
+  shop.Run(Milliseconds(200));
+  REQUIRE(shop.m_replies["n0"].operator_drain());
+  REQUIRE_FALSE(shop.m_replies["n1"].operator_drain());
+  shop.Run(Seconds(7));
+  shop.Restart();
+  shop.Run(Seconds(8));
+  const auto& backends = shop.m_state.m_state.Backends();
+  REQUIRE(backends.at(number).state() == wire::BACKEND_STATE_DRAINING);
+  REQUIRE(shop.Owned(number) == 0);
+
+  // The backend server still announces the drain that it was told of.
+  shop.m_nodes["n0"].set_draining(true);
+  shop.Apply({ MakeOperatorDrain(number, false) });
+  shop.Run(Milliseconds(200));
+  REQUIRE_FALSE(shop.m_replies["n0"].operator_drain());
+  REQUIRE(backends.at(number).state() == wire::BACKEND_STATE_DRAINING);
+  shop.m_nodes["n0"].set_draining(false);
+  shop.Run(Seconds(10));
+  REQUIRE(backends.at(number).state() == wire::BACKEND_STATE_ACTIVE);
+  REQUIRE(shop.Owned(number) > 0);
+}
+
 // Guards against keys that stay with a backend server which answers nothing
 // and whose node gets nothing released.
 TEST_CASE("An unhealthy backend that does not release loses its lease")
--- a/modules/cluster/tests/Fixture.h
+++ b/modules/cluster/tests/Fixture.h
@@ -101,6 +101,15 @@
   return command;
 }
 
+inline wire::Command
+MakeOperatorDrain(uint32_t aBackend, bool aDrain)
+{
+  wire::Command command;
+  command.mutable_set_operator_drain()->set_backend(aBackend);
+  command.mutable_set_operator_drain()->set_drain(aDrain);
+  return command;
+}
+
 // A state with indexes counted by itself.
 class TestState
 {
--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -101,6 +101,7 @@
   { "GET", { "v1", "history" }, &OperatorApi::GetHistory },
   { "GET", { "v1", "routes" }, &OperatorApi::GetRoutes },
   { "POST", { "v1", "drain", "*" }, &OperatorApi::DrainNode },
+  { "DELETE", { "v1", "drain", "*" }, &OperatorApi::UndrainNode },
   { "POST", { "v1", "members" }, &OperatorApi::AddMember },
   { "POST", { "v1", "members", "*", "promote" }, &OperatorApi::PromoteMember },
   { "DELETE", { "v1", "members", "*" }, &OperatorApi::RemoveMember },
@@ -326,29 +327,45 @@
 void
 OperatorApi::DrainNode(const ApiRequest& aRequest, Responder aResponder)
 {
-  const std::string& node = aRequest.m_path[2];
+  SetDrain(aRequest.m_path[2], true, std::move(aResponder));
+}
+
+void
+OperatorApi::UndrainNode(const ApiRequest& aRequest, Responder aResponder)
+{
+  SetDrain(aRequest.m_path[2], false, std::move(aResponder));
+}
+
+void
+OperatorApi::SetDrain(const std::string& aNode,
+                      bool aDrain,
+                      Responder aResponder)
+{
   if (!m_core.IsLeader()) {
     aResponder(NotLeader());
     return;
   }
   for (const auto& [number, backend] : m_core.Cluster().Backends()) {
-    if (backend.node_id() != node ||
+    if (backend.node_id() != aNode ||
         backend.state() == wire::BACKEND_STATE_GONE) {
       continue;
     }
     wire::Command command;
-    command.mutable_set_backend_state()->set_backend(number);
-    command.mutable_set_backend_state()->set_state(
-      wire::BACKEND_STATE_DRAINING);
-    LogInfo("control", "drain of node {}, backend {}", node, number);
+    command.mutable_set_operator_drain()->set_backend(number);
+    command.mutable_set_operator_drain()->set_drain(aDrain);
+    LogInfo("control",
+            "drain of node {}, backend {}{}",
+            aNode,
+            number,
+            aDrain ? "" : " undone");
+    const char* status = aDrain ? "draining" : "undrained";
     m_core.Propose(
       command,
-      [this, number = number, aResponder](
+      [this, number = number, status, aResponder](
         const tl::expected<uint64_t, consensus::LogError>& aIndex) {
         aResponder(
-          aIndex
-            ? Json(kOk, { { "status", "draining" }, { "backend", number } })
-            : FromLogError(aIndex.error()));
+          aIndex ? Json(kOk, { { "status", status }, { "backend", number } })
+                 : FromLogError(aIndex.error()));
       });
     return;
   }
--- a/modules/control/src/StatusReport.cpp
+++ b/modules/control/src/StatusReport.cpp
@@ -87,7 +87,8 @@
                            { "service", backend.service() },
                            { "zone", backend.zone() },
                            { "slots", backend.slots() },
-                           { "state", BackendStateName(backend.state()) } });
+                           { "state", BackendStateName(backend.state()) },
+                           { "operator_drain", backend.operator_drain() } });
     }
   }
   return backends;
--- a/modules/node/src/BackendMonitor.cpp
+++ b/modules/node/src/BackendMonitor.cpp
@@ -136,15 +136,20 @@
   co_return m_grantsConfirmed;
 }
 
-boost::asio::awaitable<void>
-BackendMonitor::SendDrain()
+boost::asio::awaitable<bool>
+BackendMonitor::SendDrain(bool aDrain)
 {
   if (!m_announcement) {
-    co_return;
+    co_return false;
   }
-  co_await m_client->Exchange(m_announcement->m_address,
-                              MakeRequest("POST", "/rattanloft/drain", ""),
-                              kGrantTimeout);
+  const std::string address = m_announcement->m_address;
+  const uint64_t incarnation = m_announcement->m_backend.incarnation();
+  const char* method = aDrain ? "POST" : "DELETE";
+  http::Request request = MakeRequest(method, "/rattanloft/drain", "");
+  const auto reply =
+    co_await m_client->Exchange(address, std::move(request), kGrantTimeout);
+  co_return reply && reply->result_int() == kStatusOk &&
+    m_announcement->m_backend.incarnation() == incarnation;
 }
 
 boost::asio::awaitable<void>
--- a/modules/node/src/BackendMonitor.h
+++ b/modules/node/src/BackendMonitor.h
@@ -44,8 +44,9 @@
   // their new expiry. False if the backend server did not confirm. Nothing is
   // sent to a backend server that does not verify tokens.
   boost::asio::awaitable<bool> PutGrants(GrantList aGrants);
-  // Tells the backend server that an operator drains it.
-  boost::asio::awaitable<void> SendDrain();
+  // Tells the backend server that an operator drains it, or has undone that.
+  // False if this incarnation has not confirmed.
+  boost::asio::awaitable<bool> SendDrain(bool aDrain);
 
 private:
   boost::asio::awaitable<void> ProbeLoop();
--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -128,6 +128,7 @@
 NodeControl::Drain()
 {
   LogInfo("node", "Draining before the stop.");
+  m_stopping = true;
   m_agent.SetDraining(true);
   SyncNow();
   PublishView();
@@ -190,9 +191,11 @@
   m_knownIncarnation = backend.incarnation();
   m_backend.SetAnnouncement(*announcement);
   m_hooks.m_onBackend(*announcement, isNew);
-  if (announcement->m_draining) {
-    m_agent.SetDraining(true);
+  m_agent.SetDraining(m_stopping || announcement->m_draining);
+  if (isNew) {
+    m_toldOperatorDrain = false;
   }
+  UpdateOperatorDrain();
   if (isNew) {
     LogInfo("node",
             "The backend server has announced itself. service={} address={} "
@@ -219,6 +222,7 @@
     { "lease_left_ms", std::max<int64_t>(0, (view->m_leaseEnd - now).m_ms) },
     { "stale", view->IsStale(now) },
     { "draining", view->m_draining },
+    { "operator_drain", view->m_operatorDrain },
     { "catalogue_revision", view->m_catalogue->Revision() },
     { "route_revision", view->m_routes->Revision() },
     { "owned_shards", m_agent.OwnedShards().size() },
@@ -291,6 +295,7 @@
   if (aResult.m_reply.status() != wire::SYNC_STATUS_REPLACED &&
       m_agent.OnReply(aResult.m_reply, aResult.m_sentAt, m_clock.Now())) {
     PublishView();
+    UpdateOperatorDrain();
   }
   if (aSequence == m_latestSequence || m_syncsInFlight == 0) {
     SendSync();
@@ -371,6 +376,30 @@
   m_publishing = false;
 }
 
+// Called for each Sync reply and each announcement, which repeats a message
+// that was not confirmed.
+void
+NodeControl::UpdateOperatorDrain()
+{
+  const bool wanted = m_agent.CurrentView()->m_operatorDrain;
+  if (m_tellingOperatorDrain || wanted == m_toldOperatorDrain) {
+    return;
+  }
+  m_tellingOperatorDrain = true;
+  boost::asio::co_spawn(
+    m_context, TellOperatorDrain(wanted), boost::asio::detached);
+}
+
+boost::asio::awaitable<void>
+NodeControl::TellOperatorDrain(bool aDrain)
+{
+  const bool confirmed = co_await m_backend.SendDrain(aDrain);
+  m_tellingOperatorDrain = false;
+  if (confirmed) {
+    m_toldOperatorDrain = aDrain;
+  }
+}
+
 const char*
 NodeControl::ControlState() const
 {
--- a/modules/node/src/NodeControl.h
+++ b/modules/node/src/NodeControl.h
@@ -74,6 +74,8 @@
   void OnSyncError(const ControlClient::Result& aResult);
   void ScheduleSync(Duration aDelay);
   void PublishView();
+  void UpdateOperatorDrain();
+  boost::asio::awaitable<void> TellOperatorDrain(bool aDrain);
   boost::asio::awaitable<void> PublishLoop();
   const char* ControlState() const;
 
@@ -94,6 +96,10 @@
   uint64_t m_syncBytes = 0;
   bool m_syncScheduled = false;
   bool m_noLeaderSeen = false;
+  bool m_stopping = false;
+  // Whether the backend server has confirmed the operator's drain.
+  bool m_toldOperatorDrain = false;
+  bool m_tellingOperatorDrain = false;
   // Views are published one after the other, the grants of each before it.
   bool m_publishing = false;
   bool m_publishAgain = false;
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -181,7 +181,7 @@
     return tl::unexpected(NotOwner());
   }
   if (!classified->m_shard) {
-    if (view->m_draining) {
+    if (view->m_draining || view->m_operatorDrain) {
       return tl::unexpected(NotOwner());
     }
     return classified;
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -211,6 +211,21 @@
   REQUIRE(OutcomeText(shed) == "not-run");
 }
 
+// Guards against new work for a backend server that an operator drains, from an
+// entry node that has not heard of it yet.
+TEST_CASE("A node refuses new work while an operator drains it")
+{
+  TrafficFixture node;
+  node.Settle();
+  auto view = std::make_shared<routing::View>(*node.m_context.m_view);
+  view->m_operatorDrain = true;
+  node.m_context.m_view = view;
+  const auto refused = node.AtOwner(TrafficFixture::Browse());
+  REQUIRE(refused.result_int() == kStatusMisdirected);
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(node.m_backend->m_requests.empty());
+}
+
 // Guards against a planned move that cuts off running work or starts new work.
 TEST_CASE("A shard is released after its last request")
 {
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -38,7 +38,11 @@
   TimePoint m_leaseEnd;
   // When the last confirmed Sync was sent.
   TimePoint m_confirmedAt;
+  // The node or its backend server drains by itself.
   bool m_draining = false;
+  // An operator drains the backend server. Not reported back as the node's own
+  // drain, which would outlast the operator's.
+  bool m_operatorDrain = false;
   // Shards reported as released whose routes do not show it yet, sorted by
   // service and shard.
   std::shared_ptr<const std::vector<OwnShard>> m_released;
@@ -109,6 +113,9 @@
                   TimePoint aNow,
                   View& aView);
   bool IsOwnNumber(uint32_t aNumber, const View& aView) const;
+  void ApplyOperatorDrain(const wire::SyncReply& aReply,
+                          TimePoint aSentAt,
+                          View& aView);
   void EndLease(View& aView, TimePoint aNow, std::string_view aReason);
   void DropSettledReleases(View& aView);
   void Publish(View aView);
@@ -125,6 +132,8 @@
   // replies cannot set it again.
   TimePoint m_numberSentAt;
   bool m_numberEnded = false;
+  // When the newest request whose reply set the operator's drain was sent.
+  TimePoint m_operatorDrainSentAt;
   bool m_healthy = true;
   bool m_wantFullRoutes = false;
   wire::NodeLoad m_load;
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -123,6 +123,7 @@
     view.m_backend = 0;
     view.m_leaseEnd = TimePoint{};
     view.m_released = nullptr;
+    view.m_operatorDrain = false;
     Publish(std::move(view));
     LogInfo("lease", "ended: new incarnation {:x}", incarnation);
   }
@@ -239,6 +240,7 @@
     ApplyRoutes(aReply.routes(), view);
   }
   ApplyLease(aReply, aSentAt, aNow, view);
+  ApplyOperatorDrain(aReply, aSentAt, view);
   // A reply confirms the catalogue only if this node has what the reply says is
   // current.
   if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
@@ -342,6 +344,26 @@
   }
 }
 
+void
+NodeAgent::ApplyOperatorDrain(const wire::SyncReply& aReply,
+                              TimePoint aSentAt,
+                              View& aView)
+{
+  // A late reply, or one about a replaced incarnation, is out of date.
+  if (!m_backend || aReply.incarnation() != m_backend->incarnation() ||
+      aSentAt < m_operatorDrainSentAt) {
+    return;
+  }
+  m_operatorDrainSentAt = aSentAt;
+  if (aView.m_operatorDrain != aReply.operator_drain()) {
+    LogInfo("route",
+            "the operator's drain of backend {} is {}",
+            aReply.backend_number(),
+            aReply.operator_drain() ? "on" : "off");
+  }
+  aView.m_operatorDrain = aReply.operator_drain();
+}
+
 bool
 NodeAgent::IsOwnNumber(uint32_t aNumber, const View& aView) const
 {
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -138,6 +138,33 @@
   REQUIRE(agent.MakeRequest().backend().incarnation() == 2007);
 }
 
+// Guards against an operator's drain that a reordered reply ends, that reaches
+// the next incarnation, or that the node reports as its own, which would make
+// it outlast its undoing.
+TEST_CASE("An operator's drain follows the newest reply about the incarnation")
+{
+  NodeAgent agent = MakeOwner();
+  wire::SyncReply reply = Reply(7);
+  reply.set_incarnation(1007);
+  reply.set_operator_drain(true);
+  agent.OnReply(reply, kLater, kLater);
+  REQUIRE(agent.CurrentView()->m_operatorDrain);
+  REQUIRE_FALSE(agent.MakeRequest().draining());
+
+  reply.set_operator_drain(false);
+  agent.OnReply(reply, kStart, kLater);
+  REQUIRE(agent.CurrentView()->m_operatorDrain);
+  agent.OnReply(reply, kLater + Milliseconds(1), kLater);
+  REQUIRE_FALSE(agent.CurrentView()->m_operatorDrain);
+
+  reply.set_operator_drain(true);
+  agent.OnReply(reply, kLater + Milliseconds(2), kLater);
+  REQUIRE(agent.SetBackend(Announcement(2007)));
+  REQUIRE_FALSE(agent.CurrentView()->m_operatorDrain);
+  agent.OnReply(reply, kLater + Milliseconds(3), kLater);
+  REQUIRE_FALSE(agent.CurrentView()->m_operatorDrain);
+}
+
 // Guards against serving with a catalogue that may be out of date: only a reply
 // with a confirmed read counts, from the time its request was sent.
 TEST_CASE("Only confirmed replies keep a node from being stale")
--- a/tools/rattanloft/DrainCommand.cpp
+++ b/tools/rattanloft/DrainCommand.cpp
@@ -1,8 +1,11 @@
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include "Commands.h"
 #include "ControlClient.h"
 
+DEFINE_bool(undo, false, "ends the drain of the node");
+
 namespace rattanloft::tool {
 
 int
@@ -15,15 +18,17 @@
   if (!client) {
     return FailWith("drain", 2, client.error());
   }
+  const char* method = FLAGS_undo ? "DELETE" : "POST";
   const auto answer =
-    client->Send("POST", "/v1/drain/" + PercentEncode(aArgs[0]));
+    client->Send(method, "/v1/drain/" + PercentEncode(aArgs[0]));
   if (!answer) {
     return FailWith("drain", 1, answer.error());
   }
   if (answer->m_status != 200) {
     return FailWith("drain", 1, ErrorText(*answer));
   }
-  fmt::print("node {} is draining\n", aArgs[0]);
+  fmt::print(
+    "node {} is {}\n", aArgs[0], FLAGS_undo ? "no longer drained" : "draining");
   return 0;
 }
 
--- a/tools/rattanloft/Main.cpp
+++ b/tools/rattanloft/Main.cpp
@@ -66,8 +66,8 @@
     StatusCommand,
     { "StatusCommand.cpp", kOperatorFlags } },
   { "drain",
-    "NODE",
-    "moves all work away from a node",
+    "[--undo] NODE",
+    "moves all work away from a node, or undoes that",
     DrainCommand,
     { "DrainCommand.cpp", kOperatorFlags } },
 };
