--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -184,11 +184,13 @@
 
 class Cluster:
     def __init__(self, deployment, folder=None, control_count=3, backends=None,
-                 node_flags=(), backend_flags=(), log_level="info"):
+                 node_flags=(), backend_flags=(), log_level="info",
+                 services=None):
         self.spec = DEPLOYMENTS[deployment]
         self.deployment = deployment
         self.folder = folder or tempfile.mkdtemp(prefix="rattanloft-")
         self.backends = backends
+        self.services = services or list(self.spec["services"])
         self.node_flags = list(node_flags)
         self.backend_flags = list(backend_flags)
         self.log_level = log_level
@@ -222,7 +224,8 @@
                 self.folder))
 
     def _make_sites(self):
-        for service, spec in self.spec["services"].items():
+        for service in self.services:
+            spec = self.spec["services"][service]
             for i in range(self.backends or spec["backends"]):
                 self.sites.append(self.make_site(service, i))
 
