Register a running backend server anew after its incarnation is gone

Cause: a node paused beyond its lease was told INCARNATION_GONE and went on announcing the same incarnation, which the cluster refuses for good. It also dropped the routes and the catalogue of that reply, so it stayed out of date, refused every request, and synced without a pause (706 Syncs and 4.6 MB in 18 s, no lease).

Change: after INCARNATION_GONE the agent registers under a new incarnation that is derived from the old one and its session, as soon as the backend server is healthy; numbers up to the lost one are refused. The reply's catalogue and routes are taken, and a reply about another incarnation ends nothing.

--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -110,12 +110,18 @@
                   View& aView);
   bool IsOwnNumber(uint32_t aNumber, const View& aView) const;
   void EndLease(View& aView, TimePoint aNow, std::string_view aReason);
+  // The incarnation is gone for good.
+  void LoseRegistration(TimePoint aSentAt, TimePoint aNow, View& aView);
   void DropSettledReleases(View& aView);
   void Publish(View aView);
 
   NodeAgentOptions m_options;
   uint64_t m_sequence = 0;
   std::optional<wire::Backend> m_backend;
+  // What the cluster knows the backend server by: its announced incarnation,
+  // or a later one after the cluster has declared that gone.
+  uint64_t m_registeredAs = 0;
+  bool m_gone = false;
   // The latest 64. An announcement of one of these comes from a process that
   // was replaced.
   std::vector<uint64_t> m_replacedIncarnations;
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 
+#include "rattanloft/base/Hash.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::routing {
@@ -21,6 +23,15 @@
   return aLease - Milliseconds((aLease.m_ms + 99) / 100);
 }
 
+// Not random, since this class is pure; the session is.
+uint64_t
+NextIncarnation(uint64_t aSession, uint64_t aIncarnation)
+{
+  const uint64_t next =
+    Hash64(std::to_string(aSession) + "/" + std::to_string(aIncarnation));
+  return std::max<uint64_t>(next, 1);
+}
+
 std::tuple<std::string_view, ShardNumber>
 Place(const OwnShard& aShard)
 {
@@ -126,6 +137,10 @@
     Publish(std::move(view));
     LogInfo("lease", "ended: new incarnation {:x}", incarnation);
   }
+  if (!m_backend || m_backend->incarnation() != incarnation) {
+    m_registeredAs = incarnation;
+    m_gone = false;
+  }
   m_backend = aBackend;
   m_backend->set_number(0);
   m_backend->set_node_id(m_options.m_nodeId);
@@ -192,8 +207,14 @@
   request.set_node_id(m_options.m_nodeId);
   request.set_sequence(++m_sequence);
   request.set_session(m_options.m_session);
-  if (m_backend) {
+  if (m_gone && m_healthy) {
+    m_registeredAs = NextIncarnation(m_options.m_session, m_registeredAs);
+    m_gone = false;
+  }
+  // A frozen backend server is registered anew only once it answers.
+  if (m_backend && !m_gone) {
     *request.mutable_backend() = *m_backend;
+    request.mutable_backend()->set_incarnation(m_registeredAs);
   }
   request.set_backend_healthy(m_healthy);
   request.set_draining(m_view->m_draining);
@@ -218,18 +239,8 @@
                    TimePoint aNow)
 {
   View view = *m_view;
-  if (aReply.status() == wire::SYNC_STATUS_INCARNATION_GONE) {
-    if (view.m_backend != 0) {
-      EndLease(view, aNow, "incarnation gone");
-    }
-    view.m_backend = 0;
-    view.m_released = nullptr;
-    m_numberSentAt = std::max(m_numberSentAt, aSentAt);
-    m_numberEnded = true;
-    Publish(std::move(view));
-    return true;
-  }
-  if (aReply.status() != wire::SYNC_STATUS_OK) {
+  const bool gone = aReply.status() == wire::SYNC_STATUS_INCARNATION_GONE;
+  if (!gone && aReply.status() != wire::SYNC_STATUS_OK) {
     return false;
   }
   if (aReply.has_catalogue()) {
@@ -238,7 +249,12 @@
   if (aReply.has_routes()) {
     ApplyRoutes(aReply.routes(), view);
   }
-  ApplyLease(aReply, aSentAt, aNow, view);
+  if (!gone) {
+    ApplyLease(aReply, aSentAt, aNow, view);
+  } else if (aReply.incarnation() == 0 ||
+             aReply.incarnation() == m_registeredAs) {
+    LoseRegistration(aSentAt, aNow, view);
+  }
   // A reply confirms the catalogue only if this node has what the reply says is
   // current.
   if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
@@ -351,9 +367,8 @@
     return false;
   }
   const wire::Backend* known = aView.m_routes->FindBackend(aNumber);
-  return known == nullptr ||
-         (known->incarnation() == m_backend->incarnation() &&
-          known->node_id() == m_options.m_nodeId);
+  return known == nullptr || (known->incarnation() == m_registeredAs &&
+                              known->node_id() == m_options.m_nodeId);
 }
 
 void
@@ -365,6 +380,18 @@
   aView.m_leaseEnd = std::min(aView.m_leaseEnd, aNow);
 }
 
+void
+NodeAgent::LoseRegistration(TimePoint aSentAt, TimePoint aNow, View& aView)
+{
+  EndLease(aView, aNow, "incarnation gone");
+  m_replacedNumber = std::max(m_replacedNumber, aView.m_backend);
+  aView.m_backend = 0;
+  aView.m_released = nullptr;
+  m_numberSentAt = std::max(m_numberSentAt, aSentAt);
+  m_numberEnded = true;
+  m_gone = true;
+}
+
 void
 NodeAgent::DropSettledReleases(View& aView)
 {
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -89,6 +89,38 @@
   REQUIRE_FALSE(MayServe(agent));
 }
 
+// Guards against a node that was paused beyond its lease and then stays without
+// keys, or refuses every request as out of date, or syncs without a pause.
+TEST_CASE("A lost incarnation of a running backend server registers anew")
+{
+  NodeAgent agent = MakeOwner();
+  wire::SyncReply gone;
+  gone.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
+  gone.set_incarnation(1007);
+  *gone.mutable_routes() = MakeDelta(6, 1, 3, 60);
+  agent.OnReply(gone, kLater, kLater);
+  REQUIRE_FALSE(agent.CurrentView()->IsStale(kLater));
+  REQUIRE(agent.CurrentView()->m_routes->Revision() == 6);
+
+  agent.SetBackendHealthy(false);
+  REQUIRE_FALSE(agent.MakeRequest().has_backend());
+  agent.SetBackendHealthy(true);
+  const uint64_t incarnation = agent.MakeRequest().backend().incarnation();
+  REQUIRE(incarnation != 1007);
+  REQUIRE(agent.SetBackend(Announcement(1007)));
+  REQUIRE(agent.MakeRequest().backend().incarnation() == incarnation);
+
+  const TimePoint after = kLater + Milliseconds(10);
+  agent.OnReply(Reply(7), after, after);
+  REQUIRE(agent.CurrentView()->m_backend == 0);
+  agent.OnReply(gone, after, after);
+  REQUIRE(agent.MakeRequest().backend().incarnation() == incarnation);
+  agent.OnReply(Reply(8, MakeDelta(7, 1, 8, 70)),
+                after + Milliseconds(1),
+                after + Milliseconds(1));
+  REQUIRE(MayServe(agent, after + Milliseconds(2)));
+}
+
 // Guards against the same when the cluster names another registration.
 TEST_CASE("A reply that names another backend ends the lease at once")
 {
