Let a new owner wait for routes that the entry node already has

Cause: an entry node that learnt of a move before the new owner was answered 421 and then waited for routes newer still, so until the next batch of moves (100 ms), or up to 1 s after the last one.

Change: a node that is asked under a later epoch than it knows waits up to 500 ms, within the deadline, for its routes; 1,000 waiting requests at most.

--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -25,6 +25,10 @@
 // Less than this leaves no time for an answer to come back.
 constexpr Duration kMinTimeToSend = Milliseconds(1);
 constexpr Duration kRetrySoon = Seconds(1);
+// Routes reach all nodes within a few batches of 20 ms, unless this node is cut
+// off.
+constexpr Duration kBehindWait = Milliseconds(500);
+constexpr size_t kMaxWaiting = 1000;
 
 Refusal
 NotRun(unsigned aStatus, std::string aReason)
@@ -139,6 +143,7 @@
                      OwnerCall aCall,
                      std::shared_ptr<http::CancelToken> aCancel)
 {
+  co_await WaitForEpoch(aRequest, aCall);
   auto classified = CheckOwnership(aRequest, aCall);
   if (!classified) {
     if (classified.error().m_status == kStatusMisdirected) {
@@ -163,6 +168,38 @@
   co_return co_await RunOnBackend(std::move(run), std::move(aCancel));
 }
 
+// The entry node has seen an assignment of the shard that this node has not.
+bool
+OwnerHandler::IsBehind(const http::Request& aRequest,
+                       const OwnerCall& aCall) const
+{
+  const auto classified = Classify(aRequest, m_context.m_view);
+  if (aCall.m_epoch == 0 || !classified || !classified->m_shard) {
+    return false;
+  }
+  const routing::ShardRoute* route = m_context.m_view->m_routes->Find(
+    classified->m_service, *classified->m_shard);
+  return route != nullptr && route->m_epoch < aCall.m_epoch;
+}
+
+// Without this, an entry node that learns of a move before the new owner is
+// refused and then waits for routes that are newer still.
+boost::asio::awaitable<void>
+OwnerHandler::WaitForEpoch(const http::Request& aRequest,
+                           const OwnerCall& aCall)
+{
+  const TimePoint end =
+    std::min(aCall.m_deadline, m_context.m_clock.Now() + kBehindWait);
+  while (IsBehind(aRequest, aCall) &&
+         m_context.m_viewChanged.Waiting() < kMaxWaiting) {
+    const Duration left = end - m_context.m_clock.Now();
+    if (left <= Milliseconds(0)) {
+      break;
+    }
+    co_await m_context.m_viewChanged.Wait(left);
+  }
+}
+
 tl::expected<ClassifiedRequest, Refusal>
 OwnerHandler::CheckOwnership(const http::Request& aRequest,
                              const OwnerCall& aCall) const
--- a/modules/node/src/OwnerHandler.h
+++ b/modules/node/src/OwnerHandler.h
@@ -44,6 +44,9 @@
     const http::Request& aRequest,
     const OwnerCall& aCall) const;
   bool StillOwner(const ClassifiedRequest& aRequest) const;
+  bool IsBehind(const http::Request& aRequest, const OwnerCall& aCall) const;
+  boost::asio::awaitable<void> WaitForEpoch(const http::Request& aRequest,
+                                            const OwnerCall& aCall);
   boost::asio::awaitable<http::Response> HandleOnce(std::shared_ptr<Run> aRun);
   boost::asio::awaitable<void> RunOnce(std::shared_ptr<OnceRun> aRun);
   boost::asio::awaitable<http::Response> RunOnBackend(
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -211,6 +211,39 @@
   REQUIRE(OutcomeText(shed) == "not-run");
 }
 
+// Guards against a new owner that refuses a request because the entry node has
+// learnt of the move first: without a later change of the routes, the entry
+// node would not try again.
+TEST_CASE("A node waits for the routes that its entry node already has")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  const OwnerCall call{ "r1", node.m_clock.Now() + Milliseconds(400), 20 };
+  boost::asio::steady_timer timer(node.m_io);
+  timer.expires_after(std::chrono::milliseconds(20));
+  SECTION("and then answers")
+  {
+    timer.async_wait([&](auto) { node.SetOwner(1, 20); });
+    const auto answer = node.Await(
+      node.m_owner.Handle(TrafficFixture::Look(), call, node.m_cancel));
+    REQUIRE(OutcomeText(answer) == "answered");
+  }
+  SECTION("and refuses if they name another owner")
+  {
+    timer.async_wait([&](auto) { node.SetOwner(3, 20); });
+    const auto answer = node.Await(
+      node.m_owner.Handle(TrafficFixture::Look(), call, node.m_cancel));
+    REQUIRE(answer.result_int() == kStatusMisdirected);
+  }
+  SECTION("but not for ever")
+  {
+    const auto answer = node.Await(
+      node.m_owner.Handle(TrafficFixture::Look(), call, node.m_cancel));
+    REQUIRE(answer.result_int() == kStatusMisdirected);
+    REQUIRE(node.m_backend->m_requests.empty());
+  }
+}
+
 // Guards against a planned move that cuts off running work or starts new work.
 TEST_CASE("A shard is released after its last request")
 {
--- a/modules/node/tests/TrafficFixture.h
+++ b/modules/node/tests/TrafficFixture.h
@@ -228,6 +228,13 @@
     return request;
   }
 
+  static http::Request Look()
+  {
+    http::Request request = Browse();
+    request.method_string("HEAD");
+    return request;
+  }
+
   static std::vector<wire::CatalogueEntry> Entries()
   {
     wire::CatalogueEntry order;
@@ -240,7 +247,11 @@
     browse.set_name("shop.browse");
     browse.set_methods(0, "GET");
     browse.set_idempotent(true);
-    return { browse, order };
+    wire::CatalogueEntry look = browse;
+    look.set_name("shop.look");
+    look.set_methods(0, "HEAD");
+    look.set_keyed(true);
+    return { browse, order, look };
   }
 
   static NodeOptions MakeOptions()
--- a/scripts/lib/bench_base.py
+++ b/scripts/lib/bench_base.py
@@ -46,7 +46,7 @@
 def running_cluster(deployment="adwoa", entries=None, **options):
     """A started cluster whose nodes all own shards; ended at exit."""
     folder = tempfile.mkdtemp(prefix="bench-rattanloft-")
-    options.setdefault("log_level", "warning")
+    options.setdefault("log_level", os.environ.get("RATTANLOFT_BENCH_LOG", "warning"))
     cluster = Cluster(deployment, folder, **options)
     try:
         cluster.start()
--- a/scripts/lib/bench_loss.py
+++ b/scripts/lib/bench_loss.py
@@ -1,7 +1,6 @@
 """Measures of loss, pause, drain and catalogue changes on a real cluster."""
 
 import json
-import os
 import signal
 import threading
 import time
@@ -52,7 +51,7 @@
 def unavailable_loss(quick):
     gaps, failures = [], {}
     rounds = 2 if quick else 5
-    with running_cluster(services=["catalogue", "deposits"], log_level=os.environ.get("LL","warning")) as cluster:
+    with running_cluster(services=["catalogue", "deposits"]) as cluster:
         entry = cluster.sites_of("deposits")[0]
         sites = cluster.sites_of("catalogue")
         for number in range(rounds):
@@ -70,7 +69,7 @@
 def unavailable_pause(quick):
     rounds = 1 if quick else 3
     result = []
-    with running_cluster(services=["catalogue", "deposits"], log_level=os.environ.get("LL","warning")) as cluster:
+    with running_cluster(services=["catalogue", "deposits"]) as cluster:
         entry = cluster.sites_of("deposits")[0]
         sites = cluster.sites_of("catalogue")
         for part in ("node", "backend"):
@@ -92,7 +91,7 @@
 def zone_loss(quick):
     gaps, failures = [], {}
     rounds = 1 if quick else 2
-    with running_cluster(services=["catalogue", "deposits"], log_level=os.environ.get("LL","warning")) as cluster:
+    with running_cluster(services=["catalogue", "deposits"]) as cluster:
         zones = sorted({site.zone for site in cluster.sites})
         for zone in zones[:rounds]:
             lost = [s for s in cluster.sites if s.zone == zone]
@@ -112,7 +111,7 @@
 def unavailable_move(quick):
     gaps, failures, statuses = [], {}, []
     rounds = 2 if quick else 4
-    with running_cluster(services=["catalogue", "deposits"], log_level=os.environ.get("LL","warning")) as cluster:
+    with running_cluster(services=["catalogue", "deposits"]) as cluster:
         entry = cluster.sites_of("deposits")[0]
         sites = cluster.sites_of("catalogue")
         for number in range(rounds):
