--- a/modules/backend/src/LoadGenerator.cpp
+++ b/modules/backend/src/LoadGenerator.cpp
@@ -62,6 +62,12 @@
   return int64_t{ time.tv_sec } * 1'000'000 + time.tv_nsec / 1000;
 }
 
+std::string
+Digest(const std::string& aBody)
+{
+  return fmt::format("{:016x}", Hash64(aBody));
+}
+
 std::string
 ErrorOutcome(const http::HttpError& aError)
 {
@@ -226,7 +232,8 @@
                           { "attempt", aCall.m_attempt },
                           { "entry", aCall.m_kind->m_name },
                           { "key", aCall.m_key },
-                          { "target", aTarget } };
+                          { "target", aTarget },
+                          { "digest", Digest(aCall.m_body) } };
   if (!aCall.m_kind->m_idempotent) {
     line["idempotency_key"] = aCall.m_id;
   }
@@ -251,8 +258,7 @@
 {
   const auto body = nlohmann::json::parse(aBody, nullptr, false);
   return body.is_object() &&
-         body.value("digest", "") ==
-           fmt::format("{:016x}", Hash64(aCall.m_body)) &&
+         body.value("digest", "") == Digest(aCall.m_body) &&
          body.value("key", aCall.m_key) == aCall.m_key;
 }
 
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -184,7 +184,10 @@
 
 class Cluster:
     def __init__(self, deployment, folder=None, control_count=3, backends=None,
-                 node_flags=(), backend_flags=(), log_level="info"):
+                 node_flags=(), backend_flags=(), log_level="info",
+                 control_proxy=None):
+        """control_proxy(target_port, listen_port) puts a proxy in front of the
+        gRPC address of a control instance; peers and nodes use the proxy."""
         self.spec = DEPLOYMENTS[deployment]
         self.deployment = deployment
         self.folder = folder or tempfile.mkdtemp(prefix="rattanloft-")
@@ -194,12 +197,14 @@
         self.log_level = log_level
         self.control = []
         self.control_ports = []
+        self.control_proxy = control_proxy
         self.sites = []
         self._make_control(control_count)
         self._make_sites()
 
     def _make_control(self, count):
         ports = free_ports(2 * count)
+        listen_ports = []
         members = []
         for i in range(count):
             data = os.path.join(self.folder, f"control-{i}")
@@ -211,12 +216,17 @@
             zone = self.spec["zones"][i % len(self.spec["zones"])]
             members.append(f"{replica}=127.0.0.1:{grpc}/127.0.0.1:{http_port}/{zone}")
             self.control_ports.append((grpc, http_port))
+            listen = grpc
+            if self.control_proxy:
+                listen = free_ports(1)[0]
+                self.control_proxy(listen, grpc)
+            listen_ports.append(listen)
         self.group = ",".join(members)
-        for i, (grpc, http_port) in enumerate(self.control_ports):
+        for i, (_, http_port) in enumerate(self.control_ports):
             self.control.append(Process(
                 f"control-{i}",
                 ["control", "--data_dir", os.path.join(self.folder, f"control-{i}"),
-                 "--grpc_address", f"127.0.0.1:{grpc}",
+                 "--grpc_address", f"127.0.0.1:{listen_ports[i]}",
                  "--http_address", f"127.0.0.1:{http_port}",
                  "--group", self.group, "--log_level", self.log_level],
                 self.folder))
