Announce a lost incarnation under a new one and keep its node current

The cluster answered each Sync with INCARNATION_GONE. The node went on announcing the same incarnation, which never revives, and ignored the catalogue and the routes of such a reply; their revisions stayed news, so it sent about 50 Syncs a second. Conclusion: a returning node gets new grants, and serves as entry meanwhile.

--- a/modules/backend/src/LoadGenerator.cpp
+++ b/modules/backend/src/LoadGenerator.cpp
@@ -257,8 +257,7 @@
 IsOwnAnswer(const Call& aCall, const std::string& aBody)
 {
   const auto body = nlohmann::json::parse(aBody, nullptr, false);
-  return body.is_object() &&
-         body.value("digest", "") == Digest(aCall.m_body) &&
+  return body.is_object() && body.value("digest", "") == Digest(aCall.m_body) &&
          body.value("key", aCall.m_key) == aCall.m_key;
 }
 
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -102,6 +102,9 @@
   std::shared_ptr<const View> CurrentView() const { return m_view; }
 
 private:
+  // A gone incarnation never revives, so a backend server that still runs is
+  // registered under a new one and gets new grants only.
+  void RenewIncarnation(uint64_t aGone);
   bool ApplyCatalogue(const wire::CatalogueUpdate& aUpdate, View& aView);
   bool ApplyRoutes(const wire::RouteUpdate& aUpdate, View& aView);
   void ApplyLease(const wire::SyncReply& aReply,
@@ -115,7 +118,10 @@
 
   NodeAgentOptions m_options;
   uint64_t m_sequence = 0;
+  // With the incarnation under which it is registered.
   std::optional<wire::Backend> m_backend;
+  uint64_t m_announcedIncarnation = 0;
+  uint64_t m_renewals = 0;
   // The latest 64. An announcement of one of these comes from a process that
   // was replaced.
   std::vector<uint64_t> m_replacedIncarnations;
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "rattanloft/base/Hash.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::routing {
@@ -112,11 +116,11 @@
     LogWarning("lease", "refused replaced incarnation {:x}", incarnation);
     return false;
   }
-  if (m_backend && m_backend->incarnation() != incarnation) {
+  if (m_backend && m_announcedIncarnation != incarnation) {
     if (m_replacedIncarnations.size() >= kMaxReplacedIncarnations) {
       m_replacedIncarnations.erase(m_replacedIncarnations.begin());
     }
-    m_replacedIncarnations.push_back(m_backend->incarnation());
+    m_replacedIncarnations.push_back(m_announcedIncarnation);
     View view = *m_view;
     m_replacedNumber = std::max(m_replacedNumber, view.m_backend);
     // Grants belong to the old incarnation.
@@ -126,7 +130,11 @@
     Publish(std::move(view));
     LogInfo("lease", "ended: new incarnation {:x}", incarnation);
   }
+  const bool known = m_backend && m_announcedIncarnation == incarnation;
+  const uint64_t registered = known ? m_backend->incarnation() : incarnation;
+  m_announcedIncarnation = incarnation;
   m_backend = aBackend;
+  m_backend->set_incarnation(registered);
   m_backend->set_number(0);
   m_backend->set_node_id(m_options.m_nodeId);
   m_backend->set_zone(m_options.m_zone);
@@ -222,23 +230,25 @@
     if (view.m_backend != 0) {
       EndLease(view, aNow, "incarnation gone");
     }
+    m_replacedNumber = std::max(m_replacedNumber, view.m_backend);
     view.m_backend = 0;
     view.m_released = nullptr;
     m_numberSentAt = std::max(m_numberSentAt, aSentAt);
     m_numberEnded = true;
-    Publish(std::move(view));
-    return true;
-  }
-  if (aReply.status() != wire::SYNC_STATUS_OK) {
+    RenewIncarnation(aReply.incarnation());
+  } else if (aReply.status() != wire::SYNC_STATUS_OK) {
     return false;
   }
+  // A node without a backend is still an entry node and must stay current.
   if (aReply.has_catalogue()) {
     ApplyCatalogue(aReply.catalogue(), view);
   }
   if (aReply.has_routes()) {
     ApplyRoutes(aReply.routes(), view);
   }
-  ApplyLease(aReply, aSentAt, aNow, view);
+  if (aReply.status() == wire::SYNC_STATUS_OK) {
+    ApplyLease(aReply, aSentAt, aNow, view);
+  }
   // A reply confirms the catalogue only if this node has what the reply says is
   // current.
   if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
@@ -249,6 +259,21 @@
   return true;
 }
 
+void
+NodeAgent::RenewIncarnation(uint64_t aGone)
+{
+  if (!m_backend || aGone == 0 || m_backend->incarnation() != aGone) {
+    return;
+  }
+  const std::string text = fmt::format(
+    "{:x}/{:x}/{}", m_announcedIncarnation, m_options.m_session, ++m_renewals);
+  m_backend->set_incarnation(Hash64(text));
+  LogInfo("lease",
+          "incarnation {:x} is gone, announcing {:x}",
+          aGone,
+          m_backend->incarnation());
+}
+
 bool
 NodeAgent::ApplyCatalogue(const wire::CatalogueUpdate& aUpdate, View& aView)
 {
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -89,6 +89,56 @@
   REQUIRE_FALSE(MayServe(agent));
 }
 
+// Guards against a node that is never given shards again, since its backend
+// server goes on announcing the incarnation that the cluster has given up.
+TEST_CASE("A lost incarnation is announced under a new one")
+{
+  NodeAgent agent = MakeOwner();
+  wire::SyncReply gone;
+  gone.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
+  gone.set_incarnation(1007);
+  agent.OnReply(gone, kLater, kLater);
+  const uint64_t renewed = agent.MakeRequest().backend().incarnation();
+  REQUIRE(renewed != 1007);
+  // A repeated announcement and a late reply change nothing.
+  REQUIRE(agent.SetBackend(Announcement(1007)));
+  agent.OnReply(gone, kLater, kLater);
+  REQUIRE(agent.MakeRequest().backend().incarnation() == renewed);
+  agent.OnReply(Reply(7), kLater + Milliseconds(1), kLater);
+  REQUIRE(agent.CurrentView()->m_backend == 0);
+  // The new registration inherits no shard and can get one.
+  const TimePoint later = kLater + Milliseconds(2);
+  agent.OnReply(Reply(8), later, later);
+  REQUIRE(agent.CurrentView()->m_backend == 8);
+  REQUIRE_FALSE(MayServe(agent, later));
+  agent.OnReply(Reply(8, MakeDelta(6, 1, 8, 60)), later, later);
+  REQUIRE(MayServe(agent, later));
+  // A restarted backend server announces an incarnation of its own.
+  REQUIRE(agent.SetBackend(Announcement(2007)));
+  REQUIRE(agent.MakeRequest().backend().incarnation() == 2007);
+  REQUIRE_FALSE(agent.SetBackend(Announcement(1007)));
+}
+
+// Guards against an entry node that stays stale because its own backend server
+// was given up.
+TEST_CASE("A lost incarnation keeps catalogue and routes current")
+{
+  NodeAgent agent = MakeOwner();
+  wire::SyncReply gone;
+  gone.set_status(wire::SYNC_STATUS_INCARNATION_GONE);
+  gone.set_incarnation(1007);
+  gone.set_catalogue_revision(9);
+  gone.mutable_catalogue()->set_revision(9);
+  gone.mutable_catalogue()->set_full(true);
+  *gone.mutable_routes() = MakeDelta(6, 1, 8, 60);
+  const TimePoint later = kStart + Seconds(7);
+  REQUIRE(agent.CurrentView()->IsStale(later));
+  agent.OnReply(gone, later, later);
+  REQUIRE_FALSE(agent.CurrentView()->IsStale(later));
+  REQUIRE(agent.CurrentView()->m_catalogue->Revision() == 9);
+  REQUIRE(agent.CurrentView()->m_routes->Revision() == 6);
+}
+
 // Guards against the same when the cluster names another registration.
 TEST_CASE("A reply that names another backend ends the lease at once")
 {
