Copy idempotency records again when a holder is lost

A record lies at its owner and one other node. When that other node was lost or restarted, the owner did not copy the record again, so a later loss of the owner lost it. Change: the owner copies the records of its shards again when a backend of the service leaves or the session of its node changes. Routes name the session for that, which adds up to 11 bytes for each backend to a full update. Conclusion: one loss after another is covered once the copy has ended; both holders lost at once are not.

--- a/modules/cluster/src/RouteUpdates.cpp
+++ b/modules/cluster/src/RouteUpdates.cpp
@@ -134,7 +134,6 @@
     if (backend.state() != wire::BACKEND_STATE_GONE) {
       wire::Backend* copy = update.add_backends();
       *copy = backend;
-      copy->clear_session();
     }
   }
   for (wire::ServiceRoutes& table : Tables()) {
@@ -158,7 +157,6 @@
     const wire::Backend* backend = Find(number);
     if (backend && backend->state() != wire::BACKEND_STATE_GONE) {
       *copy = *backend;
-      copy->clear_session();
     } else {
       copy->set_number(number);
       copy->set_state(wire::BACKEND_STATE_GONE);
--- a/modules/node/src/RecordService.cpp
+++ b/modules/node/src/RecordService.cpp
@@ -80,6 +80,7 @@
   }
   m_seenRevision = view.m_routes->Revision();
   m_seenBackend = view.m_backend;
+  CopyAfterLoss(own->service());
   ShardEpochs shards = NewlyOwned(own->service());
   if (shards.empty()) {
     return;
@@ -283,6 +284,37 @@
   }
 }
 
+void
+RecordService::CopyAfterLoss(const std::string& aService)
+{
+  const routing::View& view = *m_context.m_view;
+  std::map<uint32_t, uint64_t> holders;
+  for (const uint32_t number : OtherHolders(aService)) {
+    holders[number] = view.m_routes->FindBackend(number)->session();
+  }
+  const bool lost =
+    std::any_of(m_holders.begin(), m_holders.end(), [&](const auto& aHolder) {
+      const auto found = holders.find(aHolder.first);
+      return found == holders.end() || found->second != aHolder.second;
+    });
+  m_holders = std::move(holders);
+  if (!lost) {
+    return;
+  }
+  // A shard whose takeover still runs is copied at its end.
+  ShardEpochs shards;
+  const auto routes = view.m_routes->Shards(aService);
+  for (ShardNumber shard = 0; shard < routes.size(); ++shard) {
+    if (routes[shard].m_owner == view.m_backend &&
+        IsReady(aService, shard, routes[shard].m_epoch)) {
+      shards.emplace_back(shard, routes[shard].m_epoch);
+    }
+  }
+  boost::asio::co_spawn(m_context.m_context,
+                        CopyAgain(aService, std::move(shards)),
+                        boost::asio::detached);
+}
+
 std::vector<uint32_t>
 RecordService::OtherHolders(std::string_view aService) const
 {
--- a/modules/node/src/RecordService.h
+++ b/modules/node/src/RecordService.h
@@ -58,6 +58,9 @@
                                          wire::RecordFetch aFetch);
   boost::asio::awaitable<void> CopyAgain(std::string aService,
                                          ShardEpochs aShards);
+  // Copies the records of all own shards again if a possible holder has left or
+  // its process was replaced: what it held is lost.
+  void CopyAfterLoss(const std::string& aService);
   std::vector<uint32_t> OtherHolders(std::string_view aService) const;
   std::vector<uint32_t> PreferredHolders(std::string_view aService,
                                          std::string_view aKey) const;
@@ -66,6 +69,8 @@
   TrafficContext& m_context;
   uint64_t m_seenRevision = 0;
   uint32_t m_seenBackend = 0;
+  // Session of each possible holder, by number.
+  std::map<uint32_t, uint64_t> m_holders;
   // Epoch under which a takeover was started, and under which it was finished.
   std::map<ShardKey, uint64_t> m_started;
   std::map<ShardKey, uint64_t> m_ready;
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -178,6 +178,38 @@
   REQUIRE(node.m_backend->m_requests.empty());
 }
 
+// Guards against a second run after the loss of first the other holder of a
+// record and later the owner.
+TEST_CASE("Records are copied again when a holder is lost")
+{
+  TrafficFixture node;
+  node.Settle();
+  REQUIRE(node.AtOwner(TrafficFixture::Order("k1")).result_int() == 201);
+  const auto copies = [&] {
+    size_t count = 0;
+    for (const auto& request : node.m_peers->m_requests) {
+      count += request.second.target() == kRecordPutTarget ? 1 : 0;
+    }
+    return count;
+  };
+  const size_t before = copies();
+  SECTION("it has left")
+  {
+    node.m_gone[2] = true;
+  }
+  SECTION("its process was replaced")
+  {
+    node.m_session = 2;
+  }
+  node.SetOwner(1, 10);
+  node.Settle();
+  REQUIRE(copies() == before + 1);
+  // Nothing is copied while the holders stay.
+  node.SetOwner(1, 10);
+  node.Settle();
+  REQUIRE(copies() == before + 1);
+}
+
 // Guards against cancelling non-idempotent work halfway.
 TEST_CASE("At-most-once work is not cancelled when its caller goes away")
 {
--- a/modules/node/tests/TrafficFixture.h
+++ b/modules/node/tests/TrafficFixture.h
@@ -149,6 +149,7 @@
       backend->set_service(kService);
       backend->set_zone("z" + std::to_string(number));
       backend->set_peer_address("10.0.0." + std::to_string(number) + ":1");
+      backend->set_session(m_session);
       backend->set_slots(4);
       backend->set_verifies_tokens(true);
     }
@@ -268,6 +269,7 @@
   FakeClient* m_peers = nullptr;
   FakeClient* m_backend = nullptr;
   uint64_t m_revision = 0;
+  uint64_t m_session = 1;
   std::map<uint32_t, bool> m_gone;
   Duration m_deadline = Seconds(2);
   std::shared_ptr<http::CancelToken> m_cancel =
