Report a request as unknown if any attempt may have run

Change: the entry node keeps the answer of an attempt that may have run and gives it instead of a later refusal. Conclusion: not-run is reported only if no attempt may have run.

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -1,6 +1,7 @@
 #include "EntryHandler.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -73,6 +74,15 @@
   int m_misdirected = 0;
   // Backends that have refused or could not be reached.
   std::vector<uint32_t> m_excluded;
+  // Answer to an earlier attempt that may have run.
+  std::optional<http::Response> m_unknown;
+
+  // A refusal of the last attempt says nothing about the earlier ones.
+  http::Response Result(http::Response aLast)
+  {
+    const bool refused = OutcomeOf(aLast) == Outcome::kNotRun;
+    return refused && m_unknown ? std::move(*m_unknown) : std::move(aLast);
+  }
 };
 
 EntryHandler::EntryHandler(TrafficContext& aContext, OwnerHandler& aOwner)
@@ -143,7 +153,7 @@
     // Catalogue and routes may have changed since the last attempt.
     auto classified = Classify(attempt.m_request, m_context.m_view);
     if (!classified) {
-      co_return MakeResponse(classified.error());
+      co_return attempt.Result(MakeResponse(classified.error()));
     }
     attempt.m_classified = std::move(*classified);
     const uint64_t revision = attempt.m_classified.m_view->m_routes->Revision();
@@ -156,7 +166,7 @@
       if (routed) {
         continue;
       }
-      co_return MakeResponse(NotRun(503, "no_owner"));
+      co_return attempt.Result(MakeResponse(NotRun(503, "no_owner")));
     }
     LogInfo("route",
             "Chose a backend server. request={} entry={} key={} backend={} "
@@ -173,10 +183,13 @@
       again = co_await MayTryAgain(attempt, *target, response);
     }
     if (!again && response.result_int() == kStatusMisdirected) {
-      co_return MakeResponse(NotRun(503, "owner_moving"));
+      co_return attempt.Result(MakeResponse(NotRun(503, "owner_moving")));
     }
     if (!again) {
-      co_return response;
+      co_return attempt.Result(std::move(response));
+    }
+    if (OutcomeOf(response).value_or(Outcome::kUnknown) == Outcome::kUnknown) {
+      attempt.m_unknown = std::move(response);
     }
   }
 }
--- a/modules/node/tests/EntryHandlerTest.cpp
+++ b/modules/node/tests/EntryHandlerTest.cpp
@@ -88,6 +88,28 @@
   REQUIRE(node.m_clock.Now() - begun < Milliseconds(900));
 }
 
+// Guards against reporting a request as not run whose first attempt may have
+// run before its node was lost.
+TEST_CASE("A refused retry does not hide an attempt that may have run")
+{
+  // The choice of nodes is random, so it is repeated.
+  for (int i = 0; i < 10; ++i) {
+    TrafficFixture node;
+    node.SetOwner(2, 10);
+    node.m_backend->m_script = [](const auto&, const auto&) {
+      return Unreachable();
+    };
+    int calls = 0;
+    node.m_peers->m_script = [&](const auto&, const auto&) -> Reply {
+      return ++calls == 1 ? Broken() : Unreachable();
+    };
+    const auto response = node.AtEntry(TrafficFixture::Browse());
+    REQUIRE(calls > 0);
+    REQUIRE(response.result_int() == 502);
+    REQUIRE(OutcomeText(response) == "unknown");
+  }
+}
+
 // Guards against one failing node taking down a service without keys.
 // One request needs at most two retries, which the floor of the retry budget
 // always allows; the choice of nodes is random, so it is repeated.
