Isolate and block requests that crash backend servers

Cause: a request that crashes the backend server that runs it and is sent again by its caller took one backend server after the other.

Change: a pure module quarantine. RunTracker, on the traffic thread of a node, makes the requests that ended without an answer at a crash suspects, lets a suspect run alone, clears it with an answer and blocks it for 10 min after a crash. A crash is a refused new connection or a new incarnation. Table holds the entries by version; nodes and the leader exchange them through Sync, and a leader of a new term gets all of them again. Operators list and clear them (GET /v1/quarantine, DELETE /v1/quarantine/FINGERPRINT). A blocked request gets 403 not-run, reason quarantined, with Retry-After. The check follows the at-most-once record, so an unknown record still answers 504 unknown.

An entry node reported the outcome of its last attempt, so not-run after an earlier attempt with an unknown outcome. That is now reported as unknown.

Not measured: services without keys, where the entry node's own retry may reach a second backend server before the suspect is shared, and the cost of the check for each request.

--- a/modules/cluster/include/rattanloft/cluster/Coordinator.h
+++ b/modules/cluster/include/rattanloft/cluster/Coordinator.h
@@ -19,6 +19,8 @@
   Duration m_revocationMargin = Milliseconds(100);
   // How long a Sync may be held without news.
   Duration m_hold = Milliseconds(400);
+  // Term of the leader. Tells its quarantine list from that of an earlier one.
+  uint64_t m_term = 0;
 };
 
 // A held Sync that is to be answered now.
@@ -75,6 +77,12 @@
 
   std::vector<NodeStatus> Nodes(TimePoint aNow) const;
 
+  // Suspected and blocked requests of the whole cluster. Not in the replicated
+  // log: a new leader has them from the next Sync of each node.
+  std::vector<wire::QuarantineEntry> Quarantine(TimePoint aNow) const;
+  // False if the fingerprint is neither suspected nor blocked.
+  bool ClearQuarantine(uint64_t aFingerprint, TimePoint aNow);
+
 private:
   class Data;
   std::unique_ptr<Data> m_data;
--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -63,6 +63,18 @@
   return m_data->Nodes(aNow);
 }
 
+std::vector<wire::QuarantineEntry>
+Coordinator::Quarantine(TimePoint aNow) const
+{
+  return m_data->Quarantine(aNow);
+}
+
+bool
+Coordinator::ClearQuarantine(uint64_t aFingerprint, TimePoint aNow)
+{
+  return m_data->ClearQuarantine(aFingerprint, aNow);
+}
+
 Coordinator::Data::Data(CoordinatorOptions aOptions,
                         const ClusterState& aState,
                         TimePoint aNow)
@@ -105,6 +117,9 @@
     return commands;
   }
   TakeReport(node, aRequest, aNow);
+  for (const wire::QuarantineEntry& entry : aRequest.quarantine()) {
+    m_quarantineRevision += m_quarantine.Merge(entry, aNow) ? 1 : 0;
+  }
   Register(node, aNow, commands);
   SetDraining(node, commands);
   Release(node, commands);
@@ -292,7 +307,8 @@
 Coordinator::Data::HasNews(const Node& aNode) const
 {
   if (aNode.m_last.catalogue_revision() != m_state.CatalogueRevision() ||
-      aNode.m_last.route_revision() != m_state.RouteRevision()) {
+      aNode.m_last.route_revision() != m_state.RouteRevision() ||
+      (m_quarantineRevision > 0 && !HasQuarantine(aNode))) {
     return true;
   }
   const wire::Backend* known = Announced(aNode);
@@ -300,6 +316,36 @@
          aNode.m_toldGone != known->incarnation();
 }
 
+bool
+Coordinator::Data::HasQuarantine(const Node& aNode) const
+{
+  return aNode.m_last.quarantine_term() == m_options.m_term &&
+         aNode.m_last.quarantine_revision() == m_quarantineRevision;
+}
+
+std::vector<wire::QuarantineEntry>
+Coordinator::Data::Quarantine(TimePoint aNow) const
+{
+  std::vector<wire::QuarantineEntry> entries = m_quarantine.List(aNow);
+  std::erase_if(entries, [](const wire::QuarantineEntry& aEntry) {
+    return aEntry.state() == wire::QUARANTINE_STATE_CLEARED;
+  });
+  return entries;
+}
+
+bool
+Coordinator::Data::ClearQuarantine(uint64_t aFingerprint, TimePoint aNow)
+{
+  const quarantine::Entry* entry = m_quarantine.Find(aFingerprint, aNow);
+  if (!entry) {
+    return false;
+  }
+  const std::string service = entry->m_service;
+  m_quarantine.Set(aFingerprint, service, wire::QUARANTINE_STATE_CLEARED, aNow);
+  m_quarantineRevision++;
+  return true;
+}
+
 wire::SyncReply
 Coordinator::Data::BuildReply(const std::string& aNodeId, TimePoint aNow)
 {
@@ -320,6 +366,15 @@
   if (node.m_last.route_revision() != m_state.RouteRevision()) {
     *reply.mutable_routes() = m_state.RoutesSince(node.m_last.route_revision());
   }
+  reply.set_quarantine_sequence(node.m_last.sequence());
+  if (!HasQuarantine(node)) {
+    wire::QuarantineUpdate* update = reply.mutable_quarantine();
+    update->set_term(m_options.m_term);
+    update->set_revision(m_quarantineRevision);
+    for (wire::QuarantineEntry& entry : m_quarantine.List(aNow)) {
+      *update->add_entries() = std::move(entry);
+    }
+  }
   const wire::Backend* known = Announced(node);
   if (!known) {
     return reply;
--- a/modules/cluster/src/CoordinatorData.h
+++ b/modules/cluster/src/CoordinatorData.h
@@ -9,6 +9,7 @@
 #include "ClusterData.h"
 #include "ServicePlacer.h"
 #include "rattanloft/cluster/Coordinator.h"
+#include "rattanloft/quarantine/Table.h"
 
 namespace rattanloft::cluster {
 
@@ -25,6 +26,8 @@
   TickOutcome Tick(TimePoint aNow);
   wire::SyncReply BuildReply(const std::string& aNodeId, TimePoint aNow);
   std::vector<NodeStatus> Nodes(TimePoint aNow) const;
+  std::vector<wire::QuarantineEntry> Quarantine(TimePoint aNow) const;
+  bool ClearQuarantine(uint64_t aFingerprint, TimePoint aNow);
 
 private:
   using Commands = std::vector<wire::Command>;
@@ -109,6 +112,7 @@
                                    TimePoint aNow) const;
   void CollectReady(TimePoint aNow, std::vector<ReadyReply>& aReady);
   bool HasNews(const Node& aNode) const;
+  bool HasQuarantine(const Node& aNode) const;
 
   CoordinatorOptions m_options;
   const ClusterState& m_state;
@@ -121,6 +125,8 @@
   std::optional<TimePoint> m_deferringSince;
   TimePoint m_nextSweep;
   TimePoint m_nextPlacement;
+  quarantine::Table m_quarantine;
+  uint64_t m_quarantineRevision = 0;
 };
 
 } // namespace rattanloft::cluster
--- a/modules/cluster/tests/CoordinatorTest.cpp
+++ b/modules/cluster/tests/CoordinatorTest.cpp
@@ -285,6 +285,43 @@
   REQUIRE_FALSE(shop.IsGone(number));
 }
 
+// Guards against a block that one node keeps for itself, that a new leader
+// forgets, or that an operator cannot clear.
+TEST_CASE("Quarantine entries reach every node and a new leader")
+{
+  Shop shop(2);
+  const auto block = [&] {
+    wire::QuarantineEntry* entry = shop.m_nodes["n0"].add_quarantine();
+    entry->set_fingerprint(77);
+    entry->set_service("shop");
+    entry->set_state(wire::QUARANTINE_STATE_BLOCKED);
+    entry->set_version(3);
+    entry->set_left_ms(600'000);
+  };
+  block();
+  shop.Run(Milliseconds(200));
+  for (const char* node : { "n0", "n1" }) {
+    const wire::SyncReply& reply = shop.m_replies[node];
+    REQUIRE(reply.quarantine().entries_size() == 1);
+    REQUIRE(reply.quarantine().entries(0).fingerprint() == 77);
+    REQUIRE(reply.quarantine_sequence() > 0);
+  }
+  shop.m_nodes["n0"].clear_quarantine();
+  REQUIRE(shop.m_coordinator->Quarantine(shop.m_now).size() == 1);
+  REQUIRE(shop.m_coordinator->ClearQuarantine(77, shop.m_now));
+  REQUIRE_FALSE(shop.m_coordinator->ClearQuarantine(77, shop.m_now));
+  REQUIRE(shop.m_coordinator->Quarantine(shop.m_now).empty());
+  // The entry that is still on its way does not undo the operator's decision.
+  block();
+  shop.Run(Milliseconds(500));
+  REQUIRE(shop.m_coordinator->Quarantine(shop.m_now).empty());
+  REQUIRE(shop.m_replies["n1"].quarantine().entries(0).state() ==
+          wire::QUARANTINE_STATE_CLEARED);
+  shop.Restart();
+  shop.Run(Milliseconds(500));
+  REQUIRE(shop.m_coordinator->Quarantine(shop.m_now).size() == 1);
+}
+
 // Guards against a drained backend server that gets new work for more than 3 s
 // and against a rebalancing that moves as many shards at once as a drain.
 TEST_CASE("128 shards move at once from a draining backend, else 32")
--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -127,11 +127,27 @@
   LogInfo("control", "leader of term {}", aTerm);
   m_leaderTerm = aTerm;
   m_leaderReady = false;
+  cluster::CoordinatorOptions options;
+  options.m_term = aTerm;
   m_coordinator = std::make_unique<cluster::Coordinator>(
-    cluster::CoordinatorOptions{}, m_state.Cluster(), m_clock.Now());
+    options, m_state.Cluster(), m_clock.Now());
   AwaitAppliedState();
 }
 
+std::vector<wire::QuarantineEntry>
+ControlCore::Quarantine() const
+{
+  return m_coordinator ? m_coordinator->Quarantine(m_clock.Now())
+                       : std::vector<wire::QuarantineEntry>{};
+}
+
+bool
+ControlCore::ClearQuarantine(uint64_t aFingerprint)
+{
+  return m_coordinator &&
+         m_coordinator->ClearQuarantine(aFingerprint, m_clock.Now());
+}
+
 // Placement on a state that lacks committed entries would start from wrong
 // owners.
 void
--- a/modules/control/src/ControlCore.h
+++ b/modules/control/src/ControlCore.h
@@ -63,6 +63,9 @@
   bool IsLeader() const;
   const cluster::ClusterState& Cluster() const { return m_state.Cluster(); }
   std::vector<cluster::NodeStatus> Nodes() const;
+  // Of the leader; empty elsewhere.
+  std::vector<wire::QuarantineEntry> Quarantine() const;
+  bool ClearQuarantine(uint64_t aFingerprint);
   const CoreCounters& Counters() const { return m_counters; }
   const TransportCounters& PeerCounters() const;
   size_t HeldCalls() const { return m_held.Size(); }
--- a/modules/control/src/OperatorApi.cpp
+++ b/modules/control/src/OperatorApi.cpp
@@ -102,6 +102,8 @@
   { "GET", { "v1", "routes" }, &OperatorApi::GetRoutes },
   { "POST", { "v1", "drain", "*" }, &OperatorApi::DrainNode },
   { "DELETE", { "v1", "drain", "*" }, &OperatorApi::UndrainNode },
+  { "GET", { "v1", "quarantine" }, &OperatorApi::ListQuarantine },
+  { "DELETE", { "v1", "quarantine", "*" }, &OperatorApi::ClearQuarantine },
   { "POST", { "v1", "members" }, &OperatorApi::AddMember },
   { "POST", { "v1", "members", "*", "promote" }, &OperatorApi::PromoteMember },
   { "DELETE", { "v1", "members", "*" }, &OperatorApi::RemoveMember },
@@ -372,6 +374,45 @@
   aResponder(Error(kNotFound, "not_found", "the node has no backend server"));
 }
 
+void
+OperatorApi::ListQuarantine(const ApiRequest& /*aRequest*/,
+                            Responder aResponder)
+{
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  json entries = json::array();
+  for (const wire::QuarantineEntry& entry : m_core.Quarantine()) {
+    const bool blocked = entry.state() == wire::QUARANTINE_STATE_BLOCKED;
+    entries.push_back({ { "fingerprint", FormatReplicaId(entry.fingerprint()) },
+                        { "service", entry.service() },
+                        { "state", blocked ? "blocked" : "suspect" },
+                        { "left_ms", entry.left_ms() } });
+  }
+  aResponder(Json(kOk, { { "entries", std::move(entries) } }));
+}
+
+void
+OperatorApi::ClearQuarantine(const ApiRequest& aRequest, Responder aResponder)
+{
+  if (!m_core.IsLeader()) {
+    aResponder(NotLeader());
+    return;
+  }
+  const auto fingerprint = ParseReplicaId(aRequest.m_path[2]);
+  if (!fingerprint) {
+    aResponder(BadField("fingerprint", "must be 16 hexadecimal digits"));
+    return;
+  }
+  if (!m_core.ClearQuarantine(*fingerprint)) {
+    aResponder(Error(kNotFound, "not_found", "no such suspect or block"));
+    return;
+  }
+  LogInfo("control", "cleared request {}", aRequest.m_path[2]);
+  aResponder(Json(kOk, { { "status", "cleared" } }));
+}
+
 void
 OperatorApi::Transfer(const ApiRequest& /*aRequest*/, Responder aResponder)
 {
--- a/modules/control/src/OperatorApi.h
+++ b/modules/control/src/OperatorApi.h
@@ -34,6 +34,8 @@
   void GetHistory(const ApiRequest& aRequest, Responder aResponder);
   void GetRoutes(const ApiRequest& aRequest, Responder aResponder);
   void DrainNode(const ApiRequest& aRequest, Responder aResponder);
+  void ListQuarantine(const ApiRequest& aRequest, Responder aResponder);
+  void ClearQuarantine(const ApiRequest& aRequest, Responder aResponder);
   void UndrainNode(const ApiRequest& aRequest, Responder aResponder);
   void SetDrain(const std::string& aNode, bool aDrain, Responder aResponder);
   void AddMember(const ApiRequest& aRequest, Responder aResponder);
--- a/modules/node/include/rattanloft/node/Node.h
+++ b/modules/node/include/rattanloft/node/Node.h
@@ -25,6 +25,8 @@
   std::vector<std::string> m_control;
   // Scheduling strategy: "deadline" or "fifo".
   std::string m_strategy = "deadline";
+  // Isolate and block requests that crash the backend server.
+  bool m_quarantine = true;
 };
 
 enum class NodeErrorCode
--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -79,6 +79,8 @@
   TimePoint m_deadline;
   ClassifiedRequest m_classified;
   size_t m_misdirected = 0;
+  // An earlier attempt may have run.
+  bool m_maybeRun = false;
   // Backends that have refused or could not be reached.
   std::vector<uint32_t> m_excluded;
 };
@@ -164,7 +166,11 @@
       if (routed) {
         continue;
       }
-      co_return MakeResponse(NotRun(503, "no_owner"));
+      Refusal refusal = NotRun(503, "no_owner");
+      if (attempt.m_maybeRun) {
+        refusal.m_outcome = Outcome::kUnknown;
+      }
+      co_return MakeResponse(refusal);
     }
     LogInfo("route",
             "Chose a backend server. request={} entry={} key={} backend={} "
@@ -180,6 +186,13 @@
     if (!aCancel->IsCancelled()) {
       again = co_await MayTryAgain(attempt, *target, response);
     }
+    const Outcome outcome = OutcomeOf(response).value_or(Outcome::kUnknown);
+    if (!again && attempt.m_maybeRun && outcome == Outcome::kNotRun) {
+      Refusal refusal = NotRun(502, std::string(response[header::kReason]));
+      refusal.m_outcome = Outcome::kUnknown;
+      co_return MakeResponse(refusal);
+    }
+    attempt.m_maybeRun |= outcome == Outcome::kUnknown;
     if (!again && response.result_int() == kStatusMisdirected) {
       co_return MakeResponse(NotRun(503, "owner_moving"));
     }
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -107,6 +107,12 @@
         m_control->SetLoad(load);
       });
     };
+    hooks.m_onQuarantine = [this](std::vector<wire::QuarantineEntry> aEntries) {
+      boost::asio::post(m_controlContext,
+                        [this, entries = std::move(aEntries)] {
+                          m_control->AddQuarantine(entries);
+                        });
+    };
     return hooks;
   }
 
@@ -125,6 +131,11 @@
         m_traffic->SetBackend(aAnnouncement, aIsNew);
       });
     };
+    hooks.m_onQuarantine = [this](wire::QuarantineUpdate aUpdate) {
+      boost::asio::post(m_trafficContext, [this, update = std::move(aUpdate)] {
+        m_traffic->MergeQuarantine(update);
+      });
+    };
     hooks.m_metrics = [this] { return m_traffic->Metrics(); };
     return hooks;
   }
--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -124,6 +124,15 @@
   m_agent.SetLoad(std::move(aLoad));
 }
 
+void
+NodeControl::AddQuarantine(const std::vector<wire::QuarantineEntry>& aEntries)
+{
+  if (!aEntries.empty()) {
+    m_agent.AddQuarantine(aEntries);
+    SyncNow();
+  }
+}
+
 void
 NodeControl::Drain()
 {
@@ -296,6 +305,9 @@
       m_agent.OnReply(aResult.m_reply, aResult.m_sentAt, m_clock.Now())) {
     PublishView();
     UpdateOperatorDrain();
+    if (aResult.m_reply.has_quarantine()) {
+      m_hooks.m_onQuarantine(aResult.m_reply.quarantine());
+    }
   }
   if (aSequence == m_latestSequence || m_syncsInFlight == 0) {
     SendSync();
--- a/modules/node/src/NodeControl.h
+++ b/modules/node/src/NodeControl.h
@@ -35,6 +35,7 @@
     std::function<void(const Announcement&, bool)> m_onBackend;
     // Text of the traffic metrics in the Prometheus form.
     std::function<std::string()> m_metrics;
+    std::function<void(wire::QuarantineUpdate)> m_onQuarantine;
   };
 
   static tl::expected<std::unique_ptr<NodeControl>, NodeError> Make(
@@ -49,6 +50,7 @@
   // From the traffic thread, posted to this one.
   void ReleaseShard(const routing::NodeAgent::OwnShard& aShard);
   void SetLoad(wire::NodeLoad aLoad);
+  void AddQuarantine(const std::vector<wire::QuarantineEntry>& aEntries);
 
   // Announces the drain. OwnsAnyShard tells when the shards have moved.
   void Drain();
--- a/modules/node/src/Traffic.cpp
+++ b/modules/node/src/Traffic.cpp
@@ -164,6 +164,27 @@
 {
   m_context.m_backendAddress = aAnnouncement.m_address;
   m_context.m_gate.SetBackend(aAnnouncement.m_backend.slots(), aIsNew);
+  if (aIsNew && m_context.m_quarantine) {
+    m_context.m_runs.OnIncarnation(m_context.m_clock.Now());
+  }
+}
+
+void
+Traffic::MergeQuarantine(const wire::QuarantineUpdate& aUpdate)
+{
+  if (!m_context.m_quarantine) {
+    return;
+  }
+  const TimePoint now = m_context.m_clock.Now();
+  for (const wire::QuarantineEntry& entry : aUpdate.entries()) {
+    m_context.m_runs.Merge(entry, now);
+  }
+  // A new leader has nothing of its predecessor's list.
+  if (aUpdate.term() != m_quarantineTerm) {
+    m_quarantineTerm = aUpdate.term();
+    m_hooks.m_onQuarantine(m_context.m_runs.List(now));
+  }
+  m_context.m_runEnded.Notify();
 }
 
 boost::asio::awaitable<void>
@@ -231,6 +252,10 @@
     co_await Sleep(m_context.m_context, kTickInterval);
     m_context.m_gate.Tick();
     m_context.m_records.Expire(m_context.m_clock.Now());
+    auto changes = m_context.m_runs.TakeChanges(m_context.m_clock.Now());
+    if (!changes.empty()) {
+      m_hooks.m_onQuarantine(std::move(changes));
+    }
   }
 }
 
--- a/modules/node/src/Traffic.h
+++ b/modules/node/src/Traffic.h
@@ -30,6 +30,7 @@
   {
     std::function<void(const routing::NodeAgent::OwnShard&)> m_onReleased;
     std::function<void(wire::NodeLoad)> m_onLoad;
+    std::function<void(std::vector<wire::QuarantineEntry>)> m_onQuarantine;
   };
 
   static tl::expected<std::unique_ptr<Traffic>, NodeError> Make(
@@ -46,6 +47,8 @@
                std::vector<routing::NodeAgent::OwnShard> aReleases);
   void SetBackend(const Announcement& aAnnouncement, bool aIsNew);
 
+  void MergeQuarantine(const wire::QuarantineUpdate& aUpdate);
+
   uint16_t CallerPort() const { return m_callers->Port(); }
   uint16_t PeerPort() const { return m_peers->Port(); }
 
@@ -81,6 +84,7 @@
   std::unique_ptr<http::Server> m_callers;
   std::unique_ptr<http::Server> m_peers;
   uint64_t m_limitsRevision = 0;
+  uint64_t m_quarantineTerm = 0;
   uint64_t m_lastRequests = 0;
 };
 
--- a/modules/node/src/TrafficContext.h
+++ b/modules/node/src/TrafficContext.h
@@ -14,6 +14,7 @@
 #include "rattanloft/http/Client.h"
 #include "rattanloft/idempotency/RecordTable.h"
 #include "rattanloft/node/Node.h"
+#include "rattanloft/quarantine/RunTracker.h"
 #include "rattanloft/routing/NodeAgent.h"
 
 namespace rattanloft::node {
@@ -46,7 +47,9 @@
     , m_clock(aClock)
     , m_nodeId(aOptions.m_nodeId)
     , m_zone(aOptions.m_zone)
+    , m_quarantine(aOptions.m_quarantine)
     , m_viewChanged(aContext)
+    , m_runEnded(aContext)
     , m_gate(aContext, aClock, std::move(aScheduler))
     , m_records(idempotency::RecordTableOptions{})
   {
@@ -56,9 +59,12 @@
   const Clock& m_clock;
   const std::string m_nodeId;
   const std::string m_zone;
+  const bool m_quarantine;
   // Never null.
   std::shared_ptr<const routing::View> m_view;
   Signal m_viewChanged;
+  quarantine::RunTracker m_runs;
+  Signal m_runEnded;
   // host:port of the backend server, empty while none is known.
   std::string m_backendAddress;
   AdmissionGate m_gate;
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -226,6 +226,59 @@
   REQUIRE(node.m_backend->m_requests.empty());
 }
 
+// Guards against a harmful request that goes on crashing backend servers, and
+// against an unknown outcome that is reported as not run.
+TEST_CASE("A request that crashes the backend server alone is refused after")
+{
+  TrafficFixture node;
+  node.Settle();
+  bool down = false;
+  node.m_backend->m_script = [&](const auto&,
+                                 const http::Request& aRequest) -> Reply {
+    if (aRequest.target() == "/rattanloft/health" && down) {
+      return Unreachable();
+    }
+    down = true;
+    return Broken();
+  };
+  for (int i = 0; i < 2; ++i) {
+    down = false;
+    REQUIRE(OutcomeText(node.AtOwner(TrafficFixture::Browse())) == "unknown");
+    node.Settle();
+    node.m_context.m_runs.OnIncarnation(node.m_clock.Now());
+  }
+  const size_t sent = node.m_backend->m_requests.size();
+  const auto refused = node.AtOwner(TrafficFixture::Browse());
+  REQUIRE(refused.result_int() == 403);
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(ReasonText(refused) == "quarantined");
+  REQUIRE(TrafficFixture::Text(refused, "Retry-After") == "600");
+  REQUIRE(node.m_backend->m_requests.size() == sent);
+}
+
+// Guards against a record of work that may have run being replaced by the claim
+// that it did not.
+TEST_CASE("A blocked request whose record is unknown stays unknown")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_backend->m_script = [&](const auto&,
+                                 const http::Request& aRequest) -> Reply {
+    return aRequest.target() == "/rattanloft/health" ? Unreachable() : Broken();
+  };
+  REQUIRE(OutcomeText(node.AtOwner(TrafficFixture::Order("k1"))) == "unknown");
+  node.Settle();
+  node.m_context.m_runs.OnIncarnation(node.m_clock.Now());
+  REQUIRE(OutcomeText(node.AtOwner(TrafficFixture::Order("k2"))) == "unknown");
+  node.Settle();
+  node.m_context.m_runs.OnIncarnation(node.m_clock.Now());
+  REQUIRE(ReasonText(node.AtOwner(TrafficFixture::Order("k3"))) ==
+          "quarantined");
+  const auto repeat = node.AtOwner(TrafficFixture::Order("k1"));
+  REQUIRE(repeat.result_int() == 504);
+  REQUIRE(OutcomeText(repeat) == "unknown");
+}
+
 // Guards against a planned move that cuts off running work or starts new work.
 TEST_CASE("A shard is released after its last request")
 {
--- /dev/null
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rattanloft/base/Time.h"
+#include "rattanloft/quarantine/Table.h"
+
+namespace rattanloft::quarantine {
+
+// Suspects that one node has named and nobody has cleared.
+constexpr size_t kMaxOwnSuspects = 64;
+// A run whose connection ended this long before a crash is known may have
+// caused it.
+constexpr Duration kCrashWindow = Seconds(2);
+// A request whose connection was closed may go on for a moment.
+constexpr Duration kLinger = Seconds(1);
+// Others run for this long after each isolated run, so that suspects take at
+// most about half of the time of a backend server.
+constexpr Duration kIsolationPause = Seconds(1);
+
+// After an isolated run without an answer others wait this long, so that a
+// refused connection or a new incarnation can only be due to that run.
+constexpr Duration kVerdictTime = Milliseconds(100);
+
+using RunId = uint64_t;
+
+enum class StartKind
+{
+  kStarted,
+  // Wait for a run to end and ask again.
+  kWait,
+  // Alone requests wait for this one's turn too.
+  kWaitAlone,
+  kBlocked,
+};
+
+struct StartResult
+{
+  StartKind m_kind = StartKind::kWait;
+  // For kStarted.
+  RunId m_run = 0;
+  // For kBlocked: time until the block ends.
+  Duration m_retryAfter;
+};
+
+enum class RunEnd
+{
+  kAnswered,
+  kNotRun,
+  // Sent, and ended without an answer.
+  kNoAnswer,
+};
+
+// Finds requests that crash the backend server beside a node. Requests in
+// flight at a crash become suspects; a suspect runs alone; an answer clears it,
+// and a crash blocks it. Pure; owned by the traffic thread.
+class RunTracker
+{
+public:
+  // A suspect asks with aWaiting from its second time on, which holds others
+  // back. EndWait follows when it gives up or has started.
+  StartResult Start(uint64_t aFingerprint,
+                    std::string_view aService,
+                    TimePoint aNow);
+  void BeginWait() { m_waiting++; }
+  void EndWait(TimePoint aNow, bool aStarted);
+  void End(RunId aRun, RunEnd aEnd, TimePoint aNow);
+
+  // A new connection to the backend server was refused.
+  void OnRefused(TimePoint aNow);
+  // The backend server has announced a new incarnation.
+  void OnIncarnation(TimePoint aNow);
+
+  // True if the entry is news.
+  bool Merge(const wire::QuarantineEntry& aEntry, TimePoint aNow);
+  // Entries that have changed here since the last call.
+  std::vector<wire::QuarantineEntry> TakeChanges(TimePoint aNow);
+  // All entries, for a new leader.
+  std::vector<wire::QuarantineEntry> List(TimePoint aNow) const;
+  const Table& Entries() const { return m_table; }
+
+private:
+  struct Run
+  {
+    uint64_t m_fingerprint = 0;
+    std::string m_service;
+    bool m_alone = false;
+    TimePoint m_at;
+  };
+
+  void OnCrash(TimePoint aNow);
+  void Accuse(const Run& aRun, TimePoint aNow);
+  void Change(const Run& aRun, wire::QuarantineState aState, TimePoint aNow);
+  bool IsQuiet(TimePoint aNow);
+
+  Table m_table;
+  std::unordered_map<RunId, Run> m_runs;
+  RunId m_lastRun = 0;
+  bool m_aloneRuns = false;
+  size_t m_waiting = 0;
+  TimePoint m_nextIsolation;
+  TimePoint m_verdictUntil;
+  // Runs without an answer, by the time of their end, until a crash is known or
+  // the window has passed.
+  std::deque<Run> m_unanswered;
+  std::optional<TimePoint> m_crashedAt;
+  // Crashed, and no new incarnation has been announced.
+  bool m_down = false;
+  // Suspects named here.
+  std::set<uint64_t> m_own;
+  std::set<uint64_t> m_changed;
+};
+
+} // namespace rattanloft::quarantine
--- /dev/null
+++ b/modules/quarantine/include/rattanloft/quarantine/Table.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control.pb.h"
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::quarantine {
+
+constexpr size_t kMaxEntries = 256;
+constexpr Duration kBlockFor = Seconds(600);
+constexpr Duration kSuspectFor = Seconds(600);
+// Long enough for every node to hear that an entry was cleared.
+constexpr Duration kClearedFor = Seconds(60);
+
+struct Entry
+{
+  std::string m_service;
+  wire::QuarantineState m_state = wire::QUARANTINE_STATE_CLEARED;
+  uint64_t m_version = 0;
+  TimePoint m_expiresAt;
+
+  bool IsLive() const { return m_state != wire::QUARANTINE_STATE_CLEARED; }
+};
+
+// Suspected and blocked requests by fingerprint. Pure. Each node has one on its
+// traffic thread and the leader one in its coordinator; they exchange entries
+// and keep the one of the highest version, so the order of messages does not
+// matter. Holds at most kMaxEntries live entries: a further suspect is refused,
+// a further block displaces the suspect that would expire first.
+class Table
+{
+public:
+  // Null if unknown, cleared or expired.
+  const Entry* Find(uint64_t aFingerprint, TimePoint aNow) const;
+  // Changes the state here and starts its time anew. False if there is no room.
+  bool Set(uint64_t aFingerprint,
+           std::string_view aService,
+           wire::QuarantineState aState,
+           TimePoint aNow);
+  // True if the entry is news.
+  bool Merge(const wire::QuarantineEntry& aEntry, TimePoint aNow);
+  void Expire(TimePoint aNow);
+
+  // With cleared ones, which others must hear of too.
+  std::vector<wire::QuarantineEntry> List(TimePoint aNow) const;
+  wire::QuarantineEntry Get(uint64_t aFingerprint, TimePoint aNow) const;
+  size_t LiveSize() const;
+
+private:
+  bool Store(uint64_t aFingerprint, Entry aEntry);
+  void DropCleared();
+
+  std::map<uint64_t, Entry> m_entries;
+};
+
+} // namespace rattanloft::quarantine
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,6 +85,9 @@
                     ShardNumber aShard,
                     uint64_t aEpoch);
 
+  // Quarantine entries that have changed here, sent until the leader has them.
+  void AddQuarantine(const std::vector<wire::QuarantineEntry>& aEntries);
+
   wire::SyncRequest MakeRequest();
 
   // aSentAt is when the request with this sequence was sent. Returns true if
@@ -137,6 +141,11 @@
   bool m_healthy = true;
   bool m_wantFullRoutes = false;
   wire::NodeLoad m_load;
+  uint64_t m_quarantineTerm = 0;
+  uint64_t m_quarantineRevision = 0;
+  // By fingerprint, with the sequence of the last request before it was added.
+  // Bounded by the table of the traffic thread.
+  std::map<uint64_t, std::pair<uint64_t, wire::QuarantineEntry>> m_quarantine;
   std::shared_ptr<const View> m_view;
 };
 
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -186,6 +186,14 @@
   Publish(std::move(view));
 }
 
+void
+NodeAgent::AddQuarantine(const std::vector<wire::QuarantineEntry>& aEntries)
+{
+  for (const wire::QuarantineEntry& entry : aEntries) {
+    m_quarantine[entry.fingerprint()] = { m_sequence, entry };
+  }
+}
+
 wire::SyncRequest
 NodeAgent::MakeRequest()
 {
@@ -210,6 +218,11 @@
     }
   }
   *request.mutable_load() = m_load;
+  request.set_quarantine_term(m_quarantineTerm);
+  request.set_quarantine_revision(m_quarantineRevision);
+  for (const auto& [fingerprint, item] : m_quarantine) {
+    *request.add_quarantine() = item.second;
+  }
   return request;
 }
 
@@ -241,6 +254,13 @@
   }
   ApplyLease(aReply, aSentAt, aNow, view);
   ApplyOperatorDrain(aReply, aSentAt, view);
+  if (aReply.has_quarantine()) {
+    m_quarantineTerm = aReply.quarantine().term();
+    m_quarantineRevision = aReply.quarantine().revision();
+  }
+  std::erase_if(m_quarantine, [&aReply](const auto& aItem) {
+    return aItem.second.first < aReply.quarantine_sequence();
+  });
   // A reply confirms the catalogue only if this node has what the reply says is
   // current.
   if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
--- a/modules/routing/tests/NodeAgentTest.cpp
+++ b/modules/routing/tests/NodeAgentTest.cpp
@@ -165,6 +165,30 @@
   REQUIRE_FALSE(agent.CurrentView()->m_operatorDrain);
 }
 
+// Guards against a suspect that the leader never hears of since one request was
+// lost, and against one that is sent for ever.
+TEST_CASE("Quarantine entries are sent until the leader has them")
+{
+  NodeAgent agent = MakeOwner();
+  wire::QuarantineEntry entry;
+  entry.set_fingerprint(77);
+  const uint64_t before = agent.MakeRequest().sequence();
+  agent.AddQuarantine({ entry });
+  REQUIRE(agent.MakeRequest().quarantine_size() == 1);
+  wire::SyncReply reply = Reply(7);
+  reply.set_quarantine_sequence(before);
+  reply.mutable_quarantine()->set_term(4);
+  reply.mutable_quarantine()->set_revision(9);
+  agent.OnReply(reply, kLater, kLater);
+  const wire::SyncRequest next = agent.MakeRequest();
+  REQUIRE(next.quarantine_size() == 1);
+  REQUIRE(next.quarantine_term() == 4);
+  REQUIRE(next.quarantine_revision() == 9);
+  reply.set_quarantine_sequence(next.sequence());
+  agent.OnReply(reply, kLater, kLater);
+  REQUIRE(agent.MakeRequest().quarantine_size() == 0);
+}
+
 // Guards against serving with a catalogue that may be out of date: only a reply
 // with a confirmed read counts, from the time its request was sent.
 TEST_CASE("Only confirmed replies keep a node from being stale")
--- a/tools/rattanloft/NodeCommand.cpp
+++ b/tools/rattanloft/NodeCommand.cpp
@@ -30,6 +30,9 @@
               "",
               "gRPC addresses of the control instances, separated by commas");
 DEFINE_string(strategy, "deadline", "scheduling strategy: deadline or fifo");
+DEFINE_bool(quarantine,
+            true,
+            "isolate and block requests that crash the backend server");
 
 namespace rattanloft::tool {
 
@@ -118,6 +121,7 @@
   options.m_agentPort = static_cast<uint16_t>(FLAGS_agent_port);
   options.m_control = SplitList(FLAGS_control_grpc);
   options.m_strategy = FLAGS_strategy;
+  options.m_quarantine = FLAGS_quarantine;
   auto made = node::Node::Make(options);
   if (!made) {
     const bool settings = made.error().m_code == node::NodeErrorCode::kSettings;
