--- a/modules/idempotency/bench/RecordTableBench.cpp
+++ b/modules/idempotency/bench/RecordTableBench.cpp
@@ -1,6 +1,7 @@
 #include "rattanloft/idempotency/RecordTable.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <malloc.h>
 
 #include <fmt/core.h>
@@ -23,21 +24,27 @@
 
 } // namespace
 
+// RecordTableBench [RECORDS]
 int
-main()
+main(int aCount, char** aArgs)
 {
   using namespace rattanloft;
   using namespace rattanloft::idempotency;
-  constexpr size_t kRecords = 100'000;
+  const int count = aCount > 1 ? std::atoi(aArgs[1]) : 100'000;
+  // The bound of the table.
+  if (count < 1 || count > 100'000) {
+    return 2;
+  }
+  const auto records = size_t(count);
   constexpr size_t kBodyBytes = 200;
   std::vector<std::string> keys;
-  for (size_t i = 0; i < kRecords; ++i) {
+  for (size_t i = 0; i < records; ++i) {
     keys.push_back(fmt::format("0b6f1c3e-5a2d-4f7e-9d1b-{:012}", i));
   }
   RecordTable table({ .m_maxAnswerBytes = 64 * 1024 * 1024 });
   const size_t heap = HeapBytes();
   const double begun = Seconds();
-  for (size_t i = 0; i < kRecords; ++i) {
+  for (size_t i = 0; i < records; ++i) {
     table.Begin("orders", i % kHashedShards, keys[i], i, TimePoint{ 1000 });
     table.Complete("orders",
                    keys[i],
@@ -46,7 +53,7 @@
   }
   const double completed = Seconds();
   const size_t used = HeapBytes() - heap;
-  for (size_t i = 0; i < kRecords; ++i) {
+  for (size_t i = 0; i < records; ++i) {
     table.Begin("orders", i % kHashedShards, keys[i], i, TimePoint{ 1000 });
   }
   const double repeated = Seconds();
@@ -57,16 +64,16 @@
   const double exports = Seconds();
   table.Expire(TimePoint{ 10'000'000 });
   const double expired = Seconds();
-  constexpr double kNs = 1e9 / kRecords;
+  const double ns = 1e9 / double(records);
   fmt::print("{} records, answers of {} B: {:.0f} B each\n",
              exported,
              kBodyBytes,
-             double(used) / kRecords);
+             double(used) / records);
   fmt::print("ns a record: begin and complete {:.0f}, repeat {:.0f}, "
              "export {:.0f}, expire {:.0f}\n",
-             (completed - begun) * kNs,
-             (repeated - completed) * kNs,
-             (exports - repeated) * kNs,
-             (expired - exports) * kNs);
+             (completed - begun) * ns,
+             (repeated - completed) * ns,
+             (exports - repeated) * ns,
+             (expired - exports) * ns);
   return table.Size() == 0 ? 0 : 1;
 }
--- a/modules/routing/bench/RoutingBench.cpp
+++ b/modules/routing/bench/RoutingBench.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <cstdlib>
 #include <malloc.h>
 #include <random>
 
@@ -12,7 +13,7 @@
 namespace {
 
 constexpr int kServices = 6;
-constexpr uint32_t kBackends = 560;
+constexpr uint32_t kDefaultBackends = 560;
 constexpr uint32_t kHotKeys = 47;
 
 double
@@ -36,12 +37,12 @@
 }
 
 wire::RouteUpdate
-MakeFullUpdate()
+MakeFullUpdate(uint32_t aBackends)
 {
   wire::RouteUpdate update;
   update.set_full(true);
   update.set_revision(1);
-  for (uint32_t i = 1; i <= kBackends; ++i) {
+  for (uint32_t i = 1; i <= aBackends; ++i) {
     *update.add_backends() = MakeBackend(
       i, ServiceName(int(i) % kServices), fmt::format("z{}", i % 6));
   }
@@ -49,7 +50,7 @@
     wire::ServiceRoutes* routes = update.add_services();
     routes->set_service(ServiceName(s));
     for (uint32_t i = 0; i < kHashedShards + kHotKeys; ++i) {
-      AddRoute(*routes, i, 1 + i % kBackends, 100'000 + i);
+      AddRoute(*routes, i, 1 + i % aBackends, 100'000 + i);
     }
     for (uint32_t i = 0; i < kHotKeys; ++i) {
       wire::HotKey* key = update.add_hot_keys();
@@ -97,9 +98,9 @@
 }
 
 void
-MeasureTable()
+MeasureTable(uint32_t aBackends)
 {
-  const wire::RouteUpdate full = MakeFullUpdate();
+  const wire::RouteUpdate full = MakeFullUpdate(aBackends);
   const size_t empty = HeapBytes();
   const double begun = Seconds();
   auto table = RouteTable::MakeEmpty()->With(full);
@@ -109,7 +110,7 @@
     "{} services, {} backends: {} B, of which backends {} B; built in "
     "{:.0f} us; full update of {} B\n",
     kServices,
-    kBackends,
+    aBackends,
     one - empty,
     [&] {
       const size_t before = HeapBytes();
@@ -133,9 +134,15 @@
 
 } // namespace rattanloft::routing
 
+// RoutingBench [BACKENDS]
 int
-main()
+main(int aCount, char** aArgs)
 {
-  rattanloft::routing::MeasureTable();
+  const int backends = aCount > 1 ? std::atoi(aArgs[1])
+                                  : int(rattanloft::routing::kDefaultBackends);
+  if (backends < 1) {
+    return 2;
+  }
+  rattanloft::routing::MeasureTable(uint32_t(backends));
   return 0;
 }
