Keep three copies of an at-most-once record

Cause: a record lay at its owner and one other node; two losses at once, which the requirements name, allowed a second run of the work. Change: the owner waits for two other nodes, in other availability zones first, and for one only if the service has no more; up to four are tried. The example service times follow the entry names of the catalogues.

--- a/modules/node/src/RecordService.cpp
+++ b/modules/node/src/RecordService.cpp
@@ -18,8 +18,10 @@
 constexpr Duration kCopyTimeout = Milliseconds(300);
 constexpr Duration kFetchTimeout = Milliseconds(1000);
 constexpr Duration kFetchRetryDelay = Milliseconds(100);
-// Two attempts at a copy before the request is refused as not run.
-constexpr size_t kMaxCopyAttempts = 2;
+// Copies beside the owner's record, so that two losses at once leave one.
+constexpr size_t kCopies = 2;
+// Nodes that are tried before the request is refused as not run.
+constexpr size_t kMaxCopyAttempts = 4;
 constexpr size_t kRecordsPerPut = 200;
 
 http::Request
@@ -118,6 +120,9 @@
   const std::string key = aPut.records(0).key();
   const std::string body = aPut.SerializeAsString();
   std::vector<uint32_t> holders = PreferredHolders(service, key);
+  // A service with two nodes has room for one copy.
+  const size_t wanted = std::min(holders.size(), kCopies);
+  size_t stored = 0;
   holders.resize(std::min(holders.size(), kMaxCopyAttempts));
   for (const uint32_t holder : holders) {
     const wire::Backend* backend =
@@ -131,13 +136,16 @@
                                            kCopyTimeout);
     if (reply && reply->result_int() == 200) {
       ++m_context.m_counters.m_recordsCopied;
-      co_return true;
+      ++stored;
     }
     if (reply && reply->result_int() == kStatusMisdirected) {
       co_return false;
     }
+    if (stored == wanted) {
+      break;
+    }
   }
-  co_return false;
+  co_return stored > 0 && stored == wanted;
 }
 
 http::Response
--- a/modules/node/src/RecordService.h
+++ b/modules/node/src/RecordService.h
@@ -40,7 +40,8 @@
                 ShardNumber aShard,
                 uint64_t aEpoch) const;
 
-  // Stores a copy at a second node. False if no node has confirmed it.
+  // Stores copies at two other nodes, in other availability zones first, or at
+  // one if the service has no more. False if fewer have confirmed.
   boost::asio::awaitable<bool> Copy(wire::RecordPut aPut);
 
   // Peer listener: requests of other nodes.
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -28,7 +28,7 @@
                 "slots": 12,
                 "times": "catalogue.browse=8",
             },
-            "deposits": {"backends": 4, "slots": 12, "times": "deposits.pay=40"},
+            "deposits": {"backends": 4, "slots": 12, "times": "deposits.capture=40"},
             "dispatch": {
                 "backends": 4,
                 "slots": 12,
@@ -48,7 +48,7 @@
             "plotter": {
                 "backends": 4,
                 "slots": 6,
-                "times": "plotter.release=4000",
+                "times": "plotter.release=4000,plotter.check=6",
             },
         },
     },
