--- a/modules/node/src/BackendMonitor.cpp
+++ b/modules/node/src/BackendMonitor.cpp
@@ -39,20 +39,6 @@
   return request;
 }
 
-bool
-SameShards(const std::vector<routing::NodeAgent::OwnShard>& aLeft,
-           const std::vector<routing::NodeAgent::OwnShard>& aRight)
-{
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](const auto& aOne, const auto& aOther) {
-                      return aOne.m_shard == aOther.m_shard &&
-                             aOne.m_epoch == aOther.m_epoch;
-                    });
-}
-
 std::string
 WholeList(uint64_t aRevision, const GrantList& aGrants)
 {
@@ -114,7 +100,7 @@
     co_return true;
   }
   const uint64_t incarnation = m_announcement->m_backend.incarnation();
-  if (m_grantsConfirmed && SameShards(m_granted, aGrants.m_shards)) {
+  if (m_grantsConfirmed && m_granted == aGrants.m_shards) {
     const unsigned status =
       co_await Put(fmt::format(R"({{"revision":{},"expires_ms":{}}})",
                                m_grantRevision,
--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -55,21 +55,6 @@
   }
 }
 
-void
-RemoveHopHeaders(http::Request& aRequest)
-{
-  for (const char* name : { "Connection",
-                            "Keep-Alive",
-                            "Proxy-Connection",
-                            "Transfer-Encoding",
-                            "TE",
-                            "Trailer",
-                            "Upgrade",
-                            "Expect" }) {
-    aRequest.erase(name);
-  }
-}
-
 // Backend number and epoch for the request in a view; a hot key may have got a
 // shard of its own since it was classified.
 std::pair<uint32_t, uint64_t>
@@ -121,7 +106,7 @@
 {
   ++m_context.m_counters.m_received;
   RemoveInternalHeaders(aRequest);
-  RemoveHopHeaders(aRequest);
+  header::RemoveHopHeaders(aRequest);
   const TimePoint now = m_context.m_clock.Now();
   if (m_context.m_view->IsStale(now)) {
     ++m_context.m_counters.m_refusedStale;
--- a/modules/node/src/Headers.h
+++ b/modules/node/src/Headers.h
@@ -2,6 +2,8 @@
 
 #include <string_view>
 
+#include <boost/beast/http/fields.hpp>
+
 // Names of the HTTP headers between nodes and to backend servers.
 namespace rattanloft::node::header {
 
@@ -20,4 +22,8 @@
 constexpr std::string_view kShed = "Rattanloft-Shed";
 constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
 
+// Removes the headers that belong to one connection.
+void
+RemoveHopHeaders(boost::beast::http::fields& aFields);
+
 } // namespace rattanloft::node::header
--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -42,20 +42,6 @@
                       nlohmann::json{ { "error", aMessage } }.dump());
 }
 
-bool
-SameShards(const std::vector<OwnShard>& aLeft,
-           const std::vector<OwnShard>& aRight)
-{
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](const OwnShard& aOne, const OwnShard& aOther) {
-                      return aOne.m_shard == aOther.m_shard &&
-                             aOne.m_epoch == aOther.m_epoch;
-                    });
-}
-
 } // namespace
 
 tl::expected<std::unique_ptr<NodeControl>, NodeError>
@@ -371,7 +357,7 @@
     const auto view = m_agent.CurrentView();
     GrantList grants{ m_agent.OwnedShards(), view->m_leaseEnd };
     std::vector<OwnShard> releases = m_agent.ShardsToRelease();
-    const bool changed = !SameShards(grants.m_shards, m_published);
+    const bool changed = grants.m_shards != m_published;
     if (!changed) {
       m_hooks.m_onView(view, releases);
     } else {
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -29,13 +29,6 @@
 // off.
 constexpr Duration kBehindWait = Milliseconds(500);
 constexpr size_t kMaxWaiting = 1000;
-// A suspected request holds up others while it waits to run alone.
-constexpr Duration kMaxIsolationWait = Seconds(1);
-// The rules of quarantine also depend on the time.
-constexpr Duration kIsolationPoll = Milliseconds(20);
-// A process that crashes closes its connections before its listener.
-constexpr Duration kCheckDelay = Milliseconds(20);
-constexpr Duration kCheckTimeout = Milliseconds(500);
 
 Refusal
 NotRun(unsigned aStatus, std::string aReason)
@@ -61,12 +54,6 @@
   return Unknown(502, "connection_failed");
 }
 
-Refusal
-Quarantined(Duration aRetryAfter)
-{
-  return { 403, Outcome::kNotRun, "quarantined", aRetryAfter };
-}
-
 http::Response
 FromStored(const idempotency::StoredAnswer& aAnswer)
 {
@@ -87,20 +74,6 @@
   return response;
 }
 
-// Headers that belong to one connection.
-void
-RemoveHopHeaders(http::Response& aResponse)
-{
-  for (const char* name : { "Connection",
-                            "Keep-Alive",
-                            "Transfer-Encoding",
-                            "Proxy-Connection",
-                            "Upgrade",
-                            "Trailer" }) {
-    aResponse.erase(name);
-  }
-}
-
 // An answer by which the backend server says that nothing ran, else none.
 std::optional<Refusal>
 BackendRefusal(const http::Response& aResponse)
@@ -148,6 +121,7 @@
   : m_context(aContext)
   , m_records(aRecords)
   , m_shards(aShards)
+  , m_quarantine(aContext)
 {
 }
 
@@ -378,11 +352,9 @@
   const ClassifiedRequest& request = aRun->m_classified;
   const uint64_t fingerprint =
     m_context.m_quarantine ? Fingerprint(aRun->m_request) : 0;
-  const TimePoint now = m_context.m_clock.Now();
-  const quarantine::Entry* entry =
-    m_context.m_runs.Entries().Find(fingerprint, now);
-  if (entry && entry->m_state == wire::QUARANTINE_STATE_BLOCKED) {
-    co_return MakeResponse(Quarantined(entry->m_expiresAt - now));
+  const auto allowed = m_quarantine.Check(fingerprint);
+  if (!allowed) {
+    co_return MakeResponse(allowed.error());
   }
   const auto job = co_await m_context.m_gate.Admit(
     request.m_entry->name(), aRun->m_call.m_deadline, aCancel);
@@ -390,8 +362,8 @@
     ++m_context.m_counters.m_refusedQueue;
     co_return MakeResponse(job.error());
   }
-  const auto started =
-    co_await StartRun(fingerprint, request.m_service, aRun->m_call.m_deadline);
+  const auto started = co_await m_quarantine.Start(
+    fingerprint, request.m_service, aRun->m_call.m_deadline);
   if (!started) {
     m_context.m_gate.Finish(*job, JobResult::kCancelled);
     co_return MakeResponse(started.error());
@@ -401,86 +373,11 @@
   http::Response response =
     co_await Send(std::move(aRun), std::move(aCancel), result);
   --m_context.m_counters.m_running;
-  EndRun(*started, OutcomeOf(response).value_or(Outcome::kUnknown));
+  m_quarantine.End(*started, OutcomeOf(response).value_or(Outcome::kUnknown));
   m_context.m_gate.Finish(*job, result);
   co_return response;
 }
 
-boost::asio::awaitable<tl::expected<quarantine::RunId, Refusal>>
-OwnerHandler::StartRun(uint64_t aFingerprint,
-                       std::string aService,
-                       TimePoint aDeadline)
-{
-  if (!m_context.m_quarantine) {
-    co_return quarantine::RunId{ 0 };
-  }
-  quarantine::RunTracker& runs = m_context.m_runs;
-  const TimePoint end =
-    std::min(aDeadline, m_context.m_clock.Now() + kMaxIsolationWait);
-  bool waiting = false;
-  for (;;) {
-    const TimePoint now = m_context.m_clock.Now();
-    const auto result = runs.Start(aFingerprint, aService, now);
-    const bool alone = result.m_kind == quarantine::StartKind::kWaitAlone;
-    const Duration left = (alone ? end : aDeadline) - now;
-    const bool late = left <= Milliseconds(0);
-    if (waiting && (!alone || late)) {
-      runs.EndWait(now, !late);
-      waiting = false;
-    }
-    if (result.m_kind == quarantine::StartKind::kStarted) {
-      co_return result.m_run;
-    }
-    if (result.m_kind == quarantine::StartKind::kBlocked) {
-      co_return tl::unexpected(Quarantined(result.m_retryAfter));
-    }
-    if (late) {
-      co_return tl::unexpected(
-        NotRun(503, alone ? "isolation" : "deadline_unreachable"));
-    }
-    if (alone && !waiting) {
-      waiting = true;
-      runs.BeginWait();
-    }
-    const Duration step = std::min(left, kIsolationPoll);
-    co_await m_context.m_runEnded.Wait(step);
-  }
-}
-
-void
-OwnerHandler::EndRun(quarantine::RunId aRun, Outcome aOutcome)
-{
-  if (!m_context.m_quarantine) {
-    return;
-  }
-  quarantine::RunEnd end = quarantine::RunEnd::kNoAnswer;
-  if (aOutcome == Outcome::kAnswered) {
-    end = quarantine::RunEnd::kAnswered;
-  } else if (aOutcome == Outcome::kNotRun) {
-    end = quarantine::RunEnd::kNotRun;
-  }
-  m_context.m_runs.End(aRun, end, m_context.m_clock.Now());
-  m_context.m_runEnded.Notify();
-}
-
-boost::asio::awaitable<void>
-OwnerHandler::CheckBackend()
-{
-  co_await Sleep(m_context.m_context, kCheckDelay);
-  http::Request request;
-  request.version(11);
-  request.method(boost::beast::http::verb::get);
-  request.target("/rattanloft/health");
-  request.prepare_payload();
-  const std::string address = m_context.m_backendAddress;
-  const auto reply = co_await m_context.m_backends->Exchange(
-    address, std::move(request), kCheckTimeout);
-  m_checkingBackend = false;
-  if (!reply && reply.error().m_code == http::HttpErrorCode::kConnect) {
-    m_context.m_runs.OnRefused(m_context.m_clock.Now());
-  }
-}
-
 boost::asio::awaitable<http::Response>
 OwnerHandler::Send(std::shared_ptr<Run> aRun,
                    std::shared_ptr<http::CancelToken> aCancel,
@@ -514,13 +411,7 @@
             aRun->m_call.m_requestId,
             request.m_entry->name(),
             reply.error().m_message);
-    if (reply.error().m_code == http::HttpErrorCode::kConnect) {
-      m_context.m_runs.OnRefused(m_context.m_clock.Now());
-    } else if (reply.error().m_code == http::HttpErrorCode::kBroken &&
-               !std::exchange(m_checkingBackend, true)) {
-      boost::asio::co_spawn(
-        m_context.m_context, CheckBackend(), boost::asio::detached);
-    }
+    m_quarantine.OnError(reply.error().m_code);
     co_return MakeResponse(FromError(reply.error()));
   }
   if (const auto refusal = BackendRefusal(*reply)) {
@@ -529,7 +420,7 @@
   }
   aResult = JobResult::kAnswered;
   http::Response response = *reply;
-  RemoveHopHeaders(response);
+  header::RemoveHopHeaders(response);
   SetOutcome(response, Outcome::kAnswered);
   co_return response;
 }
--- a/modules/node/src/OwnerHandler.h
+++ b/modules/node/src/OwnerHandler.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "QuarantineGate.h"
 #include "RecordService.h"
 #include "RequestClassifier.h"
 #include "ShardTracker.h"
@@ -52,11 +53,6 @@
   boost::asio::awaitable<http::Response> RunOnBackend(
     std::shared_ptr<Run> aRun,
     std::shared_ptr<http::CancelToken> aCancel);
-  boost::asio::awaitable<tl::expected<quarantine::RunId, Refusal>>
-  StartRun(uint64_t aFingerprint, std::string aService, TimePoint aDeadline);
-  void EndRun(quarantine::RunId aRun, Outcome aOutcome);
-  // Tells a crash from a connection that only broke.
-  boost::asio::awaitable<void> CheckBackend();
   boost::asio::awaitable<http::Response> Send(
     std::shared_ptr<Run> aRun,
     std::shared_ptr<http::CancelToken> aCancel,
@@ -69,7 +65,7 @@
   TrafficContext& m_context;
   RecordService& m_records;
   ShardTracker& m_shards;
-  bool m_checkingBackend = false;
+  QuarantineGate m_quarantine;
 };
 
 } // namespace rattanloft::node
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -26,6 +26,8 @@
   std::string m_service;
   ShardNumber m_shard = 0;
   uint64_t m_epoch = 0;
+
+  bool operator==(const OwnShard&) const = default;
 };
 
 // What the traffic thread needs from the control thread. Immutable.
