Keep a shard while an unanswered request could still start

Cause: found by reading: after a time-out the request of a frozen backend server no longer held its shard. Conclusion: releases cannot overtake the expiry.

--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -399,6 +399,7 @@
     co_return MakeResponse(NotOwner());
   }
   PrepareHeaders(*aRun, left);
+  const TimePoint expires = m_context.m_view->m_leaseEnd;
   const auto reply =
     co_await m_context.m_backends->Exchange(m_context.m_backendAddress,
                                             std::move(aRun->m_request),
@@ -412,6 +413,12 @@
             request.m_entry->name(),
             reply.error().m_message);
     m_quarantine.OnError(reply.error().m_code);
+    if (request.m_entry->keyed() && reply.error().m_maybeSent) {
+      boost::asio::co_spawn(
+        m_context.m_context,
+        HoldUntil(request.m_service, *request.m_shard, expires),
+        boost::asio::detached);
+    }
     co_return MakeResponse(FromError(reply.error()));
   }
   if (const auto refusal = BackendRefusal(*reply)) {
@@ -425,6 +432,19 @@
   co_return response;
 }
 
+// A frozen backend server may start an unanswered request after its return,
+// until the expiry that the request carries. The shard must not be released to
+// another owner before.
+boost::asio::awaitable<void>
+OwnerHandler::HoldUntil(std::string aService,
+                        ShardNumber aShard,
+                        TimePoint aExpires)
+{
+  const ShardTracker::Hold hold(m_shards, aService, aShard);
+  const Duration left = aExpires - m_context.m_clock.Now();
+  co_await Sleep(m_context.m_context, std::max(left, Milliseconds(0)));
+}
+
 Duration
 OwnerHandler::TimeToSend(const Run& aRun) const
 {
--- a/modules/node/src/OwnerHandler.h
+++ b/modules/node/src/OwnerHandler.h
@@ -57,6 +57,9 @@
     std::shared_ptr<Run> aRun,
     std::shared_ptr<http::CancelToken> aCancel,
     admission::JobResult& aResult);
+  boost::asio::awaitable<void> HoldUntil(std::string aService,
+                                         ShardNumber aShard,
+                                         TimePoint aExpires);
   boost::asio::awaitable<bool> CopyRecord(std::shared_ptr<Run> aRun,
                                           bool aAbort);
   void PrepareHeaders(Run& aRun, Duration aLeft) const;
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -230,6 +230,29 @@
   REQUIRE(copies() == before + holders);
 }
 
+// Guards against two owners: a frozen backend server that returns may start a
+// request that its node has given up on, while another one owns the shard.
+TEST_CASE(
+  "A shard is not released while an unanswered request could still start")
+{
+  TrafficFixture node;
+  const TimePoint leaseEnd = node.m_clock.Now() + Milliseconds(300);
+  node.SetOwner(1, 10, leaseEnd);
+  node.Settle();
+  node.m_backend->m_delay = Seconds(5);
+  node.m_deadline = Milliseconds(50);
+  const auto look = TrafficFixture::Look();
+  REQUIRE(node.AtOwner(look).result_int() == 504);
+  const auto classified = Classify(look, node.m_context.m_view);
+  node.m_shards.Release(
+    { { TrafficFixture::kService, *classified->m_shard, 10 } });
+  REQUIRE(node.m_released.empty());
+  while (node.m_clock.Now() < leaseEnd + Milliseconds(20)) {
+    node.Settle();
+  }
+  REQUIRE(node.m_released.size() == 1);
+}
+
 // Guards against cancelling non-idempotent work halfway.
 TEST_CASE("At-most-once work is not cancelled when its caller goes away")
 {
