Refuse at once while the backend server answers no probes

Change: the owner's node answers 503 not-run, reason backend_unhealthy, from the failed probes on until one succeeds.

--- a/modules/cluster/src/Leases.cpp
+++ b/modules/cluster/src/Leases.cpp
@@ -18,8 +18,8 @@
 constexpr Duration kPlacementInterval = Milliseconds(100);
 // An unhealthy backend's lease is renewed for this long, which spares a backend
 // that recovers with its next probe. Releases go on until the lease ends. With
-// 500 ms, detection (1.5 s), grace, lease (2.6 s) and a request sent just before
-// (1 s) exceeded 5 s.
+// 500 ms, detection (1.5 s), grace, lease (2.6 s) and a request sent just
+// before (1 s) exceeded 5 s.
 constexpr Duration kUnhealthyGrace = Milliseconds(100);
 
 } // namespace
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -135,6 +135,10 @@
         m_traffic->MergeQuarantine(update);
       });
     };
+    hooks.m_onHealth = [this](bool aHealthy) {
+      boost::asio::post(m_trafficContext,
+                        [this, aHealthy] { m_traffic->SetHealthy(aHealthy); });
+    };
     hooks.m_metrics = [this] { return m_traffic->Metrics(); };
     return hooks;
   }
--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -85,6 +85,7 @@
   , m_control(ControlClient::Make(aContext, aClock, aOptions.m_control))
   , m_backend(aContext, aClock, [this](bool aHealthy) {
     m_agent.SetBackendHealthy(aHealthy);
+    m_hooks.m_onHealth(aHealthy);
     SyncNow();
   })
 {
--- a/modules/node/src/NodeControl.h
+++ b/modules/node/src/NodeControl.h
@@ -33,6 +33,8 @@
     // The backend server has announced itself: address, connections, slots, and
     // whether it is a new incarnation.
     std::function<void(const Announcement&, bool)> m_onBackend;
+    // The backend server answers its probes again, or no longer does.
+    std::function<void(bool)> m_onHealth;
     // Text of the traffic metrics in the Prometheus form.
     std::function<std::string()> m_metrics;
     std::function<void(wire::QuarantineUpdate)> m_onQuarantine;
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -207,6 +207,9 @@
   if (own == nullptr || own->service() != classified->m_service) {
     return tl::unexpected(NotOwner());
   }
+  if (!m_context.m_backendHealthy) {
+    return tl::unexpected(NotRun(503, "backend_unhealthy"));
+  }
   if (!classified->m_shard) {
     if (view->m_draining || view->m_operatorDrain) {
       return tl::unexpected(NotOwner());
--- a/modules/node/src/Traffic.h
+++ b/modules/node/src/Traffic.h
@@ -45,6 +45,7 @@
 
   void SetView(std::shared_ptr<const routing::View> aView,
                std::vector<routing::NodeAgent::OwnShard> aReleases);
+  void SetHealthy(bool aHealthy) { m_context.m_backendHealthy = aHealthy; }
   void SetBackend(const Announcement& aAnnouncement, bool aIsNew);
 
   void MergeQuarantine(const wire::QuarantineUpdate& aUpdate);
--- a/modules/node/src/TrafficContext.h
+++ b/modules/node/src/TrafficContext.h
@@ -68,6 +68,8 @@
   Signal m_runEnded;
   // host:port of the backend server, empty while none is known.
   std::string m_backendAddress;
+  // False while the backend server answers no probes.
+  bool m_backendHealthy = true;
   AdmissionGate m_gate;
   idempotency::RecordTable m_records;
   // Keys of the own backend server's service.
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -253,6 +253,21 @@
   REQUIRE(node.m_released.size() == 1);
 }
 
+// Guards against callers that wait for their whole deadline on a backend server
+// that is known not to answer.
+TEST_CASE("A node refuses at once while its backend server answers no probes")
+{
+  TrafficFixture node;
+  node.Settle();
+  node.m_context.m_backendHealthy = false;
+  const auto refused = node.AtOwner(TrafficFixture::Look());
+  REQUIRE(ReasonText(refused) == "backend_unhealthy");
+  REQUIRE(OutcomeText(refused) == "not-run");
+  REQUIRE(node.m_backend->m_requests.empty());
+  node.m_context.m_backendHealthy = true;
+  REQUIRE(OutcomeText(node.AtOwner(TrafficFixture::Look())) == "answered");
+}
+
 // Guards against cancelling non-idempotent work halfway.
 TEST_CASE("At-most-once work is not cancelled when its caller goes away")
 {
