--- a/modules/admission/tests/SchedulerRandomTest.cpp
+++ b/modules/admission/tests/SchedulerRandomTest.cpp
@@ -229,8 +229,8 @@
   }
 }
 
-// Guards against head-of-line blocking of short work behind long work, and
-// against protecting short work by starving the long one.
+// Guards against short work that queues up behind long jobs (head-of-line
+// blocking), and against protecting it by starving the long jobs.
 TEST_CASE("Long work hardly delays short work at half load")
 {
   const auto half = [](double) { return 0.5; };
--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -130,6 +130,7 @@
     now + routing::DeadlineAt(classified->m_entry->limits(), hour);
   http::Response response =
     co_await Route(std::move(aRequest), deadline, std::move(aCancel));
+  m_context.m_latency.Add(m_context.m_clock.Now() - now);
   Count(response);
   co_return response;
 }
--- a/modules/node/src/Traffic.cpp
+++ b/modules/node/src/Traffic.cpp
@@ -250,6 +250,14 @@
   text += fmt::format("# TYPE rattanloft_requests_running gauge\n"
                       "rattanloft_requests_running {}\n",
                       counters.m_running.load(std::memory_order_relaxed));
+  const auto addGauge = [&](const char* aName, double aValue) {
+    text += fmt::format(
+      "# TYPE rattanloft_{0} gauge\nrattanloft_{0} {1:.3f}\n", aName, aValue);
+  };
+  addGauge("request_mean_ms", counters.m_meanMs);
+  addGauge("request_p50_ms", counters.m_p50Ms);
+  addGauge("request_p99_ms", counters.m_p99Ms);
+  addGauge("request_max_ms", counters.m_maxMs);
   return text;
 }
 
@@ -303,9 +311,21 @@
   while (!m_context.m_context.stopped()) {
     co_await Sleep(m_context.m_context, kReportInterval);
     m_hooks.m_onLoad(TakeLoad(kReportInterval));
+    ReportLatency();
   }
 }
 
+void
+Traffic::ReportLatency()
+{
+  const LatencyWindow::Summary summary = m_context.m_latency.Take();
+  TrafficCounters& counters = m_context.m_counters;
+  counters.m_meanMs = summary.m_meanMs;
+  counters.m_p50Ms = summary.m_p50Ms;
+  counters.m_p99Ms = summary.m_p99Ms;
+  counters.m_maxMs = summary.m_maxMs;
+}
+
 wire::NodeLoad
 Traffic::TakeLoad(Duration aInterval)
 {
--- a/modules/node/src/Traffic.h
+++ b/modules/node/src/Traffic.h
@@ -74,6 +74,7 @@
   boost::asio::awaitable<void> TickLoop();
   boost::asio::awaitable<void> ReportLoop();
   wire::NodeLoad TakeLoad(Duration aInterval);
+  void ReportLatency();
   void ApplyLimits();
   void NoteDrain();
   // The drain has lasted so long that the backend server gets nothing new.
--- a/modules/node/src/TrafficContext.h
+++ b/modules/node/src/TrafficContext.h
@@ -10,6 +10,7 @@
 
 #include "AdmissionGate.h"
 #include "KeyCounter.h"
+#include "LatencyWindow.h"
 #include "Signal.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/http/Client.h"
@@ -35,6 +36,11 @@
   std::atomic<uint64_t> m_refusedQueue{ 0 };
   std::atomic<uint64_t> m_recordsCopied{ 0 };
   std::atomic<uint64_t> m_running{ 0 };
+  // Of the last report interval.
+  std::atomic<double> m_meanMs{ 0 };
+  std::atomic<double> m_p50Ms{ 0 };
+  std::atomic<double> m_p99Ms{ 0 };
+  std::atomic<double> m_maxMs{ 0 };
 };
 
 // What the handlers of the traffic thread share. Owned by the traffic thread.
@@ -77,6 +83,8 @@
   std::unique_ptr<http::Client> m_peers;
   std::unique_ptr<http::Client> m_backends;
   TrafficCounters m_counters;
+  // Requests of callers at this entry node.
+  LatencyWindow m_latency;
 };
 
 } // namespace rattanloft::node
