Let an unanswered request keep its own hold of the shard

Cause: found in the read-through: the hold until the expiry was a second one, taken when its coroutine first ran. Between the end of the request and that moment a pending release could have gone out. Change: the coroutine keeps the run, whose hold is never let go in between; the explicit reset of the hold at the end of at-most-once work is gone, since it would have undone this for keyed work of that kind. Conclusion: one hold in place of two, without a gap.

--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -329,7 +329,6 @@
   }
   aRun->m_response = std::move(response);
   aRun->m_done.Notify();
-  run->m_hold.reset();
 }
 
 boost::asio::awaitable<bool>
@@ -418,9 +417,7 @@
     m_quarantine.OnError(reply.error().m_code);
     if (request.m_entry->keyed() && reply.error().m_maybeSent) {
       boost::asio::co_spawn(
-        m_context.m_context,
-        HoldUntil(request.m_service, *request.m_shard, expires),
-        boost::asio::detached);
+        m_context.m_context, HoldUntil(aRun, expires), boost::asio::detached);
     }
     co_return MakeResponse(FromError(reply.error()));
   }
@@ -439,11 +436,8 @@
 // until the expiry that the request carries. The shard must not be released to
 // another owner before.
 boost::asio::awaitable<void>
-OwnerHandler::HoldUntil(std::string aService,
-                        ShardNumber aShard,
-                        TimePoint aExpires)
+OwnerHandler::HoldUntil(std::shared_ptr<Run> /*aRun*/, TimePoint aExpires)
 {
-  const ShardTracker::Hold hold(m_shards, aService, aShard);
   const Duration left = aExpires - m_context.m_clock.Now();
   co_await Sleep(m_context.m_context, std::max(left, Milliseconds(0)));
 }
--- a/modules/node/src/OwnerHandler.h
+++ b/modules/node/src/OwnerHandler.h
@@ -57,8 +57,8 @@
     std::shared_ptr<Run> aRun,
     std::shared_ptr<http::CancelToken> aCancel,
     admission::JobResult& aResult);
-  boost::asio::awaitable<void> HoldUntil(std::string aService,
-                                         ShardNumber aShard,
+  // Keeps the run, and with it its hold of the shard.
+  boost::asio::awaitable<void> HoldUntil(std::shared_ptr<Run> aRun,
                                          TimePoint aExpires);
   boost::asio::awaitable<bool> CopyRecord(std::shared_ptr<Run> aRun,
                                           bool aAbort);
