--- a/modules/base/include/rattanloft/base/Log.h
+++ b/modules/base/include/rattanloft/base/Log.h
@@ -18,10 +18,22 @@
 void
 SetLogLevel(LogLevel aLevel);
 
+enum class LogOutput
+{
+  kStandardError,
+  // Never blocks: lines that the reader does not take, and lines above the rate
+  // limit, are dropped and counted.
+  kBoundedStandardOutput,
+};
+
+// To be called before other threads log.
+void
+SetLogOutput(LogOutput aOutput);
+
 bool
 LogEnabled(LogLevel aLevel);
 
-// Writes one line to standard error in a single write:
+// Writes one line to the log's output in a single write:
 // 2026-01-31T12:00:00.000Z I route: message
 void
 WriteLogLine(LogLevel aLevel, std::string_view aPart, std::string_view aText);
--- /dev/null
+++ b/modules/coordinator/src/Compression.cpp
@@ -0,0 +1,47 @@
+#include "Compression.h"
+
+#include <zlib.h>
+
+#include "rattanloft/base/Assert.h"
+
+namespace rattanloft::coordinator {
+
+std::string
+Compress(std::string_view aText)
+{
+  uLongf size = compressBound(aText.size());
+  std::string bytes(size, '\0');
+  const int result = compress2(reinterpret_cast<Bytef*>(bytes.data()),
+                               &size,
+                               reinterpret_cast<const Bytef*>(aText.data()),
+                               aText.size(),
+                               Z_BEST_SPEED);
+  // Fails only for lack of memory: the buffer has the size that zlib asks for.
+  RATTANLOFT_ASSERT(result == Z_OK);
+  bytes.resize(size);
+  return bytes;
+}
+
+std::optional<std::string>
+Decompress(std::string_view aBytes, size_t aMaxBytes)
+{
+  for (size_t room = aBytes.size() * 8 + 1024;; room *= 4) {
+    const bool last = room >= aMaxBytes;
+    uLongf size = last ? aMaxBytes : room;
+    std::string text(size, '\0');
+    const int result =
+      uncompress(reinterpret_cast<Bytef*>(text.data()),
+                 &size,
+                 reinterpret_cast<const Bytef*>(aBytes.data()),
+                 aBytes.size());
+    if (result == Z_OK) {
+      text.resize(size);
+      return text;
+    }
+    if (result != Z_BUF_ERROR || last) {
+      return std::nullopt;
+    }
+  }
+}
+
+} // namespace rattanloft::coordinator
--- /dev/null
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -0,0 +1,198 @@
+#include "ConfigurationService.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Compression.h"
+#include "InternalCalls.h"
+#include "rattanloft/base/Hash.h"
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::coordinator {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::beast::http::field;
+using boost::beast::http::status;
+
+// Operators move on after a second without an answer.
+constexpr Duration kRelayLimit = Milliseconds(900);
+// Marks a relayed read; a relayed change has a body.
+constexpr std::string_view kReadMark = "read";
+constexpr size_t kMaxDocumentBytes = 64 * 1024 * 1024;
+
+http::Response
+JsonResponse(status aStatus, std::string aBody)
+{
+  http::Response response = MakeResponse(aStatus, std::move(aBody));
+  response.set(field::content_type, "application/json");
+  return response;
+}
+
+http::Response
+ErrorResponse(status aStatus, std::string_view aField, std::string_view aReason)
+{
+  const nlohmann::json body = { { "error", aReason }, { "field", aField } };
+  return JsonResponse(
+    aStatus,
+    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+http::Response
+Unavailable()
+{
+  return ErrorResponse(status::service_unavailable,
+                       "",
+                       "no leader can confirm this now; ask again");
+}
+
+std::string_view
+ResultName(ControlResult aResult)
+{
+  switch (aResult) {
+    case ControlResult::kDone:
+      return "confirmed";
+    case ControlResult::kUnavailable:
+      return "unavailable";
+    case ControlResult::kBaseMismatch:
+      return "base-mismatch";
+    case ControlResult::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+asio::awaitable<http::Response>
+ConfigurationService::OnOperator(http::Request aRequest)
+{
+  const std::string method(aRequest.method_string());
+  const std::string target(aRequest.target());
+  const OperatorCall call = m_protocol.Classify(method, target);
+  if (call == OperatorCall::kOther) {
+    co_return ErrorResponse(status::not_found, "path", "unknown call");
+  }
+  std::string body = std::move(aRequest.body());
+  if (!m_control.IsLeading()) {
+    http::Response relayed = co_await Relay(call, std::move(body));
+    co_return relayed;
+  }
+  http::Response response = co_await Serve(call, std::move(body));
+  co_return response;
+}
+
+asio::awaitable<http::Response>
+ConfigurationService::OnRelayed(http::Request aRequest)
+{
+  if (!m_control.IsLeading()) {
+    co_return Unavailable();
+  }
+  const bool read = aRequest.target().ends_with(
+    boost::beast::string_view(kReadMark.data(), kReadMark.size()));
+  const OperatorCall call =
+    read ? OperatorCall::kReadConfiguration : OperatorCall::kReplaceConfiguration;
+  std::string body = std::move(aRequest.body());
+  http::Response response = co_await Serve(call, std::move(body));
+  co_return response;
+}
+
+asio::awaitable<http::Response>
+ConfigurationService::Serve(OperatorCall aCall, std::string aBody)
+{
+  if (aCall == OperatorCall::kReadConfiguration) {
+    http::Response response = co_await Read();
+    co_return response;
+  }
+  http::Response response = co_await Replace(std::move(aBody));
+  co_return response;
+}
+
+asio::awaitable<http::Response>
+ConfigurationService::Replace(std::string aBody)
+{
+  auto change = m_protocol.ParseChange(aBody);
+  if (change) {
+    const auto checked = fleet::CheckConfiguration(change->configuration());
+    if (!checked) {
+      change = tl::unexpected(checked.error());
+    }
+  }
+  if (!change) {
+    LogInfo("config",
+            "event=refused field=\"{}\" reason=\"{}\"",
+            change.error().m_field,
+            change.error().m_reason);
+    co_return ErrorResponse(status::bad_request,
+                            change.error().m_field,
+                            change.error().m_reason);
+  }
+  change->set_digest(Hash64(aBody));
+  change->set_document(Compress(aBody));
+  const uint64_t version = change->configuration().version();
+  const uint64_t base = change->base_version();
+  const ControlResult result = co_await m_control.Replace(std::move(*change));
+  LogInfo("config",
+          "event=change version={} base={} outcome={} current={}",
+          version,
+          base,
+          ResultName(result),
+          m_control.Current().configuration().version());
+  switch (result) {
+    case ControlResult::kDone:
+      co_return JsonResponse(status::ok, "{}");
+    case ControlResult::kBaseMismatch:
+      co_return ErrorResponse(status::precondition_failed,
+                              "base version",
+                              "another version is in force");
+    case ControlResult::kInvalid:
+      co_return ErrorResponse(
+        status::bad_request, "version", "must be above the one in force");
+    case ControlResult::kUnavailable:
+      break;
+  }
+  co_return Unavailable();
+}
+
+asio::awaitable<http::Response>
+ConfigurationService::Read()
+{
+  const ControlResult result = co_await m_control.ConfirmRead();
+  if (result != ControlResult::kDone) {
+    co_return Unavailable();
+  }
+  std::optional<std::string> document =
+    Decompress(m_control.Current().document(), kMaxDocumentBytes);
+  if (!document) {
+    LogError("config", "event=read-failed reason=\"damaged document\"");
+    co_return Unavailable();
+  }
+  co_return JsonResponse(status::ok, std::move(*document));
+}
+
+asio::awaitable<http::Response>
+ConfigurationService::Relay(OperatorCall aCall, std::string aBody)
+{
+  const std::string leader = m_control.LeaderAddress();
+  if (leader.empty()) {
+    co_return Unavailable();
+  }
+  std::string path(kConfigurationPath);
+  path += '/';
+  if (aCall == OperatorCall::kReadConfiguration) {
+    path += kReadMark;
+  }
+  http::Request request = MakeInternalRequest(path, std::move(aBody));
+  tl::expected<http::Response, http::HttpError> response =
+    co_await m_client.Exchange(leader, std::move(request), kRelayLimit);
+  if (!response) {
+    LogInfo("config",
+            "event=relay-failed leader={} reason=\"{}\"",
+            leader,
+            response.error().m_message);
+    co_return Unavailable();
+  }
+  co_return std::move(*response);
+}
+
+} // namespace rattanloft::coordinator
--- /dev/null
+++ b/modules/coordinator/src/Event.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::coordinator {
+
+// Lets coroutines of one thread wait until something happens.
+class Event
+{
+public:
+  explicit Event(boost::asio::io_context& aContext)
+    : m_timer(aContext)
+  {
+  }
+
+  // Returns when Notify() is called or after the limit.
+  boost::asio::awaitable<void> Wait(Duration aLimit)
+  {
+    m_timer.expires_after(std::chrono::milliseconds(aLimit.m_ms));
+    co_await m_timer.async_wait(
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+  void Notify() { m_timer.cancel(); }
+
+private:
+  boost::asio::steady_timer m_timer;
+};
+
+} // namespace rattanloft::coordinator
--- /dev/null
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -0,0 +1,182 @@
+#include "MemberTransport.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include "InternalCalls.h"
+#include "control.pb.h"
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::coordinator {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Batches to one peer that wait for their answer. More than one, so that a lost
+// answer does not hold up the heartbeats behind it.
+constexpr int kMaxInFlight = 3;
+constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+constexpr size_t kMaxQueued = 256;
+constexpr size_t kMaxBatchBytes = 1024 * 1024;
+// Below the shortest election timeout of 400 ms, so that a path that went
+// silent is replaced before the follower stands for election.
+constexpr Duration kDeliverTimeout = Milliseconds(350);
+
+} // namespace
+
+MemberTransport::MemberTransport(asio::io_context& aContext,
+                                 const Clock& aClock,
+                                 http::Client& aClient,
+                                 uint64_t aSelf)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_client(aClient)
+  , m_self(aSelf)
+{
+}
+
+void
+MemberTransport::SetMembers(const wire::GroupConfig& aConfig)
+{
+  std::map<uint64_t, Peer> peers;
+  for (const wire::GroupMember& member : aConfig.members()) {
+    if (member.replica_id() == m_self) {
+      continue;
+    }
+    const auto known = m_peers.find(member.replica_id());
+    Peer& peer = peers[member.replica_id()];
+    if (known != m_peers.end()) {
+      peer = std::move(known->second);
+    } else {
+      peer.m_heard = m_clock.Now();
+    }
+    peer.m_address = member.grpc_address();
+  }
+  // A replica that was just removed, or one that is not listed yet, may still
+  // have to be answered.
+  for (auto& [id, peer] : m_peers) {
+    constexpr size_t kMaxPeers = 32;
+    if (!peers.contains(id) && peers.size() < kMaxPeers) {
+      peers[id] = std::move(peer);
+    }
+  }
+  m_peers = std::move(peers);
+}
+
+void
+MemberTransport::Send(const wire::RaftMessage& aMessage)
+{
+  const auto found = m_peers.find(aMessage.to());
+  if (found == m_peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.m_bytes += aMessage.ByteSizeLong();
+  peer.m_queue.push_back(aMessage);
+  while (peer.m_queue.size() > kMaxQueued ||
+         (peer.m_bytes > kMaxQueuedBytes && peer.m_queue.size() > 1)) {
+    peer.m_bytes -= peer.m_queue.front().ByteSizeLong();
+    peer.m_queue.pop_front();
+  }
+  ScheduleFlush();
+}
+
+void
+MemberTransport::ScheduleFlush()
+{
+  if (std::exchange(m_flushScheduled, true)) {
+    return;
+  }
+  asio::post(m_context, [this] {
+    m_flushScheduled = false;
+    for (auto& [id, peer] : m_peers) {
+      Flush(id, peer);
+    }
+  });
+}
+
+void
+MemberTransport::Flush(uint64_t aId, Peer& aPeer)
+{
+  while (!aPeer.m_queue.empty() && aPeer.m_inFlight < kMaxInFlight) {
+    wire::RaftBatch batch;
+    size_t bytes = 0;
+    while (!aPeer.m_queue.empty() && bytes < kMaxBatchBytes) {
+      const size_t size = aPeer.m_queue.front().ByteSizeLong();
+      bytes += size;
+      aPeer.m_bytes -= size;
+      *batch.add_messages() = std::move(aPeer.m_queue.front());
+      aPeer.m_queue.pop_front();
+    }
+    ++aPeer.m_inFlight;
+    asio::co_spawn(m_context,
+                   Deliver(aId, aPeer.m_address, batch.SerializeAsString()),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void>
+MemberTransport::Deliver(uint64_t aId,
+                         std::string aAddress,
+                         std::string aBatch)
+{
+  http::Request request = MakeInternalRequest(kRaftPath, std::move(aBatch));
+  tl::expected<http::Response, http::HttpError> response =
+    co_await m_client.Exchange(aAddress, std::move(request), kDeliverTimeout);
+  wire::DeliverReply reply;
+  const bool ok = response && reply.ParseFromString(response->body());
+  OnDelivered(aId, ok, reply);
+}
+
+void
+MemberTransport::OnDelivered(uint64_t aId,
+                             bool aOk,
+                             const wire::DeliverReply& aReply)
+{
+  const auto found = m_peers.find(aId);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  --peer.m_inFlight;
+  // Another replica may answer at the address of one that lost its disk.
+  const bool heard = aOk && aReply.replica_id() == aId;
+  if (heard) {
+    peer.m_heard = m_clock.Now();
+    peer.m_appliedIndex = aReply.applied_index();
+  }
+  if (peer.m_reachable != heard) {
+    peer.m_reachable = heard;
+    LogInfo("member",
+            "event={} peer={:016x} address={}",
+            heard ? "regained" : "lost",
+            aId,
+            peer.m_address);
+  }
+  Flush(aId, peer);
+}
+
+std::map<uint64_t, fleet::ReplicaHealth>
+MemberTransport::Health() const
+{
+  std::map<uint64_t, fleet::ReplicaHealth> health;
+  const TimePoint now = m_clock.Now();
+  for (const auto& [id, peer] : m_peers) {
+    health[id] = { now - peer.m_heard, peer.m_appliedIndex };
+  }
+  return health;
+}
+
+void
+MemberTransport::ResetHealth()
+{
+  for (auto& [id, peer] : m_peers) {
+    peer.m_heard = m_clock.Now();
+  }
+}
+
+} // namespace rattanloft::coordinator
--- /dev/null
+++ b/modules/coordinator/src/MemberTransport.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "rattanloft/base/Clock.h"
+#include "rattanloft/consensus/StateMachine.h"
+#include "rattanloft/fleet/MembershipPlanner.h"
+#include "rattanloft/http/Client.h"
+
+namespace rattanloft::coordinator {
+
+// Carries Raft messages between coordinators in batches over pooled HTTP
+// connections. A request without an answer drops the connections to that peer,
+// so a path that went silent is replaced after one timeout. Control thread
+// only.
+class MemberTransport final : public consensus::Transport
+{
+public:
+  MemberTransport(boost::asio::io_context& aContext,
+                  const Clock& aClock,
+                  http::Client& aClient,
+                  uint64_t aSelf);
+
+  void Send(const wire::RaftMessage& aMessage) override;
+  void SetMembers(const wire::GroupConfig& aConfig) override;
+
+  std::map<uint64_t, fleet::ReplicaHealth> Health() const;
+  // Starts to count the silence of all peers from now on.
+  void ResetHealth();
+
+private:
+  struct Peer
+  {
+    std::string m_address;
+    std::deque<wire::RaftMessage> m_queue;
+    size_t m_bytes = 0;
+    int m_inFlight = 0;
+    bool m_reachable = true;
+    TimePoint m_heard;
+    uint64_t m_appliedIndex = 0;
+  };
+
+  void ScheduleFlush();
+  void Flush(uint64_t aId, Peer& aPeer);
+  boost::asio::awaitable<void> Deliver(uint64_t aId,
+                                       std::string aAddress,
+                                       std::string aBatch);
+  void OnDelivered(uint64_t aId, bool aOk, const wire::DeliverReply& aReply);
+
+  boost::asio::io_context& m_context;
+  const Clock& m_clock;
+  http::Client& m_client;
+  uint64_t m_self;
+  std::map<uint64_t, Peer> m_peers;
+  bool m_flushScheduled = false;
+};
+
+} // namespace rattanloft::coordinator
--- /dev/null
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "rattanloft/base/Time.h"
+#include "rattanloft/fleet/FleetState.h"
+#include "rattanloft/fleet/RangePlacer.h"
+
+namespace rattanloft::fleet {
+
+struct LeaderTimings
+{
+  // Lease of a backend lifetime, counted by its sidecar from the moment at which
+  // it sent the request. Below the 5 s after which the keys of a lost instance
+  // must be served again.
+  Duration m_lease = Milliseconds(4000);
+  // A sync without news is answered after this time, so that the lease is
+  // renewed several times before it ends.
+  Duration m_hold = Milliseconds(800);
+};
+
+// The leader's view of the sidecars: who runs, what each backend lifetime may
+// still hold, and which ranges are on their way. Lost with the leadership and
+// rebuilt from the next sync of each sidecar. Pure; used on the control thread.
+class FleetLeader
+{
+public:
+  // aState outlives the leader.
+  FleetLeader(const FleetState& aState,
+              uint64_t aTerm,
+              LeaderTimings aTimings,
+              TimePoint aNow);
+
+  // False if the request is older than one that was seen before.
+  bool OnSync(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  // Commands to propose now; at most one per service is outstanding. To be
+  // called after syncs and at least every 100 ms.
+  std::vector<wire::AssignRanges> Plan(TimePoint aNow);
+  // The outcome of a command that Plan() returned is known.
+  void OnAssigned(const std::string& aService);
+
+  // Whether the request should be answered at once.
+  bool HasNews(const wire::FleetSyncRequest& aRequest) const;
+  // To be called only after a quorum has confirmed the leadership since the
+  // request arrived; the lease counts from then.
+  wire::FleetSyncReply BuildReply(const wire::FleetSyncRequest& aRequest,
+                                  TimePoint aNow);
+
+  size_t Sidecars(TimePoint aNow) const;
+  Duration Hold() const { return m_timings.m_hold; }
+
+private:
+  struct Sidecar
+  {
+    wire::FleetSyncRequest m_last;
+    TimePoint m_seen;
+    bool m_listed = false;
+  };
+  // One backend lifetime that owns ranges or could.
+  struct Holder
+  {
+    std::string m_instance;
+    // It may hold nothing after this time.
+    TimePoint m_leaseEnd;
+    // Ended for certain: a later lifetime runs at its instance.
+    bool m_ended = false;
+    // Counts the changes of what it is told to hold.
+    uint64_t m_plan = 0;
+    std::string m_planned;
+    std::vector<wire::HandedOver> m_handovers;
+  };
+  struct PendingTransfer
+  {
+    Transfer m_transfer;
+    TimePoint m_since;
+  };
+  struct Service
+  {
+    KeyLoad m_load;
+    std::vector<PendingTransfer> m_pending;
+    // The command that is proposed and not applied yet; empty for none.
+    wire::AssignRanges m_proposed;
+    TimePoint m_lastTransfer;
+    TimePoint m_lastJoin;
+    TimePoint m_firstJoin;
+    size_t m_known = 0;
+  };
+
+  bool IsFree(const std::string& aHolder,
+              const Transfer& aTransfer,
+              TimePoint aNow) const;
+  bool IsUsable(const Sidecar& aSidecar, TimePoint aNow) const;
+  std::vector<Candidate> Candidates(const std::string& aService,
+                                    TimePoint aNow) const;
+  void StartTransfers(const std::string& aName,
+                      Service& aService,
+                      TimePoint aNow);
+  void PlanService(const std::string& aName,
+                   std::vector<wire::AssignRanges>& aCommands,
+                   TimePoint aNow);
+  std::string FindHandover(const Transfer& aTransfer) const;
+  std::vector<wire::OwnedRange> PlannedRanges(const std::string& aHolder) const;
+  void RefreshPlans();
+  void RefreshEndpoints(TimePoint aNow);
+  std::vector<wire::Endpoint> Endpoints() const;
+  void EndEarlierLifetimes(const std::string& aInstance,
+                           const wire::BackendView& aBackend);
+  void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  void AddEndpoints(wire::FleetSyncReply& aReply) const;
+
+  const FleetState& m_state;
+  uint64_t m_term;
+  LeaderTimings m_timings;
+  TimePoint m_started;
+  TimePoint m_latest;
+  std::map<std::string, Sidecar> m_sidecars;
+  std::map<std::string, Holder> m_holders;
+  std::map<std::string, Service> m_services;
+  uint64_t m_endpointsRevision = 1;
+  std::string m_endpointsText;
+};
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/include/rattanloft/fleet/RangePlacer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "rattanloft/base/Time.h"
+#include "rattanloft/fleet/FleetState.h"
+
+namespace rattanloft::fleet {
+
+constexpr uint32_t kKeysPerBucket = 64;
+constexpr size_t kBuckets = (kLastKey + 1) / kKeysPerBucket;
+
+// Smoothed requests per second of each bucket of neighbouring keys.
+class KeyLoad
+{
+public:
+  void Add(uint32_t aBucket, uint32_t aRequests, TimePoint aNow);
+  // Load of the keys, plus a small part for each key so that idle keys are
+  // spread as well. In units that only compare with each other.
+  double Measure(uint32_t aFirst, uint32_t aLast, TimePoint aNow) const;
+
+private:
+  struct Rate
+  {
+    double m_value = 0;
+    TimePoint m_at;
+  };
+
+  double RateAt(size_t aBucket, TimePoint aNow) const;
+
+  std::array<Rate, kBuckets> m_rates;
+};
+
+// A backend lifetime that may own keys.
+struct Candidate
+{
+  std::string m_holder;
+  // Requests per second that it can serve, or slots while that is not known.
+  double m_capacity = 1;
+};
+
+struct Transfer
+{
+  uint32_t m_first = 0;
+  uint32_t m_last = 0;
+  // Empty if nobody owns the range.
+  std::string m_from;
+  std::string m_to;
+};
+
+// Decides which ranges change hands. Ranges of holders that are no candidates
+// are spread over the candidates by capacity; among candidates, the busiest
+// edge of the most loaded one moves to the least loaded one. Answers uneven
+// backend servers, busy neighbouring keys, joins, drains and losses. Pure.
+std::vector<Transfer>
+PlanTransfers(const wire::ServiceRanges& aRanges,
+              std::span<const Candidate> aCandidates,
+              const KeyLoad& aLoad,
+              bool aMayRebalance,
+              TimePoint aNow);
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/src/ConfigurationRules.cpp
@@ -0,0 +1,89 @@
+#include "rattanloft/fleet/ConfigurationRules.h"
+
+#include <cmath>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+using Services = std::set<std::string_view>;
+
+tl::unexpected<ConfigurationFault>
+Fault(const wire::RouteSpec& aRoute,
+      std::string_view aField,
+      std::string_view aReason)
+{
+  return tl::unexpected(
+    ConfigurationFault{ fmt::format("route {}: {}", aRoute.name(), aField),
+                        std::string(aReason) });
+}
+
+tl::expected<void, ConfigurationFault>
+CheckTargets(const wire::RouteSpec& aRoute, const Services& aServices)
+{
+  if (aRoute.targets().empty()) {
+    return Fault(aRoute, "targets", "no service is named");
+  }
+  double sum = 0;
+  for (const wire::WeightedTarget& target : aRoute.targets()) {
+    if (!aServices.contains(target.service())) {
+      return Fault(aRoute, "targets", "unknown service " + target.service());
+    }
+    if (!std::isfinite(target.weight()) || target.weight() < 0) {
+      return Fault(aRoute, "targets", "a weight must not be negative");
+    }
+    sum += target.weight();
+  }
+  if (sum <= 0) {
+    return Fault(aRoute, "targets", "all weights are zero");
+  }
+  return {};
+}
+
+tl::expected<void, ConfigurationFault>
+CheckRoute(const wire::RouteSpec& aRoute, const Services& aServices)
+{
+  if (aRoute.host().empty()) {
+    return Fault(aRoute, "host", "must not be empty");
+  }
+  const std::string& prefix = aRoute.path_prefix();
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    return Fault(aRoute, "path prefix", "must begin and end with a slash");
+  }
+  if (aRoute.timeout_ms() == 0) {
+    return Fault(aRoute, "timeout", "must be above 0");
+  }
+  return CheckTargets(aRoute, aServices);
+}
+
+} // namespace
+
+tl::expected<void, ConfigurationFault>
+CheckConfiguration(const wire::Configuration& aConfiguration)
+{
+  if (aConfiguration.version() == 0) {
+    return tl::unexpected(
+      ConfigurationFault{ "version", "must be above 0" });
+  }
+  Services services;
+  for (const wire::ServiceSpec& service : aConfiguration.services()) {
+    services.insert(service.name());
+  }
+  std::set<std::pair<std::string_view, std::string_view>> places;
+  for (const wire::RouteSpec& route : aConfiguration.routes()) {
+    if (auto checked = CheckRoute(route, services); !checked) {
+      return checked;
+    }
+    if (!places.emplace(route.host(), route.path_prefix()).second) {
+      return Fault(route, "path prefix", "another route has this host and prefix");
+    }
+  }
+  return {};
+}
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -0,0 +1,268 @@
+#include "rattanloft/fleet/RangePlacer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+// Time constant of the smoothed rates: busy keys change within seconds.
+constexpr double kRateTimeMs = 2000;
+// Load of a whole service that is spread evenly over its keys, requests/s. Keeps
+// idle keys spread without outweighing real traffic.
+constexpr double kIdleLoad = 4;
+// A move must cure an excess of this factor over the mean utilization. Each key
+// that moves has a price, so small differences stay.
+constexpr double kExcess = 1.35;
+// The rows of one holder must fit a heartbeat answer of 4 KiB with about 60
+// bytes a row.
+constexpr int kMaxRows = 40;
+
+struct Share
+{
+  double m_load = 0;
+  double m_capacity = 1;
+  int m_rows = 0;
+
+  double Utilization() const { return m_load / m_capacity; }
+};
+
+using Shares = std::map<std::string, Share>;
+
+Shares
+MeasureShares(const wire::ServiceRanges& aRanges,
+              std::span<const Candidate> aCandidates,
+              const KeyLoad& aLoad,
+              TimePoint aNow)
+{
+  Shares shares;
+  for (const Candidate& candidate : aCandidates) {
+    shares[candidate.m_holder].m_capacity =
+      std::max(candidate.m_capacity, 1e-6);
+  }
+  for (const wire::OwnedRange& range : aRanges.ranges()) {
+    const auto found = shares.find(range.holder());
+    if (found != shares.end()) {
+      found->second.m_load +=
+        aLoad.Measure(range.first(), range.last(), aNow);
+      ++found->second.m_rows;
+    }
+  }
+  return shares;
+}
+
+// Number of keys from aFirst on (or before aLast, if from the end) whose load
+// comes closest to aWanted; at least one bucket's worth and not all.
+uint32_t
+KeysForLoad(const KeyLoad& aLoad,
+            uint32_t aFirst,
+            uint32_t aLast,
+            bool aFromEnd,
+            double aWanted,
+            TimePoint aNow)
+{
+  const uint32_t size = aLast - aFirst + 1;
+  double sum = 0;
+  uint32_t keys = 0;
+  while (keys < size) {
+    const uint32_t step = std::min(kKeysPerBucket, size - keys);
+    const uint32_t first =
+      aFromEnd ? aLast + 1 - keys - step : aFirst + keys;
+    const double load = aLoad.Measure(first, first + step - 1, aNow);
+    if (keys > 0 && sum + load / 2 > aWanted) {
+      break;
+    }
+    sum += load;
+    keys += step;
+  }
+  return keys;
+}
+
+// Cuts an ownerless range into one contiguous part for each candidate that is
+// below the level that all would have in the end.
+void
+SpreadRange(const wire::OwnedRange& aRange,
+            const KeyLoad& aLoad,
+            Shares& aShares,
+            std::vector<Transfer>& aTransfers,
+            TimePoint aNow)
+{
+  const double load = aLoad.Measure(aRange.first(), aRange.last(), aNow);
+  double total = load;
+  double capacity = 0;
+  for (const auto& [holder, share] : aShares) {
+    total += share.m_load;
+    capacity += share.m_capacity;
+  }
+  std::vector<std::pair<std::string, double>> missing;
+  double sum = 0;
+  for (const auto& [holder, share] : aShares) {
+    const double lack = total * share.m_capacity / capacity - share.m_load;
+    if (lack > 0.02 * total / static_cast<double>(aShares.size())) {
+      missing.emplace_back(holder, lack);
+      sum += lack;
+    }
+  }
+  uint32_t first = aRange.first();
+  for (size_t i = 0; i < missing.size() && first <= aRange.last(); ++i) {
+    uint32_t last = aRange.last();
+    if (i + 1 < missing.size()) {
+      const uint32_t keys = KeysForLoad(aLoad,
+                                        first,
+                                        aRange.last(),
+                                        false,
+                                        load * missing[i].second / sum,
+                                        aNow);
+      last = first + keys - 1;
+    }
+    aShares[missing[i].first].m_load += aLoad.Measure(first, last, aNow);
+    aTransfers.push_back(
+      { first, last, aRange.holder(), missing[i].first });
+    first = last + 1;
+  }
+}
+
+// The piece of at most aWanted load with the fewest keys at an edge of one of
+// the holder's ranges.
+std::optional<Transfer>
+CheapestPiece(const wire::ServiceRanges& aRanges,
+              const std::string& aFrom,
+              const KeyLoad& aLoad,
+              double aWanted,
+              TimePoint aNow)
+{
+  std::optional<Transfer> best;
+  double bestScore = 0;
+  for (const wire::OwnedRange& range : aRanges.ranges()) {
+    if (range.holder() != aFrom) {
+      continue;
+    }
+    for (const bool fromEnd : { false, true }) {
+      const uint32_t keys = KeysForLoad(
+        aLoad, range.first(), range.last(), fromEnd, aWanted, aNow);
+      Transfer piece;
+      piece.m_first = fromEnd ? range.last() + 1 - keys : range.first();
+      piece.m_last = piece.m_first + keys - 1;
+      const double load = aLoad.Measure(piece.m_first, piece.m_last, aNow);
+      // A piece far above what is wanted only moves the overload.
+      const double score = load > 1.6 * aWanted ? 0 : load / (keys + 256.0);
+      if (score > bestScore) {
+        bestScore = score;
+        best = piece;
+      }
+    }
+  }
+  return best;
+}
+
+void
+Rebalance(const wire::ServiceRanges& aRanges,
+          const Shares& aShares,
+          const KeyLoad& aLoad,
+          std::vector<Transfer>& aTransfers,
+          TimePoint aNow)
+{
+  double load = 0;
+  double capacity = 0;
+  const std::string* high = nullptr;
+  const std::string* low = nullptr;
+  for (const auto& [holder, share] : aShares) {
+    load += share.m_load;
+    capacity += share.m_capacity;
+    if (high == nullptr ||
+        share.Utilization() > aShares.at(*high).Utilization()) {
+      high = &holder;
+    }
+    if (low == nullptr ||
+        share.Utilization() < aShares.at(*low).Utilization()) {
+      low = &holder;
+    }
+  }
+  const double mean = load / capacity;
+  const Share& from = aShares.at(*high);
+  const Share& to = aShares.at(*low);
+  const bool joined = to.m_rows == 0;
+  if (*high == *low || to.m_rows >= kMaxRows ||
+      (!joined && from.Utilization() < kExcess * mean)) {
+    return;
+  }
+  const double excess = from.m_load - mean * from.m_capacity;
+  const double room = mean * to.m_capacity - to.m_load;
+  const double wanted = joined ? room : std::min(excess, room);
+  if (wanted <= 0) {
+    return;
+  }
+  std::optional<Transfer> piece =
+    CheapestPiece(aRanges, *high, aLoad, wanted, aNow);
+  if (!piece) {
+    return;
+  }
+  piece->m_from = *high;
+  piece->m_to = *low;
+  aTransfers.push_back(std::move(*piece));
+}
+
+} // namespace
+
+double
+KeyLoad::RateAt(size_t aBucket, TimePoint aNow) const
+{
+  const Rate& rate = m_rates[aBucket];
+  const double age = static_cast<double>((aNow - rate.m_at).m_ms);
+  return rate.m_value * std::exp(-std::max(age, 0.0) / kRateTimeMs);
+}
+
+void
+KeyLoad::Add(uint32_t aBucket, uint32_t aRequests, TimePoint aNow)
+{
+  if (aBucket >= kBuckets) {
+    return;
+  }
+  Rate& rate = m_rates[aBucket];
+  rate.m_value = RateAt(aBucket, aNow) + aRequests * 1000.0 / kRateTimeMs;
+  rate.m_at = aNow;
+}
+
+double
+KeyLoad::Measure(uint32_t aFirst, uint32_t aLast, TimePoint aNow) const
+{
+  double sum = 0;
+  for (uint32_t bucket = aFirst / kKeysPerBucket;
+       bucket <= aLast / kKeysPerBucket;
+       ++bucket) {
+    const uint32_t first = std::max(aFirst, bucket * kKeysPerBucket);
+    const uint32_t last = std::min(aLast, (bucket + 1) * kKeysPerBucket - 1);
+    const double part =
+      static_cast<double>(last - first + 1) / kKeysPerBucket;
+    sum += part * RateAt(bucket, aNow);
+  }
+  return sum + kIdleLoad * (aLast - aFirst + 1) / (kLastKey + 1.0);
+}
+
+std::vector<Transfer>
+PlanTransfers(const wire::ServiceRanges& aRanges,
+              std::span<const Candidate> aCandidates,
+              const KeyLoad& aLoad,
+              bool aMayRebalance,
+              TimePoint aNow)
+{
+  std::vector<Transfer> transfers;
+  if (aCandidates.empty()) {
+    return transfers;
+  }
+  Shares shares = MeasureShares(aRanges, aCandidates, aLoad, aNow);
+  for (const wire::OwnedRange& range : aRanges.ranges()) {
+    if (!shares.contains(range.holder())) {
+      SpreadRange(range, aLoad, shares, transfers, aNow);
+    }
+  }
+  if (transfers.empty() && aMayRebalance) {
+    Rebalance(aRanges, shares, aLoad, transfers, aNow);
+  }
+  return transfers;
+}
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/src/RequestRouter.cpp
@@ -0,0 +1,105 @@
+#include "rattanloft/fleet/RequestRouter.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+// Routes that are gone keep a count until this many are counted.
+constexpr size_t kMaxCountedRoutes = 4096;
+
+std::string
+LowerHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.rfind(':')));
+  std::ranges::transform(host, host.begin(), [](unsigned char aByte) {
+    return static_cast<char>(std::tolower(aByte));
+  });
+  return host;
+}
+
+} // namespace
+
+RequestRouter::RequestRouter(wire::Configuration aConfiguration)
+  : m_configuration(std::move(aConfiguration))
+{
+  for (const wire::RouteSpec& route : m_configuration.routes()) {
+    m_hosts[LowerHost(route.host())][route.path_prefix()] = &route;
+  }
+  for (const wire::ServiceSpec& service : m_configuration.services()) {
+    m_services[service.name()] = &service;
+  }
+}
+
+std::shared_ptr<const RequestRouter>
+RequestRouter::Make(wire::Configuration aConfiguration)
+{
+  return std::shared_ptr<const RequestRouter>(
+    new RequestRouter(std::move(aConfiguration)));
+}
+
+const wire::RouteSpec*
+RequestRouter::Match(std::string_view aHost, std::string_view aPath) const
+{
+  const auto host = m_hosts.find(LowerHost(aHost));
+  if (host == m_hosts.end()) {
+    return nullptr;
+  }
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  while (!path.empty()) {
+    if (path.back() == '/') {
+      const auto route = host->second.find(path);
+      if (route != host->second.end()) {
+        return route->second;
+      }
+    }
+    path.remove_suffix(1);
+    path = path.substr(0, path.rfind('/') + 1);
+  }
+  return nullptr;
+}
+
+const wire::ServiceSpec*
+RequestRouter::FindService(std::string_view aName) const
+{
+  const auto found = m_services.find(aName);
+  return found == m_services.end() ? nullptr : found->second;
+}
+
+std::string_view
+TargetPicker::Pick(const wire::RouteSpec& aRoute)
+{
+  if (aRoute.targets_size() == 1) {
+    return aRoute.targets(0).service();
+  }
+  std::string targets;
+  double sum = 0;
+  for (const wire::WeightedTarget& target : aRoute.targets()) {
+    targets += target.service() + '=' + std::to_string(target.weight()) + ';';
+    sum += target.weight();
+  }
+  if (sum <= 0) {
+    return {};
+  }
+  if (m_routes.size() >= kMaxCountedRoutes) {
+    m_routes.clear();
+  }
+  Progress& progress = m_routes[aRoute.name()];
+  if (progress.m_targets != targets) {
+    progress.m_targets = targets;
+    progress.m_credit.assign(static_cast<size_t>(aRoute.targets_size()), 0);
+  }
+  size_t best = 0;
+  for (size_t i = 0; i < progress.m_credit.size(); ++i) {
+    progress.m_credit[i] += aRoute.targets(static_cast<int>(i)).weight() / sum;
+    if (progress.m_credit[i] > progress.m_credit[best]) {
+      best = i;
+    }
+  }
+  progress.m_credit[best] -= 1;
+  return aRoute.targets(static_cast<int>(best)).service();
+}
+
+} // namespace rattanloft::fleet
--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -25,6 +25,9 @@
   uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
   // Exchanges that wait for a connection; further ones get kPoolFull at once.
   size_t m_maxWaiting = 1000;
+  // Accepts answers that have no length and end with their connection, if it
+  // ends without an error.
+  bool m_acceptUnframed = false;
 };
 
 // A pooled HTTP/1.1 client on one thread's io_context. One request at a time
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -328,7 +328,8 @@
       Failed(HttpErrorCode::kBroken, true, "read from", error.message()));
   }
   std::string_view fault = FramingFault(parser->get(), parser->get().version());
-  if (fault.empty() && !parser->is_done() && parser->need_eof()) {
+  if (fault.empty() && !parser->is_done() && parser->need_eof() &&
+      !m_pool->Options().m_acceptUnframed) {
     // The end of such a body cannot be told from a lost connection.
     fault = "answer without a length";
   }
--- /dev/null
+++ b/modules/sidecar/src/BackendAgent.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "rattanloft/base/Time.h"
+#include "rattanloft/sidecar/BackendProtocol.h"
+
+namespace rattanloft::sidecar {
+
+enum class ServeVerdict
+{
+  kServe,
+  // No heartbeat of a live backend server was seen.
+  kNoBackend,
+  kDraining,
+  // The backend server does not hold the key now.
+  kNotOwner,
+  kUnreachable,
+};
+
+std::string_view
+VerdictName(ServeVerdict aVerdict);
+
+// What a sidecar knows of the backend server beside it, and what it may let it
+// hold. Nothing is assumed before the first heartbeat, so a sidecar that
+// restarts learns of a drain before it sends anything. Pure; traffic thread.
+class BackendAgent
+{
+public:
+  BackendAgent(std::string aInstance,
+               std::string aBackendAddress,
+               Duration aDrainLimit,
+               TimePoint aNow);
+
+  // Empty if the heartbeat is of no use: another address, an earlier lifetime,
+  // or older than one that was seen.
+  std::optional<HeartbeatAnswer> OnHeartbeat(const Heartbeat& aHeartbeat,
+                                             TimePoint aNow);
+  // The backend server leaves; its start is 0 if the call did not tell.
+  void OnLeave(std::string_view aBackendId, int64_t aStart, TimePoint aNow);
+
+  // A reply to a sync that was sent at aSent.
+  void OnPlan(const wire::FleetSyncReply& aReply, TimePoint aSent);
+  // The leader has these handover tokens.
+  void OnHandoversTaken(const wire::FleetSyncRequest& aRequest);
+
+  // Outcome of a connection attempt or an exchange with the backend server.
+  void OnContact(bool aReached, TimePoint aNow);
+
+  // aKey is empty for a service without keys.
+  ServeVerdict MayServe(std::optional<uint32_t> aKey,
+                        bool aKeyed,
+                        TimePoint aNow) const;
+
+  // Fills in what the leader wants to know of the backend server.
+  void Report(wire::FleetSyncRequest& aRequest, TimePoint aNow) const;
+  // Changes when the leader should hear of it at once.
+  uint64_t Revision() const { return m_revision; }
+  const wire::BackendView& View() const { return m_view; }
+  Duration ColdRemaining(TimePoint aNow) const;
+
+private:
+  void StartLifetime(const Heartbeat& aHeartbeat, std::string aHolder);
+  HeartbeatAnswer Grant(TimePoint aNow);
+  void StartDrain(wire::BackendPhase aPhase, TimePoint aNow);
+
+  std::string m_instance;
+  std::string m_backendAddress;
+  Duration m_drainLimit;
+  TimePoint m_started;
+  wire::BackendView m_view;
+  uint64_t m_sequence = 0;
+  TimePoint m_lastHeartbeat;
+  TimePoint m_coldUntil;
+  TimePoint m_drainAt;
+  uint64_t m_revision = 0;
+
+  // Lease and plan of the current lifetime.
+  TimePoint m_leaseEnd;
+  uint64_t m_planTerm = 0;
+  uint64_t m_plan = 0;
+  std::vector<wire::OwnedRange> m_planned;
+
+  // Told by the last heartbeat, offered in its answer, and the time after which
+  // nothing that was offered can still be held.
+  std::vector<HeldRange> m_held;
+  std::vector<wire::OwnedRange> m_offered;
+  TimePoint m_holdEnd;
+  TimePoint m_offerEnd;
+  bool m_reachable = true;
+  TimePoint m_failingSince;
+  std::vector<wire::HandedOver> m_handovers;
+};
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/src/Directory.cpp
@@ -0,0 +1,67 @@
+#include "Directory.h"
+
+#include <algorithm>
+
+#include "rattanloft/base/Log.h"
+
+namespace rattanloft::sidecar {
+
+void
+Directory::Adopt(const wire::FleetSyncReply& aReply, TimePoint aNow)
+{
+  m_heard = aNow;
+  if (aReply.sidecars() > 0) {
+    m_sidecars = aReply.sidecars();
+  }
+  const uint64_t version = m_router ? m_router->Version() : 0;
+  if (aReply.has_configuration() &&
+      aReply.configuration().version() > version) {
+    m_router = fleet::RequestRouter::Make(aReply.configuration());
+    LogInfo("directory",
+            "event=configuration version={} before={} routes={}",
+            m_router->Version(),
+            version,
+            aReply.configuration().routes_size());
+  }
+  if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
+    m_rangesIndex = aReply.ranges_index();
+    m_ranges.clear();
+    for (const wire::ServiceRanges& ranges : aReply.services()) {
+      m_ranges[ranges.service()] = ranges;
+    }
+    LogInfo("directory", "event=ranges index={}", m_rangesIndex);
+  }
+  const bool laterTerm = aReply.term() > m_endpointsTerm;
+  if (aReply.has_endpoints() &&
+      (laterTerm || (aReply.term() == m_endpointsTerm &&
+                     aReply.endpoints_revision() > m_endpointsRevision))) {
+    m_endpoints.assign(aReply.endpoints().begin(), aReply.endpoints().end());
+    m_endpointsRevision = aReply.endpoints_revision();
+    m_endpointsTerm = aReply.term();
+    LogInfo("directory",
+            "event=endpoints term={} revision={} count={}",
+            m_endpointsTerm,
+            m_endpointsRevision,
+            m_endpoints.size());
+  }
+}
+
+const wire::OwnedRange*
+Directory::FindOwner(const std::string& aService, uint32_t aKey) const
+{
+  const auto found = m_ranges.find(aService);
+  if (found == m_ranges.end()) {
+    return nullptr;
+  }
+  const auto& ranges = found->second.ranges();
+  const auto range = std::ranges::lower_bound(
+    ranges, aKey, {}, [](const wire::OwnedRange& aRange) {
+      return aRange.last();
+    });
+  if (range == ranges.end() || range->holder().empty()) {
+    return nullptr;
+  }
+  return &*range;
+}
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::sidecar {
+
+// Load that a sidecar reports with each answer.
+struct ReportedLoad
+{
+  uint32_t m_running = 0;
+  uint32_t m_waiting = 0;
+  uint32_t m_slots = 1;
+  uint32_t m_serviceMs = 0;
+};
+
+// Chooses the sidecar to which a request of a service without keys goes, by the
+// time that it would probably take there. Answers backend servers of different
+// speed, slow and failing ones, and sidecars that cannot be reached. Pure;
+// traffic thread.
+class EndpointSelector
+{
+public:
+  explicit EndpointSelector(uint64_t aSeed)
+    : m_random(aSeed)
+  {
+  }
+
+  void SetEndpoints(std::span<const wire::Endpoint> aEndpoints, TimePoint aNow);
+  // Null if there is none that was not tried. A suspect endpoint is chosen only
+  // if there is no other.
+  const wire::Endpoint* Choose(const std::string& aService,
+                               const std::string& aZone,
+                               const std::set<std::string>& aTried,
+                               TimePoint aNow);
+  const wire::Endpoint* Find(const std::string& aInstance) const;
+  bool IsSuspect(const std::string& aInstance, TimePoint aNow) const;
+
+  void OnSent(const std::string& aInstance);
+  void OnDone(const std::string& aInstance);
+  void OnLoad(const std::string& aInstance, ReportedLoad aLoad, TimePoint aNow);
+  // The backend server answered; aFailed if with a failure of its own.
+  void OnAnswer(const std::string& aInstance, bool aFailed);
+  // The sidecar did not answer or could not be reached.
+  void OnSilence(const std::string& aInstance, TimePoint aNow);
+
+private:
+  struct State
+  {
+    wire::Endpoint m_endpoint;
+    TimePoint m_coldUntil;
+    uint32_t m_inFlight = 0;
+    ReportedLoad m_load;
+    TimePoint m_loadAt;
+    double m_failures = 0;
+    int m_silences = 0;
+    TimePoint m_suspectUntil;
+  };
+
+  double Cost(const State& aState,
+              const std::string& aZone,
+              TimePoint aNow) const;
+
+  std::map<std::string, State> m_states;
+  std::mt19937_64 m_random;
+};
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -0,0 +1,161 @@
+#include "PeerHeaders.h"
+
+#include <array>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+namespace beast = boost::beast;
+using beast::http::status;
+
+constexpr std::array kAllFields = {
+  kServiceField, kKeyedField,      kTargetField, kRankField,   kOutcomeField,
+  kReasonField,  kRetryAfterField, kLoadField,   kArrivedField
+};
+
+beast::string_view
+View(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::optional<int64_t>
+ParseNumber(std::string_view aText)
+{
+  int64_t number = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  if (error != std::errc() || end != aText.data() + aText.size() ||
+      aText.empty()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace
+
+std::string_view
+OutcomeName(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view
+FieldValue(const beast::http::fields& aFields, std::string_view aName)
+{
+  const auto found = aFields.find(View(aName));
+  if (found == aFields.end()) {
+    return {};
+  }
+  return { found->value().data(), found->value().size() };
+}
+
+void
+SetField(beast::http::fields& aFields,
+         std::string_view aName,
+         std::string_view aValue)
+{
+  aFields.set(View(aName), View(aValue));
+}
+
+std::optional<int64_t>
+NumberField(const beast::http::fields& aFields, std::string_view aName)
+{
+  if (aFields.count(View(aName)) != 1) {
+    return std::nullopt;
+  }
+  return ParseNumber(FieldValue(aFields, aName));
+}
+
+void
+RemovePeerFields(beast::http::fields& aFields)
+{
+  for (const std::string_view name : kAllFields) {
+    aFields.erase(View(name));
+  }
+}
+
+http::Response
+EncodeResult(AttemptResult aResult, const ReportedLoad& aLoad)
+{
+  http::Response response;
+  if (aResult.m_outcome == Outcome::kAnswered) {
+    response = std::move(aResult.m_response);
+  } else {
+    response.result(aResult.m_outcome == Outcome::kNotRun
+                      ? status::service_unavailable
+                      : status::bad_gateway);
+    SetField(response, kReasonField, aResult.m_reason);
+    SetField(response,
+             kRetryAfterField,
+             std::to_string(aResult.m_retryAfter.m_ms));
+    if (aResult.m_arrived) {
+      SetField(response, kArrivedField, "1");
+    }
+  }
+  SetField(response, kOutcomeField, OutcomeName(aResult.m_outcome));
+  SetField(response,
+           kLoadField,
+           fmt::format("{},{},{},{}",
+                       aLoad.m_running,
+                       aLoad.m_waiting,
+                       aLoad.m_slots,
+                       aLoad.m_serviceMs));
+  return response;
+}
+
+AttemptResult
+DecodeResult(http::Response aResponse)
+{
+  AttemptResult result;
+  const std::string_view outcome = FieldValue(aResponse, kOutcomeField);
+  if (outcome == OutcomeName(Outcome::kAnswered)) {
+    result.m_outcome = Outcome::kAnswered;
+    result.m_arrived = true;
+    RemovePeerFields(aResponse);
+    result.m_response = std::move(aResponse);
+    return result;
+  }
+  result.m_outcome = outcome == OutcomeName(Outcome::kNotRun)
+                       ? Outcome::kNotRun
+                       : Outcome::kUnknown;
+  result.m_reason = FieldValue(aResponse, kReasonField);
+  result.m_retryAfter =
+    Milliseconds(NumberField(aResponse, kRetryAfterField).value_or(0));
+  result.m_arrived = !FieldValue(aResponse, kArrivedField).empty();
+  if (outcome.empty()) {
+    result.m_reason = "peer-error";
+  }
+  return result;
+}
+
+ReportedLoad
+DecodeLoad(const http::Response& aResponse)
+{
+  std::array<uint32_t, 4> numbers{ 0, 0, 1, 0 };
+  std::string_view text = FieldValue(aResponse, kLoadField);
+  for (uint32_t& number : numbers) {
+    const size_t comma = std::min(text.find(','), text.size());
+    const auto parsed = ParseNumber(text.substr(0, comma));
+    if (!parsed || *parsed < 0) {
+      break;
+    }
+    number = static_cast<uint32_t>(*parsed);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return { numbers[0], numbers[1], numbers[2], numbers[3] };
+}
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/fields.hpp>
+
+#include "EndpointSelector.h"
+#include "rattanloft/http/Types.h"
+
+// Header fields between sidecars. They are removed from everything that comes
+// from callers and backend servers.
+namespace rattanloft::sidecar {
+
+constexpr std::string_view kServiceField = "Rattanloft-Service";
+constexpr std::string_view kKeyedField = "Rattanloft-Keyed";
+// Milliseconds until the answer is worth less to the caller.
+constexpr std::string_view kTargetField = "Rattanloft-Target-Ms";
+constexpr std::string_view kRankField = "Rattanloft-Rank";
+constexpr std::string_view kOutcomeField = "Rattanloft-Outcome";
+constexpr std::string_view kReasonField = "Rattanloft-Reason";
+constexpr std::string_view kRetryAfterField = "Rattanloft-Retry-After-Ms";
+// running,waiting,slots,service time in ms
+constexpr std::string_view kLoadField = "Rattanloft-Load";
+// Set if the request reached the backend server, which refused it.
+constexpr std::string_view kArrivedField = "Rattanloft-Arrived";
+
+enum class Outcome
+{
+  // The answer of the backend server.
+  kAnswered,
+  // Certainly not run.
+  kNotRun,
+  kUnknown,
+};
+
+std::string_view
+OutcomeName(Outcome aOutcome);
+
+// What became of one attempt at one backend server.
+struct AttemptResult
+{
+  Outcome m_outcome = Outcome::kUnknown;
+  // For kAnswered.
+  http::Response m_response;
+  std::string m_reason;
+  Duration m_retryAfter;
+  // The request reached a backend server.
+  bool m_arrived = false;
+};
+
+// Builds the peer's answer from the result and reads it back.
+http::Response
+EncodeResult(AttemptResult aResult, const ReportedLoad& aLoad);
+AttemptResult
+DecodeResult(http::Response aResponse);
+ReportedLoad
+DecodeLoad(const http::Response& aResponse);
+
+void
+RemovePeerFields(boost::beast::http::fields& aFields);
+
+std::string_view
+FieldValue(const boost::beast::http::fields& aFields, std::string_view aName);
+void
+SetField(boost::beast::http::fields& aFields,
+         std::string_view aName,
+         std::string_view aValue);
+// Empty unless the field is given once and is a whole number.
+std::optional<int64_t>
+NumberField(const boost::beast::http::fields& aFields, std::string_view aName);
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -0,0 +1,407 @@
+#include "rattanloft/sidecar/Sidecar.h"
+
+#include <chrono>
+#include <csignal>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include "BackendAgent.h"
+#include "BackendHandler.h"
+#include "Directory.h"
+#include "EndpointSelector.h"
+#include "EntryHandler.h"
+#include "SyncClient.h"
+#include "WorkQueue.h"
+#include "rattanloft/base/Clock.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/base/Random.h"
+#include "rattanloft/http/Endpoint.h"
+#include "rattanloft/http/Server.h"
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::beast::http::field;
+using boost::beast::http::status;
+
+constexpr std::chrono::milliseconds kTick{ 20 };
+// Callers stop sending after two readiness checks at intervals of 1 s.
+constexpr Duration kNoticeTime = Milliseconds(2300);
+// Left of the grace period when requests that still run are cut off.
+constexpr Duration kStopReserve = Milliseconds(300);
+constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+// Callers keep connections idle for up to four fifths of the configured idle
+// timeout; the longest one that is expected is 60 s.
+constexpr Duration kCallerIdle = Seconds(75);
+// Backend servers close idle connections after 10 s or more.
+constexpr Duration kBackendIdle = Seconds(5);
+constexpr Duration kConnectTimeout = Milliseconds(250);
+
+class SidecarImpl final : public Sidecar
+{
+public:
+  SidecarImpl(SidecarOptions aOptions, const BackendProtocol& aProtocol)
+    : m_options(std::move(aOptions))
+    , m_protocol(aProtocol)
+    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_reloads(m_context, SIGHUP)
+    , m_timer(m_context)
+    , m_agent(m_options.m_instance,
+              m_options.m_backendAddress,
+              m_options.m_drainLimit,
+              m_clock.Now())
+    , m_selector(RandomId())
+    , m_peers(MakeClient(Seconds(20), false))
+    , m_backends(MakeClient(kBackendIdle, true))
+    , m_control(MakeClient(Seconds(20), false))
+    , m_local(m_context,
+              m_clock,
+              m_protocol,
+              *m_backends,
+              m_agent,
+              m_queue,
+              m_options.m_backendAddress)
+    , m_sync(m_context,
+             m_clock,
+             m_options,
+             *m_control,
+             m_agent,
+             m_directory,
+             m_queue,
+             m_loads)
+    , m_entry(m_context,
+              m_clock,
+              m_options,
+              m_protocol,
+              *m_peers,
+              m_directory,
+              m_selector,
+              m_local,
+              m_loads)
+  {
+    m_sync.OnAdopted([this] { OnAdopted(); });
+  }
+
+  tl::expected<void, SidecarError> Open()
+  {
+    const struct
+    {
+      const std::string* m_address;
+      std::unique_ptr<http::Server>* m_server;
+      http::Server::Handler m_handler;
+    } listeners[] = {
+      { &m_options.m_callerAddress,
+        &m_callers,
+        [this](http::Request aRequest,
+               std::shared_ptr<http::CancelToken> aCancel) {
+          return m_entry.Serve(std::move(aRequest), std::move(aCancel));
+        } },
+      { &m_options.m_peerAddress,
+        &m_peerServer,
+        [this](http::Request aRequest,
+               std::shared_ptr<http::CancelToken> aCancel) {
+          return ServePeer(std::move(aRequest), std::move(aCancel));
+        } },
+      { &m_options.m_readyAddress,
+        &m_readyServer,
+        [this](http::Request, std::shared_ptr<http::CancelToken>) {
+          return ServeReady();
+        } },
+      { &m_options.m_announceAddress,
+        &m_announceServer,
+        [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
+          return ServeAgent(std::move(aRequest));
+        } },
+      { &m_options.m_metricsAddress,
+        &m_metricsServer,
+        [this](http::Request, std::shared_ptr<http::CancelToken>) {
+          return ServeMetrics();
+        } },
+    };
+    for (const auto& listener : listeners) {
+      if (listener.m_address->empty()) {
+        continue;
+      }
+      auto server = Listen(*listener.m_address, listener.m_handler);
+      if (!server) {
+        return tl::unexpected(server.error());
+      }
+      *listener.m_server = std::move(*server);
+    }
+    return {};
+  }
+
+  void Run() override
+  {
+    LogInfo("sidecar",
+            "event=start instance={} zone={} service={} callers={} peers={} "
+            "backend={} coordinators={}",
+            m_options.m_instance,
+            m_options.m_zone,
+            m_options.m_service,
+            m_options.m_callerAddress,
+            m_options.m_peerAddress,
+            m_options.m_backendAddress,
+            m_options.m_coordinators.size());
+    m_signals.async_wait([this](const boost::system::error_code& aError, int) {
+      if (!aError) {
+        asio::co_spawn(m_context, Stop(), asio::detached);
+      }
+    });
+    WaitForReload();
+    ScheduleTick();
+    m_sync.Start();
+    m_context.run();
+  }
+
+private:
+  std::unique_ptr<http::Client> MakeClient(Duration aIdle, bool aUnframed)
+  {
+    http::ClientOptions options;
+    options.m_idleTimeout = aIdle;
+    options.m_connectTimeout = kConnectTimeout;
+    options.m_acceptUnframed = aUnframed;
+    return http::Client::Make(m_context, options);
+  }
+
+  tl::expected<std::unique_ptr<http::Server>, SidecarError> Listen(
+    const std::string& aAddress,
+    const http::Server::Handler& aHandler)
+  {
+    const auto endpoint = http::ParseEndpoint(aAddress);
+    if (!endpoint) {
+      return tl::unexpected(
+        SidecarError{ "not an IP address and port: " + aAddress });
+    }
+    http::ServerOptions options;
+    options.m_address = endpoint->address().to_string();
+    options.m_port = endpoint->port();
+    options.m_maxBodyBytes = kMaxBodyBytes;
+    options.m_idleTimeout = kCallerIdle;
+    auto server = http::Server::Make(m_context, std::move(options), aHandler);
+    if (!server) {
+      return tl::unexpected(SidecarError{ server.error().m_message });
+    }
+    return std::move(*server);
+  }
+
+  void ScheduleTick()
+  {
+    m_timer.expires_after(kTick);
+    m_timer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        m_local.Tick();
+        m_sync.Wake();
+        ScheduleTick();
+      }
+    });
+  }
+
+  void OnAdopted()
+  {
+    if (m_endpointsRevision != m_directory.EndpointsRevision() ||
+        m_endpointsTerm != m_directory.EndpointsTerm()) {
+      m_endpointsRevision = m_directory.EndpointsRevision();
+      m_endpointsTerm = m_directory.EndpointsTerm();
+      m_selector.SetEndpoints(m_directory.Endpoints(), m_clock.Now());
+    }
+  }
+
+  asio::awaitable<http::Response> ServeReady()
+  {
+    http::Response response;
+    const bool ready = !m_stopping && m_directory.Router() != nullptr;
+    response.result(ready ? status::ok : status::service_unavailable);
+    co_return response;
+  }
+
+  asio::awaitable<http::Response> ServePeer(
+    http::Request aRequest,
+    std::shared_ptr<http::CancelToken> aCancel)
+  {
+    const HeaderNames& names = m_protocol.Headers();
+    RequestTerms terms;
+    terms.m_service = FieldValue(aRequest, kServiceField);
+    terms.m_keyed = FieldValue(aRequest, kKeyedField) == "1";
+    terms.m_target =
+      Milliseconds(NumberField(aRequest, kTargetField).value_or(0));
+    terms.m_rank =
+      static_cast<uint32_t>(NumberField(aRequest, kRankField).value_or(0));
+    terms.m_left =
+      Milliseconds(NumberField(aRequest, names.m_deadlineMs).value_or(0));
+    const auto key = NumberField(aRequest, names.m_key);
+    if (terms.m_keyed && key) {
+      terms.m_key = static_cast<uint32_t>(*key);
+    }
+    AttemptResult result =
+      co_await m_local.Run(std::move(aRequest), terms, std::move(aCancel));
+    co_return EncodeResult(std::move(result), m_local.Load());
+  }
+
+  asio::awaitable<http::Response> ServeAgent(http::Request aRequest)
+  {
+    const auto method = aRequest.method_string();
+    const auto target = aRequest.target();
+    const AgentCall call = m_protocol.Classify(
+      { method.data(), method.size() }, { target.data(), target.size() });
+    http::Response response;
+    response.set(field::content_type, "application/json");
+    switch (call.m_kind) {
+      case AgentCallKind::kHeartbeat:
+        OnHeartbeat(call.m_backendId, aRequest.body(), response);
+        break;
+      case AgentCallKind::kLeave:
+        m_agent.OnLeave(call.m_backendId,
+                        m_protocol.ParseLeaveStart(aRequest.body()),
+                        m_clock.Now());
+        response.result(status::ok);
+        break;
+      case AgentCallKind::kOther:
+        response.result(status::not_found);
+        break;
+    }
+    m_sync.Wake();
+    co_return response;
+  }
+
+  void OnHeartbeat(const std::string& aBackendId,
+                   const std::string& aBody,
+                   http::Response& aResponse)
+  {
+    const auto heartbeat = m_protocol.ParseHeartbeat(aBackendId, aBody);
+    if (!heartbeat) {
+      LogWarning("backend",
+                 "event=heartbeat-refused backend={} reason=\"{}\"",
+                 aBackendId,
+                 heartbeat.error());
+      aResponse.result(status::bad_request);
+      return;
+    }
+    const auto answer = m_agent.OnHeartbeat(*heartbeat, m_clock.Now());
+    m_queue.SetSlots(std::max(1U, m_agent.View().slots()));
+    aResponse.result(status::ok);
+    aResponse.body() = m_protocol.FormatAnswer(answer.value_or(HeartbeatAnswer{}));
+  }
+
+  asio::awaitable<http::Response> ServeMetrics()
+  {
+    const EntryCounters& counters = m_entry.Counters();
+    const ReportedLoad load = m_local.Load();
+    http::Response response;
+    response.result(status::ok);
+    response.body() = fmt::format(
+      "rattanloft_requests {}\nrattanloft_answered {}\nrattanloft_not_run {}\n"
+      "rattanloft_unknown {}\nrattanloft_retries {}\n"
+      "rattanloft_backend_running {}\nrattanloft_backend_waiting {}\n"
+      "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
+      "rattanloft_directory_age_ms {}\n",
+      counters.m_requests,
+      counters.m_answered,
+      counters.m_notRun,
+      counters.m_unknown,
+      counters.m_retries,
+      load.m_running,
+      load.m_waiting,
+      load.m_serviceMs,
+      m_directory.Router() ? m_directory.Router()->Version() : 0,
+      m_directory.Age(m_clock.Now()).m_ms);
+    co_return response;
+  }
+
+  void WaitForReload()
+  {
+    m_reloads.async_wait([this](const boost::system::error_code& aError, int) {
+      if (aError) {
+        return;
+      }
+      if (m_options.m_readCoordinators) {
+        m_sync.SetCoordinators(m_options.m_readCoordinators());
+      }
+      LogInfo("sidecar", "event=reload");
+      WaitForReload();
+    });
+  }
+
+  asio::awaitable<void> Pause(Duration aTime)
+  {
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(aTime.m_ms));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+
+  asio::awaitable<void> StopServer(http::Server& aServer)
+  {
+    ++m_serversToStop;
+    co_await aServer.Stop();
+    --m_serversToStop;
+  }
+
+  asio::awaitable<void> Stop()
+  {
+    LogInfo("sidecar",
+            "event=stop running={} waiting={}",
+            m_queue.Running(),
+            m_queue.Waiting());
+    m_stopping = true;
+    const TimePoint end = m_clock.Now() + m_options.m_stopGrace - kStopReserve;
+    m_sync.Stop();
+    co_await Pause(kNoticeTime);
+    asio::co_spawn(m_context, StopServer(*m_callers), asio::detached);
+    asio::co_spawn(m_context, StopServer(*m_peerServer), asio::detached);
+    constexpr Duration kPoll = Milliseconds(50);
+    do {
+      co_await Pause(kPoll);
+    } while (m_serversToStop > 0 && m_clock.Now() < end);
+    LogInfo("sidecar", "event=stopped cut_off={}", m_serversToStop);
+    m_context.stop();
+  }
+
+  SidecarOptions m_options;
+  const BackendProtocol& m_protocol;
+  BootClock m_clock;
+  asio::io_context m_context{ 1 };
+  asio::signal_set m_signals;
+  asio::signal_set m_reloads;
+  asio::steady_timer m_timer;
+  BackendAgent m_agent;
+  WorkQueue m_queue;
+  Directory m_directory;
+  EndpointSelector m_selector;
+  LoadCounter m_loads;
+  std::unique_ptr<http::Client> m_peers;
+  std::unique_ptr<http::Client> m_backends;
+  std::unique_ptr<http::Client> m_control;
+  BackendHandler m_local;
+  SyncClient m_sync;
+  EntryHandler m_entry;
+  std::unique_ptr<http::Server> m_callers;
+  std::unique_ptr<http::Server> m_peerServer;
+  std::unique_ptr<http::Server> m_readyServer;
+  std::unique_ptr<http::Server> m_announceServer;
+  std::unique_ptr<http::Server> m_metricsServer;
+  uint64_t m_endpointsRevision = 0;
+  uint64_t m_endpointsTerm = 0;
+  int m_serversToStop = 0;
+  bool m_stopping = false;
+};
+
+} // namespace
+
+tl::expected<std::unique_ptr<Sidecar>, SidecarError>
+Sidecar::Make(SidecarOptions aOptions, const BackendProtocol& aProtocol)
+{
+  auto sidecar = std::make_unique<SidecarImpl>(std::move(aOptions), aProtocol);
+  if (auto opened = sidecar->Open(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  return sidecar;
+}
+
+} // namespace rattanloft::sidecar
--- a/tools/rattanloft/Commands.h
+++ b/tools/rattanloft/Commands.h
@@ -23,5 +23,9 @@
 StatusCommand(std::span<char*> aArgs);
 int
 DrainCommand(std::span<char*> aArgs);
+int
+CoordinatorCommand(std::span<char*> aArgs);
+int
+SidecarCommand(std::span<char*> aArgs);
 
 } // namespace rattanloft::tool
--- /dev/null
+++ b/tools/rattanloft/CoordinatorCommand.cpp
@@ -0,0 +1,108 @@
+#include <string>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include "Commands.h"
+#include "Flags.h"
+#include "SettingsText.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/coordinator/Coordinator.h"
+#include "rattanloft/http/Endpoint.h"
+#include "rattanloft/platform/PlatformProtocol.h"
+
+DEFINE_string(state_dir, "", "folder for the replicated log, required");
+DEFINE_string(operator_address, "", "IP address and port for operators");
+DEFINE_string(member_address,
+              "",
+              "IP address and port for other coordinators and sidecars");
+DEFINE_string(seed_coordinators,
+              "",
+              "operator addresses of some coordinators, separated by commas");
+DEFINE_bool(form_group,
+            false,
+            "the fleet starts for the first time, so the coordinator with the "
+            "least seed address forms the group");
+DEFINE_uint32(tolerated_losses,
+              0,
+              "coordinators that may be lost at once, disks included");
+
+namespace rattanloft::tool {
+
+namespace {
+
+// Names the setting that cannot be used; empty if all can.
+std::string
+CheckSettings()
+{
+  if (FLAGS_state_dir.empty()) {
+    return "--state_dir: a folder is required";
+  }
+  if (!http::ParseEndpoint(FLAGS_operator_address)) {
+    return fmt::format("--operator_address: '{}' is not an IP address and port",
+                       FLAGS_operator_address);
+  }
+  if (!http::ParseEndpoint(FLAGS_member_address)) {
+    return fmt::format("--member_address: '{}' is not an IP address and port",
+                       FLAGS_member_address);
+  }
+  for (const std::string& seed : SplitList(FLAGS_seed_coordinators)) {
+    if (!http::ParseEndpoint(seed)) {
+      return fmt::format(
+        "--seed_coordinators: '{}' is not an IP address and port", seed);
+    }
+  }
+  constexpr uint32_t kMostLosses = 3;
+  if (FLAGS_tolerated_losses > kMostLosses) {
+    return fmt::format("--tolerated_losses: at most {}", kMostLosses);
+  }
+  return "";
+}
+
+int
+Fail(int aStatus, const std::string& aMessage)
+{
+  fmt::print(stderr, "rattanloft coordinator: {}\n", aMessage);
+  return aStatus;
+}
+
+} // namespace
+
+int
+CoordinatorCommand(std::span<char*> aArgs)
+{
+  if (!aArgs.empty()) {
+    return Fail(2, fmt::format("unexpected argument '{}'", aArgs[0]));
+  }
+  const std::string problem = CheckSettings();
+  if (!problem.empty()) {
+    return Fail(2, problem);
+  }
+  SetLogOutput(LogOutput::kBoundedStandardOutput);
+  coordinator::CoordinatorOptions options;
+  options.m_dataDir = FLAGS_state_dir;
+  options.m_zone = FLAGS_zone;
+  options.m_controlAddress = FLAGS_operator_address;
+  options.m_internalAddress = FLAGS_member_address;
+  options.m_seeds = SplitList(FLAGS_seed_coordinators);
+  options.m_mayFormGroup = FLAGS_form_group;
+  options.m_toleratedLosses = FLAGS_tolerated_losses;
+  const std::string file = FlagfilePath();
+  if (!file.empty()) {
+    options.m_readSeeds = [file] {
+      return SplitList(ReadFlagFromFile(file, "seed_coordinators"));
+    };
+  }
+  static const platform::PlatformOperatorProtocol sProtocol;
+  auto made = coordinator::Coordinator::Make(std::move(options), sProtocol);
+  if (!made) {
+    return Fail(1, made.error().m_message);
+  }
+  // Suspended coroutines still refer to the coordinator when Run returns. The
+  // process ends right after, so it is left to the operating system.
+  coordinator::Coordinator* instance = made->release();
+  instance->Run();
+  return 0;
+}
+
+} // namespace rattanloft::tool
--- a/tools/rattanloft/Main.cpp
+++ b/tools/rattanloft/Main.cpp
@@ -65,6 +65,16 @@
     "shows the state of control instances and nodes",
     StatusCommand,
     { "StatusCommand.cpp", kOperatorFlags } },
+  { "coordinator",
+    "",
+    "runs a coordinator of a fleet",
+    CoordinatorCommand,
+    { "CoordinatorCommand.cpp", kServerFlags } },
+  { "sidecar",
+    "",
+    "runs the sidecar beside a backend server of a fleet",
+    SidecarCommand,
+    { "SidecarCommand.cpp", kServerFlags } },
   { "drain",
     "[--undo] NODE",
     "moves all work away from a node, or undoes that",
@@ -77,7 +87,7 @@
 {
   fmt::print(aOut, "usage: rattanloft SUB-COMMAND [flags] [arguments]\n");
   for (const SubCommand& command : kSubCommands) {
-    fmt::print(aOut, "  {:10} {}\n", command.m_name, command.m_summary);
+    fmt::print(aOut, "  {:11} {}\n", command.m_name, command.m_summary);
   }
   fmt::print(aOut,
              "rattanloft SUB-COMMAND --help lists its flags; a variable "
--- /dev/null
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -0,0 +1,144 @@
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include "Commands.h"
+#include "Flags.h"
+#include "SettingsText.h"
+#include "rattanloft/base/Log.h"
+#include "rattanloft/http/Endpoint.h"
+#include "rattanloft/platform/PlatformProtocol.h"
+#include "rattanloft/sidecar/Sidecar.h"
+
+DEFINE_string(instance, "", "name of this instance, the same after a restart");
+DEFINE_string(backend_service, "", "service of the backend server on this instance");
+DEFINE_string(caller_address, "", "IP address and port for callers");
+DEFINE_string(peer_address, "", "IP address and port for other sidecars");
+DEFINE_string(ready_address, "", "IP address and port for readiness checks");
+DEFINE_string(announce_address,
+              "",
+              "IP address and port for heartbeats of the backend server");
+DEFINE_string(backend_address, "", "IP address and port of the backend server");
+DEFINE_string(metrics_address, "", "IP address and port for metrics; optional");
+DEFINE_string(coordinators,
+              "",
+              "addresses of some coordinators, separated by commas");
+DEFINE_uint32(coordinator_port,
+              0,
+              "port for sidecars on coordinators; 0 takes it from the addresses");
+DEFINE_string(bounds,
+              "",
+              "time bounds and budgets of the platform, name=value,...");
+
+namespace rattanloft::tool {
+
+namespace {
+
+// Names the setting that cannot be used; empty if all can.
+std::string
+CheckSettings()
+{
+  const std::pair<const char*, const std::string&> addresses[] = {
+    { "caller_address", FLAGS_caller_address },
+    { "peer_address", FLAGS_peer_address },
+    { "ready_address", FLAGS_ready_address },
+    { "announce_address", FLAGS_announce_address },
+    { "backend_address", FLAGS_backend_address },
+  };
+  for (const auto& [name, value] : addresses) {
+    if (!http::ParseEndpoint(value)) {
+      return fmt::format(
+        "--{}: '{}' is not an IP address and port", name, value);
+    }
+  }
+  if (FLAGS_instance.empty() ||
+      FLAGS_instance.find_first_of("/@ ") != std::string::npos) {
+    return "--instance: a name without '/', '@' and spaces is required";
+  }
+  if (FLAGS_backend_service.empty()) {
+    return "--backend_service: a name is required";
+  }
+  for (const std::string& address : SplitList(FLAGS_coordinators)) {
+    if (!http::ParseEndpoint(address)) {
+      return fmt::format("--coordinators: '{}' is not an IP address and port",
+                         address);
+    }
+  }
+  return "";
+}
+
+std::vector<std::string>
+CoordinatorAddresses(const std::string& aText)
+{
+  std::vector<std::string> addresses = SplitList(aText);
+  return FLAGS_coordinator_port == 0
+           ? addresses
+           : WithPort(addresses, FLAGS_coordinator_port);
+}
+
+int
+Fail(int aStatus, const std::string& aMessage)
+{
+  fmt::print(stderr, "rattanloft sidecar: {}\n", aMessage);
+  return aStatus;
+}
+
+sidecar::SidecarOptions
+MakeOptions(const platform::Bounds& aBounds)
+{
+  sidecar::SidecarOptions options;
+  options.m_instance = FLAGS_instance;
+  options.m_zone = FLAGS_zone;
+  options.m_service = FLAGS_backend_service;
+  options.m_callerAddress = FLAGS_caller_address;
+  options.m_peerAddress = FLAGS_peer_address;
+  options.m_readyAddress = FLAGS_ready_address;
+  options.m_announceAddress = FLAGS_announce_address;
+  options.m_backendAddress = FLAGS_backend_address;
+  options.m_metricsAddress = FLAGS_metrics_address;
+  options.m_coordinators = CoordinatorAddresses(FLAGS_coordinators);
+  options.m_retryRatio = aBounds.m_retryRatio;
+  options.m_retrySlack = aBounds.m_retrySlack;
+  options.m_stopGrace = aBounds.m_stopGrace;
+  options.m_drainLimit = aBounds.m_drain;
+  const std::string file = FlagfilePath();
+  if (!file.empty()) {
+    options.m_readCoordinators = [file] {
+      return CoordinatorAddresses(ReadFlagFromFile(file, "coordinators"));
+    };
+  }
+  return options;
+}
+
+} // namespace
+
+int
+SidecarCommand(std::span<char*> aArgs)
+{
+  if (!aArgs.empty()) {
+    return Fail(2, fmt::format("unexpected argument '{}'", aArgs[0]));
+  }
+  const std::string problem = CheckSettings();
+  if (!problem.empty()) {
+    return Fail(2, problem);
+  }
+  const auto bounds = platform::ParseBounds(FLAGS_bounds);
+  if (!bounds) {
+    return Fail(2, "--bounds: " + bounds.error());
+  }
+  SetLogOutput(LogOutput::kBoundedStandardOutput);
+  static const platform::PlatformBackendProtocol sProtocol;
+  auto made = sidecar::Sidecar::Make(MakeOptions(*bounds), sProtocol);
+  if (!made) {
+    return Fail(1, made.error().m_message);
+  }
+  // Suspended coroutines still refer to the sidecar when Run returns. The
+  // process ends right after, so it is left to the operating system.
+  sidecar::Sidecar* instance = made->release();
+  instance->Run();
+  return 0;
+}
+
+} // namespace rattanloft::tool
