--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -133,7 +133,11 @@
   tl::expected<void, CoordinatorError> OpenLog()
   {
     m_transport = std::make_unique<MemberTransport>(
-      m_context, m_clock, *m_client, m_folder->ReplicaId());
+      m_context,
+      m_clock,
+      *m_client,
+      m_folder->ReplicaId(),
+      m_options.m_internalAddress);
     consensus::ReplicatedLogOptions options;
     options.m_replicaId = m_folder->ReplicaId();
     options.m_seed = RandomId();
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -264,6 +264,7 @@
 {
   const TimePoint now = m_clock.Now();
   for (const wire::RaftMessage& message : aBatch.messages()) {
+    m_transport.LearnAddress(message.from(), aBatch.sender_address());
     m_log.Receive(message, now);
   }
   UpdateRole();
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -21,6 +21,8 @@
 constexpr int kMaxInFlight = 3;
 constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
 constexpr size_t kMaxQueued = 256;
+// Peers with a known address, listed or not.
+constexpr size_t kMaxPeers = 32;
 constexpr size_t kMaxBatchBytes = 1024 * 1024;
 // Below the shortest election timeout of 400 ms, so that a path that went
 // silent is replaced before the follower stands for election.
@@ -31,14 +33,28 @@
 MemberTransport::MemberTransport(asio::io_context& aContext,
                                  const Clock& aClock,
                                  http::Client& aClient,
-                                 uint64_t aSelf)
+                                 uint64_t aSelf,
+                                 std::string aOwnAddress)
   : m_context(aContext)
   , m_clock(aClock)
   , m_client(aClient)
   , m_self(aSelf)
+  , m_ownAddress(std::move(aOwnAddress))
 {
 }
 
+void
+MemberTransport::LearnAddress(uint64_t aReplica, const std::string& aAddress)
+{
+  if (aReplica == m_self || aAddress.empty() ||
+      m_peers.contains(aReplica) || m_peers.size() >= kMaxPeers) {
+    return;
+  }
+  Peer& peer = m_peers[aReplica];
+  peer.m_address = aAddress;
+  peer.m_heard = m_clock.Now();
+}
+
 void
 MemberTransport::SetMembers(const wire::GroupConfig& aConfig)
 {
@@ -59,7 +75,6 @@
   // A replica that was just removed, or one that is not listed yet, may still
   // have to be answered.
   for (auto& [id, peer] : m_peers) {
-    constexpr size_t kMaxPeers = 32;
     if (!peers.contains(id) && peers.size() < kMaxPeers) {
       peers[id] = std::move(peer);
     }
@@ -104,6 +119,7 @@
 {
   while (!aPeer.m_queue.empty() && aPeer.m_inFlight < kMaxInFlight) {
     wire::RaftBatch batch;
+    batch.set_sender_address(m_ownAddress);
     size_t bytes = 0;
     while (!aPeer.m_queue.empty() && bytes < kMaxBatchBytes) {
       const size_t size = aPeer.m_queue.front().ByteSizeLong();
--- a/modules/coordinator/src/MemberTransport.h
+++ b/modules/coordinator/src/MemberTransport.h
@@ -24,7 +24,11 @@
   MemberTransport(boost::asio::io_context& aContext,
                   const Clock& aClock,
                   http::Client& aClient,
-                  uint64_t aSelf);
+                  uint64_t aSelf,
+                  std::string aOwnAddress);
+
+  // Where a replica can be answered that the configuration does not list yet.
+  void LearnAddress(uint64_t aReplica, const std::string& aAddress);
 
   void Send(const wire::RaftMessage& aMessage) override;
   void SetMembers(const wire::GroupConfig& aConfig) override;
@@ -56,6 +60,7 @@
   const Clock& m_clock;
   http::Client& m_client;
   uint64_t m_self;
+  std::string m_ownAddress;
   std::map<uint64_t, Peer> m_peers;
   bool m_flushScheduled = false;
 };
--- a/modules/fleet/src/MembershipPlanner.cpp
+++ b/modules/fleet/src/MembershipPlanner.cpp
@@ -128,6 +128,7 @@
       const auto health = m_view.m_health.find(member.replica_id());
       if (member.learner() && health != m_view.m_health.end() &&
           health->second.m_silence <= kAlive &&
+          health->second.m_appliedIndex > 0 &&
           health->second.m_appliedIndex + kReadyLag >= m_view.m_commitIndex) {
         return &member;
       }
