Refuse waiting work as soon as it cannot be in time

Change: service times by kind of work; work that cannot meet its target is refused on arrival or when that shows; an answer that does not repeat the request id closes its connection; stopping sidecars stay listed as draining.

--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -34,6 +34,18 @@
   return aFirst <= aOther && aOtherFirst <= aLast;
 }
 
+// A sidecar that stops still serves for some seconds, but takes no new work that
+// can go elsewhere.
+wire::BackendView
+ListedView(const wire::FleetSyncRequest& aReport)
+{
+  wire::BackendView view = aReport.backend();
+  if (aReport.stopping() && view.phase() == wire::BACKEND_PHASE_READY) {
+    view.set_phase(wire::BACKEND_PHASE_DRAINING);
+  }
+  return view;
+}
+
 } // namespace
 
 FleetLeader::FleetLeader(const FleetState& aState,
@@ -380,7 +392,7 @@
   std::string text;
   for (auto& [name, sidecar] : m_sidecars) {
     const bool silentTooLong = aNow - sidecar.m_seen > kEndpointSilence;
-    if (sidecar.m_last.stopping() || (silentTooLong && !mass)) {
+    if (silentTooLong && !mass) {
       sidecar.m_listed = false;
     } else if (!silentTooLong) {
       sidecar.m_listed = true;
@@ -388,7 +400,7 @@
     if (!sidecar.m_listed) {
       continue;
     }
-    wire::BackendView view = sidecar.m_last.backend();
+    wire::BackendView view = ListedView(sidecar.m_last);
     view.set_cold_remaining_ms(view.cold_remaining_ms() > 0 ? 1 : 0);
     text += name + '|' + sidecar.m_last.peer_address() + '|' +
             view.SerializeAsString();
@@ -411,7 +423,7 @@
     endpoint.set_instance(name);
     endpoint.set_zone(sidecar.m_last.zone());
     endpoint.set_peer_address(sidecar.m_last.peer_address());
-    *endpoint.mutable_backend() = sidecar.m_last.backend();
+    *endpoint.mutable_backend() = ListedView(sidecar.m_last);
     endpoints.push_back(std::move(endpoint));
   }
   return endpoints;
--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -28,6 +28,10 @@
   // Accepts answers that have no length and end with their connection, if it
   // ends without an error.
   bool m_acceptUnframed = false;
+  // Field of a request that its answer repeats; empty for none. An answer with
+  // another value belongs to another request: it is an error, and the connection
+  // is closed, since everything that follows on it is off by one as well.
+  std::string m_echoedField;
 };
 
 // A pooled HTTP/1.1 client on one thread's io_context. One request at a time
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -96,6 +96,7 @@
   asio::awaitable<std::optional<HttpError>> WaitForPlace();
   asio::awaitable<std::optional<HttpError>> Connect(tcp::endpoint aPeer);
   asio::awaitable<tl::expected<Response, HttpError>> Read(bool aHead);
+  bool IsEchoed(const Request& aRequest, const Response& aResponse);
   asio::awaitable<beast::error_code> ReadHeader(std::optional<Parser>& aParser,
                                                 bool aHead);
   HttpError Failed(HttpErrorCode aCode,
@@ -292,12 +293,34 @@
   }
   const bool head = aRequest.method() == beast::http::verb::head;
   tl::expected<Response, HttpError> response = co_await Read(head);
+  if (response && !IsEchoed(aRequest, *response)) {
+    m_reusable = false;
+    response = tl::unexpected(Failed(
+      HttpErrorCode::kBroken, true, "read from", "answer of another request"));
+  }
   if (error) {
     m_reusable = false;
   }
   co_return response;
 }
 
+// An answer without the field is left to the caller, but what follows it on the
+// connection is not trusted.
+bool
+Attempt::IsEchoed(const Request& aRequest, const Response& aResponse)
+{
+  const std::string& name = m_pool->Options().m_echoedField;
+  if (name.empty()) {
+    return true;
+  }
+  const auto echo = aResponse.find(name);
+  if (echo == aResponse.end()) {
+    m_reusable = false;
+    return true;
+  }
+  return echo->value() == aRequest[name];
+}
+
 asio::awaitable<beast::error_code>
 Attempt::ReadHeader(std::optional<Parser>& aParser, bool aHead)
 {
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -106,7 +106,7 @@
     if (found == m_waiters.end()) {
       // The caller has left; the slot goes to the next one.
       if (release.m_start) {
-        m_queue.Finish({});
+        m_queue.Finish({}, {});
       }
       continue;
     }
@@ -131,7 +131,12 @@
   const TimePoint now = m_clock.Now();
   const WorkId id = m_nextWork++;
   const WorkVerdict verdict = m_queue.Submit(
-    { id, aTerms.m_rank, now + aTerms.m_target, now + aTerms.m_left }, now);
+    { id,
+      aTerms.m_kind,
+      aTerms.m_rank,
+      now + aTerms.m_target,
+      now + aTerms.m_left },
+    now);
   if (verdict.m_decision == WorkDecision::kStart) {
     co_return std::nullopt;
   }
@@ -175,8 +180,8 @@
   }
   const TimePoint started = m_clock.Now();
   Duration measured;
-  const FinishGuard guard([this, &measured] {
-    m_queue.Finish(measured);
+  const FinishGuard guard([this, &measured, kind = aTerms.m_kind] {
+    m_queue.Finish(kind, measured);
     ReleaseWaiting();
   });
   // Much may have changed while the work waited.
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -23,6 +23,8 @@
 struct RequestTerms
 {
   std::string m_service;
+  // Name of the route; work of one route takes about the same time.
+  std::string m_kind;
   bool m_keyed = false;
   std::optional<uint32_t> m_key;
   uint32_t m_rank = 0;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -260,6 +260,7 @@
   const TimePoint now = m_clock.Now();
   RequestTerms terms;
   terms.m_service = aPassage.m_service;
+  terms.m_kind = aPassage.m_route->name();
   terms.m_keyed = aPassage.m_keyed;
   terms.m_key = aPassage.m_key;
   const bool urgent = aPassage.m_route->target_latency_ms() <= kUrgentTargetMs;
@@ -309,6 +310,7 @@
 {
   const std::string instance = aPassage.m_instance;
   SetField(aRequest, kServiceField, aTerms.m_service);
+  SetField(aRequest, kKindField, aTerms.m_kind);
   SetField(aRequest, kKeyedField, aTerms.m_keyed ? "1" : "0");
   SetField(aRequest, kTargetField, std::to_string(aTerms.m_target.m_ms));
   SetField(aRequest, kRankField, std::to_string(aTerms.m_rank));
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -13,7 +13,7 @@
 using beast::http::status;
 
 constexpr std::array kAllFields = {
-  kServiceField, kKeyedField,      kTargetField, kRankField,   kOutcomeField,
+  kServiceField, kKindField, kKeyedField,      kTargetField, kRankField,   kOutcomeField,
   kReasonField,  kRetryAfterField, kLoadField,   kArrivedField
 };
 
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -14,6 +14,7 @@
 namespace rattanloft::sidecar {
 
 constexpr std::string_view kServiceField = "Rattanloft-Service";
+constexpr std::string_view kKindField = "Rattanloft-Kind";
 constexpr std::string_view kKeyedField = "Rattanloft-Keyed";
 // Milliseconds until the answer is worth less to the caller.
 constexpr std::string_view kTargetField = "Rattanloft-Target-Ms";
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kCallerIdle = Seconds(75);
 // Backend servers close idle connections after 10 s or more.
 constexpr Duration kBackendIdle = Seconds(5);
+// Sidecars and coordinators keep idle connections for longer.
+constexpr Duration kPeerIdle = Seconds(20);
 constexpr Duration kConnectTimeout = Milliseconds(250);
 
 class SidecarImpl final : public Sidecar
@@ -59,9 +61,9 @@
               m_options.m_drainLimit,
               m_clock.Now())
     , m_selector(RandomId())
-    , m_peers(MakeClient(Seconds(20), false))
-    , m_backends(MakeClient(kBackendIdle, true))
-    , m_control(MakeClient(Seconds(20), false))
+    , m_peers(MakeClient(kPeerIdle))
+    , m_backends(MakeBackendClient())
+    , m_control(MakeClient(kPeerIdle))
     , m_local(m_context,
               m_clock,
               m_protocol,
@@ -163,12 +165,21 @@
   }
 
 private:
-  std::unique_ptr<http::Client> MakeClient(Duration aIdle, bool aUnframed)
+  std::unique_ptr<http::Client> MakeBackendClient()
+  {
+    http::ClientOptions options;
+    options.m_idleTimeout = kBackendIdle;
+    options.m_connectTimeout = kConnectTimeout;
+    options.m_acceptUnframed = true;
+    options.m_echoedField = m_protocol.Headers().m_requestId;
+    return http::Client::Make(m_context, options);
+  }
+
+  std::unique_ptr<http::Client> MakeClient(Duration aIdle)
   {
     http::ClientOptions options;
     options.m_idleTimeout = aIdle;
     options.m_connectTimeout = kConnectTimeout;
-    options.m_acceptUnframed = aUnframed;
     return http::Client::Make(m_context, options);
   }
 
@@ -230,6 +241,7 @@
     const HeaderNames& names = m_protocol.Headers();
     RequestTerms terms;
     terms.m_service = FieldValue(aRequest, kServiceField);
+    terms.m_kind = FieldValue(aRequest, kKindField);
     terms.m_keyed = FieldValue(aRequest, kKeyedField) == "1";
     terms.m_target =
       Milliseconds(NumberField(aRequest, kTargetField).value_or(0));
--- a/modules/sidecar/src/WorkQueue.cpp
+++ b/modules/sidecar/src/WorkQueue.cpp
@@ -13,6 +13,15 @@
 constexpr Duration kLeastRetryAfter = Milliseconds(50);
 constexpr Duration kMostRetryAfter = Milliseconds(400);
 constexpr size_t kMaxWaiting = 512;
+constexpr size_t kMaxKinds = 256;
+// Most work takes less than its mean time multiplied by this.
+constexpr double kServiceSpread = 1.3;
+
+void
+Smooth(double& aMean, double aMeasured)
+{
+  aMean = aMean > 0 ? aMean + kSmoothing * (aMeasured - aMean) : aMeasured;
+}
 
 } // namespace
 
@@ -56,9 +65,7 @@
     return { WorkDecision::kStart, {} };
   }
   const Duration wait = ExpectedWait(aWork.m_rank);
-  const Duration service = ServiceTime();
-  const Duration left = std::min(aWork.m_target, aWork.m_deadline) - aNow;
-  if (wait + service > left || Waiting() >= kMaxWaiting) {
+  if (!IsInTime(aWork, wait, aNow) || Waiting() >= kMaxWaiting) {
     return { WorkDecision::kRefuse,
              std::clamp(wait, kLeastRetryAfter, kMostRetryAfter) };
   }
@@ -66,18 +73,39 @@
   return { WorkDecision::kWait, {} };
 }
 
+Duration
+WorkQueue::ServiceTime(const std::string& aKind) const
+{
+  const auto found = m_kindMs.find(aKind);
+  return found == m_kindMs.end()
+           ? ServiceTime()
+           : Milliseconds(static_cast<int64_t>(found->second));
+}
+
+bool
+WorkQueue::IsInTime(const Work& aWork, Duration aWait, TimePoint aNow) const
+{
+  const double service =
+    kServiceSpread * static_cast<double>(ServiceTime(aWork.m_kind).m_ms);
+  const Duration left = std::min(aWork.m_target, aWork.m_deadline) - aNow;
+  return aWait + Milliseconds(static_cast<int64_t>(service)) <= left;
+}
+
 void
-WorkQueue::Finish(Duration aServiceTime)
+WorkQueue::Finish(const std::string& aKind, Duration aServiceTime)
 {
   if (m_running > 0) {
     --m_running;
   }
-  if (aServiceTime.m_ms > 0) {
-    const double measured = static_cast<double>(aServiceTime.m_ms);
-    m_serviceMs = m_serviceMs > 0
-                    ? m_serviceMs + kSmoothing * (measured - m_serviceMs)
-                    : measured;
+  if (aServiceTime.m_ms <= 0) {
+    return;
   }
+  const double measured = static_cast<double>(aServiceTime.m_ms);
+  Smooth(m_serviceMs, measured);
+  if (m_kindMs.size() >= kMaxKinds && !m_kindMs.contains(aKind)) {
+    m_kindMs.clear();
+  }
+  Smooth(m_kindMs[aKind], measured);
 }
 
 std::vector<WorkQueue::Release>
@@ -85,20 +113,23 @@
 {
   std::vector<Release> released;
   for (auto& [rank, items] : m_waiting) {
+    while (m_running < m_slots && !items.empty()) {
+      // Work that is late by now starts only if nothing else waits.
+      const bool start = IsInTime(items.front(), {}, aNow) || Waiting() == 1;
+      released.push_back({ items.front().m_id, start });
+      items.pop_front();
+      m_running += start ? 1 : 0;
+    }
     std::erase_if(items, [&](const Work& aWork) {
-      if (aNow < aWork.m_deadline) {
+      if (IsInTime(aWork, {}, aNow)) {
         return false;
       }
       released.push_back({ aWork.m_id, false });
       return true;
     });
-    while (m_running < m_slots && !items.empty()) {
-      released.push_back({ items.front().m_id, true });
-      items.pop_front();
-      ++m_running;
-    }
   }
-  std::erase_if(m_waiting, [](const auto& aRank) { return aRank.second.empty(); });
+  std::erase_if(m_waiting,
+                [](const auto& aRank) { return aRank.second.empty(); });
   return released;
 }
 
--- a/modules/sidecar/src/WorkQueue.h
+++ b/modules/sidecar/src/WorkQueue.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "rattanloft/base/Time.h"
@@ -15,6 +16,8 @@
 struct Work
 {
   WorkId m_id = 0;
+  // Work of one kind takes about the same time.
+  std::string m_kind;
   // Lower ranks start first.
   uint32_t m_rank = 0;
   // An answer after this time is worth less to the caller.
@@ -38,17 +41,18 @@
 };
 
 // Decides which requests run on the backend server beside this sidecar. Answers
-// more load than the slots can serve: what could not be answered by its target
-// time is refused on arrival, so that the queue stays short and those admitted
-// are answered in time. Pure; traffic thread.
+// more load than the slots can serve: what could probably not be answered by
+// its target time is refused on arrival, and what has waited too long as soon as
+// that shows, so that the slots go to work that is still worth its full credit.
+// Pure; traffic thread.
 class WorkQueue
 {
 public:
   // Every kStart is followed by one Finish().
   WorkVerdict Submit(const Work& aWork, TimePoint aNow);
   // aServiceTime is zero if the backend server did not run the work.
-  void Finish(Duration aServiceTime);
-  // Work that may start now, or is refused since its time has passed.
+  void Finish(const std::string& aKind, Duration aServiceTime);
+  // Work that may start now, or is refused since it cannot be in time.
   struct Release
   {
     WorkId m_id;
@@ -68,13 +72,17 @@
     return Milliseconds(static_cast<int64_t>(m_serviceMs));
   }
   Duration ExpectedWait(uint32_t aRank) const;
+  // Of one kind; the smoothed one of all kinds until it was measured.
+  Duration ServiceTime(const std::string& aKind) const;
 
 private:
   size_t WaitingUpTo(uint32_t aRank) const;
+  bool IsInTime(const Work& aWork, Duration aWait, TimePoint aNow) const;
 
   uint32_t m_slots = 1;
   uint32_t m_running = 0;
   double m_serviceMs = 0;
+  std::map<std::string, double> m_kindMs;
   std::map<uint32_t, std::deque<Work>> m_waiting;
 };
 
