Place keys only once their owners had time to report to a new leader

Change: a leader plans no transfer until every instance that owns keys has reported, or 2.5 s; ranges of an ended lifetime go to the next lifetime beside the same instance; requests without keys prefer the own availability zone.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -97,6 +97,7 @@
   bool IsUsable(const Sidecar& aSidecar, TimePoint aNow) const;
   std::vector<Candidate> Candidates(const std::string& aService,
                                     TimePoint aNow) const;
+  bool KnowsHolders(TimePoint aNow) const;
   void StartTransfers(const std::string& aName,
                       Service& aService,
                       TimePoint aNow);
@@ -118,6 +119,7 @@
   LeaderTimings m_timings;
   TimePoint m_started;
   TimePoint m_latest;
+  TimePoint m_lastNewSidecar;
   std::map<std::string, Sidecar> m_sidecars;
   std::map<std::string, Holder> m_holders;
   std::map<std::string, Service> m_services;
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -21,6 +21,12 @@
 // The first placement waits until no backend server has joined for this time.
 constexpr Duration kSettle = Milliseconds(1000);
 constexpr Duration kSettleAtMost = Milliseconds(3000);
+// A new leader moves nothing until every instance that owns keys has reported,
+// or for this time: a sidecar needs up to 1.3 s to find that a call to the
+// former leader is lost.
+constexpr Duration kReportTime = Milliseconds(2500);
+// After the last report, others may be on their way.
+constexpr Duration kReportSettle = Milliseconds(200);
 // Pause between two rebalancing moves of a service, so that the measured load
 // follows the last one.
 constexpr Duration kMovePause = Milliseconds(1500);
@@ -73,6 +79,9 @@
 FleetLeader::OnSync(const wire::FleetSyncRequest& aRequest, TimePoint aNow)
 {
   m_latest = aNow;
+  if (!m_sidecars.contains(aRequest.instance())) {
+    m_lastNewSidecar = aNow;
+  }
   Sidecar& sidecar = m_sidecars[aRequest.instance()];
   if (sidecar.m_last.session() == aRequest.session() &&
       aRequest.sequence() <= sidecar.m_last.sequence()) {
@@ -209,6 +218,28 @@
   return {};
 }
 
+// Whether enough sidecars have reported to this leader to tell a holder that is
+// lost from one that it has not heard of yet.
+bool
+FleetLeader::KnowsHolders(TimePoint aNow) const
+{
+  if (aNow - m_started >= kReportTime) {
+    return true;
+  }
+  if (aNow - m_lastNewSidecar < kReportSettle) {
+    return false;
+  }
+  for (const auto& [name, ranges] : m_state.Services()) {
+    for (const wire::OwnedRange& range : ranges.ranges()) {
+      const std::optional<HolderName> holder = ParseHolder(range.holder());
+      if (holder && !m_sidecars.contains(holder->m_instance)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void
 FleetLeader::StartTransfers(const std::string& aName,
                             Service& aService,
@@ -222,7 +253,7 @@
     }
   }
   aService.m_known = candidates.size();
-  if (candidates.empty()) {
+  if (candidates.empty() || !KnowsHolders(aNow)) {
     return;
   }
   wire::ServiceRanges ranges;
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 
+#include "rattanloft/fleet/HolderName.h"
+
 namespace rattanloft::fleet {
 
 namespace {
@@ -125,6 +127,21 @@
   }
 }
 
+// The candidate beside the same instance as an earlier lifetime; empty for none.
+// After a restart of everything, the ranges so stay where they were.
+std::string
+FindSuccessor(const std::string& aHolder, std::span<const Candidate> aCandidates)
+{
+  const std::optional<HolderName> before = ParseHolder(aHolder);
+  for (const Candidate& candidate : aCandidates) {
+    const std::optional<HolderName> name = ParseHolder(candidate.m_holder);
+    if (before && name && name->m_instance == before->m_instance) {
+      return candidate.m_holder;
+    }
+  }
+  return {};
+}
+
 // The piece of at most aWanted load with the fewest keys at an edge of one of
 // the holder's ranges.
 std::optional<Transfer>
@@ -254,10 +271,23 @@
     return transfers;
   }
   Shares shares = MeasureShares(aRanges, aCandidates, aLoad, aNow);
+  std::vector<const wire::OwnedRange*> ownerless;
   for (const wire::OwnedRange& range : aRanges.ranges()) {
-    if (!shares.contains(range.holder())) {
-      SpreadRange(range, aLoad, shares, transfers, aNow);
+    if (shares.contains(range.holder())) {
+      continue;
     }
+    const std::string successor = FindSuccessor(range.holder(), aCandidates);
+    if (successor.empty()) {
+      ownerless.push_back(&range);
+      continue;
+    }
+    shares[successor].m_load +=
+      aLoad.Measure(range.first(), range.last(), aNow);
+    transfers.push_back(
+      { range.first(), range.last(), range.holder(), successor });
+  }
+  for (const wire::OwnedRange* range : ownerless) {
+    SpreadRange(*range, aLoad, shares, transfers, aNow);
   }
   if (transfers.empty() && aMayRebalance) {
     Rebalance(aRanges, shares, aLoad, transfers, aNow);
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -1,6 +1,7 @@
 #include "EndpointSelector.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace rattanloft::sidecar {
 
@@ -18,8 +19,9 @@
 constexpr double kFailureSmoothing = 0.1;
 // A request to a backend server that fails always costs like this many.
 constexpr double kFailureCost = 20;
-// Difference in cost that crossing an availability zone makes, in ms.
-constexpr double kOtherZoneMs = 1;
+// Time that a request may take longer in the own availability zone before it
+// goes to another one: bytes between zones have a price.
+constexpr double kOtherZoneMs = 12;
 constexpr int64_t kFirstSuspicionMs = 500;
 constexpr int kMaxSilences = 4;
 
@@ -111,6 +113,9 @@
     return nullptr;
   }
   std::ranges::shuffle(from, m_random);
+  std::ranges::stable_partition(from, [&](const State* aState) {
+    return aState->m_endpoint.zone() == aZone;
+  });
   from.resize(std::min(from.size(), kCompared));
   const State* best = *std::ranges::min_element(
     from, {}, [&](const State* aState) { return Cost(*aState, aZone, aNow); });
