Move keys only away from busy backend servers, and hand them over faster

Change: answers to heartbeats wait up to 650 ms for ranges on their way; moves are planned beside those under way, up to four a turn, and only away from backend servers above 65 % of their capacity; lease 3 s, sync hold 0.5 s; idle ticks of 100 ms in sidecars and 40 ms in coordinators.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -108,7 +108,8 @@
 
   virtual ~ReplicatedLog() = default;
 
-  // To be called at least every 20 ms. Calls Flush().
+  // To be called at least every 40 ms, below half of the heartbeat interval.
+  // Calls Flush().
   virtual void Tick(TimePoint aNow) = 0;
   virtual void Receive(const wire::RaftMessage& aMessage, TimePoint aNow) = 0;
 
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -22,8 +22,8 @@
   return reply;
 }
 
-// The replicated log wants a tick at least every 20 ms.
-constexpr std::chrono::milliseconds kTick{ 20 };
+// Below half of the 100 ms between two heartbeats of the replicated log.
+constexpr std::chrono::milliseconds kTick{ 40 };
 constexpr Duration kPlanInterval = Milliseconds(100);
 // Operators move on after a second without an answer.
 constexpr Duration kAnswerLimit = Milliseconds(850);
--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -18,10 +18,10 @@
   // Lease of a backend lifetime, counted by its sidecar from the moment at which
   // it sent the request. Below the 5 s after which the keys of a lost instance
   // must be served again.
-  Duration m_lease = Milliseconds(4000);
+  Duration m_lease = Milliseconds(3000);
   // A sync without news is answered after this time, so that the lease is
-  // renewed several times before it ends.
-  Duration m_hold = Milliseconds(800);
+  // renewed several times before it ends, also over a change of leader.
+  Duration m_hold = Milliseconds(500);
 };
 
 // The leader's view of the sidecars: who runs, what each backend lifetime may
@@ -104,6 +104,7 @@
   void PlanService(const std::string& aName,
                    std::vector<wire::AssignRanges>& aCommands,
                    TimePoint aNow);
+  bool Expects(const std::string& aHolder) const;
   std::string FindHandover(const Transfer& aTransfer) const;
   std::vector<wire::OwnedRange> PlannedRanges(const std::string& aHolder) const;
   void RefreshPlans();
--- a/modules/fleet/include/rattanloft/fleet/RangePlacer.h
+++ b/modules/fleet/include/rattanloft/fleet/RangePlacer.h
@@ -40,7 +40,7 @@
 struct Candidate
 {
   std::string m_holder;
-  // Requests per second that it can serve, or slots while that is not known.
+  // Requests per second that it can serve.
   double m_capacity = 1;
 };
 
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -22,14 +22,14 @@
 constexpr Duration kSettle = Milliseconds(1000);
 constexpr Duration kSettleAtMost = Milliseconds(3000);
 // A new leader moves nothing until every instance that owns keys has reported,
-// or for this time: a sidecar needs up to 1.3 s to find that a call to the
+// or for this time: a sidecar needs up to 0.9 s to find that a call to the
 // former leader is lost.
-constexpr Duration kReportTime = Milliseconds(2500);
+constexpr Duration kReportTime = Milliseconds(2000);
 // After the last report, others may be on their way.
 constexpr Duration kReportSettle = Milliseconds(200);
 // Pause between two rebalancing moves of a service, so that the measured load
 // follows the last one.
-constexpr Duration kMovePause = Milliseconds(1500);
+constexpr Duration kMovePause = Milliseconds(1000);
 
 // Handover tokens of one lifetime that wait for their moves.
 constexpr size_t kKeptHandovers = 64;
@@ -201,6 +201,23 @@
     });
 }
 
+bool
+FleetLeader::Expects(const std::string& aHolder) const
+{
+  return std::ranges::any_of(m_services, [&](const auto& aService) {
+    const Service& service = aService.second;
+    return std::ranges::any_of(
+             service.m_pending,
+             [&](const PendingTransfer& aPending) {
+               return aPending.m_transfer.m_to == aHolder;
+             }) ||
+           std::ranges::any_of(service.m_proposed.ranges(),
+                               [&](const wire::RangeAssignment& aRange) {
+                                 return aRange.holder() == aHolder;
+                               });
+  });
+}
+
 std::string
 FleetLeader::FindHandover(const Transfer& aTransfer) const
 {
@@ -271,8 +288,28 @@
   }
   const bool mayRebalance = aNow - aService.m_lastTransfer >= kMovePause &&
                             aNow - m_started >= kListDelay;
+  // Ranges that are on their way count for their targets and stay as they are.
+  for (const PendingTransfer& pending : aService.m_pending) {
+    wire::OwnedRange moving;
+    moving.set_first(pending.m_transfer.m_first);
+    moving.set_last(pending.m_transfer.m_last);
+    moving.set_holder(pending.m_transfer.m_to);
+    AssignRange(ranges, moving);
+  }
+  const auto isMoving = [&](const Transfer& aTransfer) {
+    return std::ranges::any_of(
+      aService.m_pending, [&](const PendingTransfer& aPending) {
+        return Overlaps(aTransfer.m_first,
+                        aTransfer.m_last,
+                        aPending.m_transfer.m_first,
+                        aPending.m_transfer.m_last);
+      });
+  };
   for (Transfer& transfer : PlanTransfers(
          ranges, candidates, aService.m_load, mayRebalance, aNow)) {
+    if (isMoving(transfer)) {
+      continue;
+    }
     LogInfo("placement",
             "event=transfer-start service={} first={} last={} from={} to={} "
             "candidates={}",
@@ -295,10 +332,8 @@
   if (!service.m_proposed.ranges().empty()) {
     return;
   }
-  if (service.m_pending.empty()) {
-    StartTransfers(aName, service, aNow);
-    RefreshPlans();
-  }
+  StartTransfers(aName, service, aNow);
+  RefreshPlans();
   const std::vector<Candidate> candidates = Candidates(aName, aNow);
   const auto isCandidate = [&](const std::string& aHolder) {
     return std::ranges::any_of(candidates, [&](const Candidate& aItem) {
@@ -526,6 +561,7 @@
   reply.set_lease_ms(static_cast<uint32_t>(m_timings.m_lease.m_ms));
   reply.set_holder(name);
   reply.set_plan(holder.m_plan);
+  reply.set_expects_ranges(Expects(name));
   for (wire::OwnedRange& range : PlannedRanges(name)) {
     *reply.add_plan_ranges() = std::move(range);
   }
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -18,7 +18,10 @@
 constexpr double kIdleLoad = 4;
 // A move must cure an excess of this factor over the mean utilization. Each key
 // that moves has a price, so small differences stay.
-constexpr double kExcess = 1.35;
+constexpr double kExcess = 1.25;
+// Below this part of its capacity a backend server keeps up whatever the others
+// do, and a move would only leave its keys without an owner for a moment.
+constexpr double kBusy = 0.65;
 // The rows of one holder must fit a heartbeat answer of 4 KiB with about 60
 // bytes a row.
 constexpr int kMaxRows = 40;
@@ -175,9 +178,10 @@
   return best;
 }
 
-void
+// False if nothing is worth a move.
+bool
 Rebalance(const wire::ServiceRanges& aRanges,
-          const Shares& aShares,
+          Shares& aShares,
           const KeyLoad& aLoad,
           std::vector<Transfer>& aTransfers,
           TimePoint aNow)
@@ -199,27 +203,52 @@
     }
   }
   const double mean = load / capacity;
-  const Share& from = aShares.at(*high);
-  const Share& to = aShares.at(*low);
+  Share& from = aShares.at(*high);
+  Share& to = aShares.at(*low);
   const bool joined = to.m_rows == 0;
   if (*high == *low || to.m_rows >= kMaxRows ||
-      (!joined && from.Utilization() < kExcess * mean)) {
-    return;
+      (!joined && from.Utilization() < std::max(kBusy, kExcess * mean))) {
+    return false;
   }
   const double excess = from.m_load - mean * from.m_capacity;
   const double room = mean * to.m_capacity - to.m_load;
   const double wanted = joined ? room : std::min(excess, room);
   if (wanted <= 0) {
-    return;
+    return false;
   }
   std::optional<Transfer> piece =
     CheapestPiece(aRanges, *high, aLoad, wanted, aNow);
   if (!piece) {
-    return;
+    return false;
   }
+  const double moved = aLoad.Measure(piece->m_first, piece->m_last, aNow);
+  from.m_load -= moved;
+  to.m_load += moved;
+  ++to.m_rows;
   piece->m_from = *high;
   piece->m_to = *low;
   aTransfers.push_back(std::move(*piece));
+  return true;
+}
+
+// Moves pieces until the loads are even or the ranges of one turn are used up.
+void
+RebalanceAll(const wire::ServiceRanges& aRanges,
+             Shares& aShares,
+             const KeyLoad& aLoad,
+             std::vector<Transfer>& aTransfers,
+             TimePoint aNow)
+{
+  constexpr size_t kMovesPerTurn = 4;
+  wire::ServiceRanges ranges = aRanges;
+  while (aTransfers.size() < kMovesPerTurn &&
+         Rebalance(ranges, aShares, aLoad, aTransfers, aNow)) {
+    // A piece that leaves is no longer there to be cut again.
+    wire::OwnedRange gone;
+    gone.set_first(aTransfers.back().m_first);
+    gone.set_last(aTransfers.back().m_last);
+    AssignRange(ranges, gone);
+  }
 }
 
 } // namespace
@@ -290,7 +319,7 @@
     SpreadRange(*range, aLoad, shares, transfers, aNow);
   }
   if (transfers.empty() && aMayRebalance) {
-    Rebalance(aRanges, shares, aLoad, transfers, aNow);
+    RebalanceAll(aRanges, shares, aLoad, transfers, aNow);
   }
   return transfers;
 }
--- a/modules/sidecar/src/BackendAgent.cpp
+++ b/modules/sidecar/src/BackendAgent.cpp
@@ -84,6 +84,7 @@
   m_planTerm = 0;
   m_plan = 0;
   m_planned.clear();
+  m_expectsRanges = false;
   m_offered.clear();
   m_offerEnd = {};
   m_handovers.clear();
@@ -92,12 +93,12 @@
   ++m_revision;
 }
 
-std::optional<HeartbeatAnswer>
+bool
 BackendAgent::OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
 {
   if (aHeartbeat.m_address != m_backendAddress ||
       aHeartbeat.m_startedAtUnixMs < m_view.started_at_unix_ms()) {
-    return std::nullopt;
+    return false;
   }
   std::string holder = fleet::FormatHolder(
     { m_instance, aHeartbeat.m_backendId, aHeartbeat.m_startedAtUnixMs });
@@ -110,7 +111,7 @@
             aHeartbeat.m_slots);
     StartLifetime(aHeartbeat, std::move(holder));
   } else if (aHeartbeat.m_sequence <= m_sequence) {
-    return std::nullopt;
+    return false;
   }
   m_sequence = aHeartbeat.m_sequence;
   m_lastHeartbeat = aNow;
@@ -136,7 +137,7 @@
       m_held.size() < heldBefore) {
     ++m_revision;
   }
-  return Grant(aNow);
+  return true;
 }
 
 HeartbeatAnswer
@@ -202,6 +203,7 @@
   if (newer) {
     m_planTerm = aReply.term();
     m_plan = aReply.plan();
+    ++m_planCount;
     m_planned.assign(aReply.plan_ranges().begin(), aReply.plan_ranges().end());
     LogInfo("backend",
             "event=plan holder={} term={} plan={} ranges={}",
@@ -211,6 +213,7 @@
             m_planned.size());
     ++m_revision;
   }
+  m_expectsRanges = aReply.expects_ranges();
   m_leaseEnd = std::max(
     m_leaseEnd, aSent + Duration{ static_cast<int64_t>(aReply.lease_ms()) });
 }
--- a/modules/sidecar/src/BackendAgent.h
+++ b/modules/sidecar/src/BackendAgent.h
@@ -35,10 +35,11 @@
                Duration aDrainLimit,
                TimePoint aNow);
 
-  // Empty if the heartbeat is of no use: another address, an earlier lifetime,
-  // or older than one that was seen.
-  std::optional<HeartbeatAnswer> OnHeartbeat(const Heartbeat& aHeartbeat,
-                                             TimePoint aNow);
+  // False if the heartbeat is of no use: another address, an earlier lifetime,
+  // or older than one that was seen. It is then answered without grants.
+  bool OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow);
+  // Of the newest heartbeat; an older one gets no grants.
+  uint64_t HeartbeatSequence() const { return m_sequence; }
   // The backend server leaves; its start is 0 if the call did not tell.
   void OnLeave(std::string_view aBackendId, int64_t aStart, TimePoint aNow);
 
@@ -58,13 +59,18 @@
   // Fills in what the leader wants to know of the backend server.
   void Report(wire::FleetSyncRequest& aRequest, TimePoint aNow) const;
   // Changes when the leader should hear of it at once.
+  // The answer to a heartbeat may soon grant more than now.
+  bool ExpectsRanges() const { return m_expectsRanges; }
+  // Changes with every plan that is adopted.
+  uint64_t PlanCount() const { return m_planCount; }
+  // To be called with every heartbeat's answer when it is about to be written.
+  HeartbeatAnswer Grant(TimePoint aNow);
   uint64_t Revision() const { return m_revision; }
   const wire::BackendView& View() const { return m_view; }
   Duration ColdRemaining(TimePoint aNow) const;
 
 private:
   void StartLifetime(const Heartbeat& aHeartbeat, std::string aHolder);
-  HeartbeatAnswer Grant(TimePoint aNow);
   void StartDrain(wire::BackendPhase aPhase, TimePoint aNow);
 
   std::string m_instance;
@@ -83,6 +89,8 @@
   uint64_t m_planTerm = 0;
   uint64_t m_plan = 0;
   std::vector<wire::OwnedRange> m_planned;
+  bool m_expectsRanges = false;
+  uint64_t m_planCount = 0;
 
   // Told by the last heartbeat, offered in its answer, and the time after which
   // nothing that was offered can still be held.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -32,7 +32,13 @@
 using boost::beast::http::field;
 using boost::beast::http::status;
 
-constexpr std::chrono::milliseconds kTick{ 20 };
+// Work that waits is looked at more often.
+constexpr std::chrono::milliseconds kBusyTick{ 25 };
+constexpr std::chrono::milliseconds kIdleTick{ 100 };
+// Backend servers take an answer within a second, and send the next heartbeat
+// after about 0.9 s.
+constexpr Duration kHeartbeatHold = Milliseconds(650);
+constexpr Duration kHeartbeatPoll = Milliseconds(15);
 // Callers stop sending after two readiness checks at intervals of 1 s.
 constexpr Duration kNoticeTime = Milliseconds(2300);
 // Left of the grace period when requests that still run are cut off.
@@ -206,7 +212,7 @@
 
   void ScheduleTick()
   {
-    m_timer.expires_after(kTick);
+    m_timer.expires_after(m_queue.Waiting() > 0 ? kBusyTick : kIdleTick);
     m_timer.async_wait([this](const boost::system::error_code& aError) {
       if (!aError) {
         m_local.Tick();
@@ -264,12 +270,15 @@
     const auto target = aRequest.target();
     const AgentCall call = m_protocol.Classify(
       { method.data(), method.size() }, { target.data(), target.size() });
+    if (call.m_kind == AgentCallKind::kHeartbeat) {
+      http::Response answer =
+        co_await ServeHeartbeat(call.m_backendId, aRequest.body());
+      co_return answer;
+    }
     http::Response response;
     response.set(field::content_type, "application/json");
     switch (call.m_kind) {
       case AgentCallKind::kHeartbeat:
-        OnHeartbeat(call.m_backendId, aRequest.body(), response);
-        break;
       case AgentCallKind::kLeave:
         m_agent.OnLeave(call.m_backendId,
                         m_protocol.ParseLeaveStart(aRequest.body()),
@@ -284,23 +293,49 @@
     co_return response;
   }
 
-  void OnHeartbeat(const std::string& aBackendId,
-                   const std::string& aBody,
-                   http::Response& aResponse)
+  asio::awaitable<http::Response> ServeHeartbeat(std::string aBackendId,
+                                                 std::string aBody)
   {
+    http::Response response;
+    response.set(field::content_type, "application/json");
     const auto heartbeat = m_protocol.ParseHeartbeat(aBackendId, aBody);
     if (!heartbeat) {
       LogWarning("backend",
                  "event=heartbeat-refused backend={} reason=\"{}\"",
                  aBackendId,
                  heartbeat.error());
-      aResponse.result(status::bad_request);
-      return;
+      response.result(status::bad_request);
+      co_return response;
     }
-    const auto answer = m_agent.OnHeartbeat(*heartbeat, m_clock.Now());
+    const bool useful = m_agent.OnHeartbeat(*heartbeat, m_clock.Now());
     m_queue.SetSlots(std::max(1U, m_agent.View().slots()));
-    aResponse.result(status::ok);
-    aResponse.body() = m_protocol.FormatAnswer(answer.value_or(HeartbeatAnswer{}));
+    m_sync.Wake();
+    HeartbeatAnswer answer;
+    if (useful) {
+      co_await WaitForRanges();
+      const bool newest =
+        m_agent.HeartbeatSequence() == heartbeat->m_sequence &&
+        m_agent.View().started_at_unix_ms() == heartbeat->m_startedAtUnixMs;
+      if (newest) {
+        answer = m_agent.Grant(m_clock.Now());
+      }
+    }
+    response.result(status::ok);
+    response.body() = m_protocol.FormatAnswer(answer);
+    co_return response;
+  }
+
+  // Holds the answer to a heartbeat while ranges are on their way, so that they
+  // need not wait for the next heartbeat. Grants still count from the moment at
+  // which the heartbeat was sent.
+  asio::awaitable<void> WaitForRanges()
+  {
+    const uint64_t plans = m_agent.PlanCount();
+    const TimePoint end = m_clock.Now() + kHeartbeatHold;
+    while (m_agent.ExpectsRanges() && m_agent.PlanCount() == plans &&
+           m_clock.Now() < end) {
+      co_await Pause(kHeartbeatPoll);
+    }
   }
 
   asio::awaitable<http::Response> ServeMetrics()
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -18,8 +18,8 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view kSyncPath = "/sync";
-// The leader holds a call for 800 ms; more than that means a silent path.
-constexpr Duration kCallTimeout = Milliseconds(1300);
+// The leader holds a call for 500 ms; more than that means a silent path.
+constexpr Duration kCallTimeout = Milliseconds(850);
 // Pause after a failed call, before the next coordinator is asked.
 constexpr Duration kFailurePause = Milliseconds(60);
 // Pause between two calls, which bounds their rate while much changes.
