Keep ownerless ranges whole, and test the fleet

Change: a range that lost its owner goes whole to the one that lacks most load and is cut only if it is too much for it; tokens are left out of grants that the backend server holds already.

--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -26,6 +27,11 @@
 // bytes a row.
 constexpr int kMaxRows = 40;
 
+// An ownerless range goes to one candidate up to this factor of what that lacks.
+constexpr double kWholeExcess = 1.3;
+// Ranges with fewer keys are not cut when they have lost their owner.
+constexpr uint32_t kLeastCut = 2048;
+
 struct Share
 {
   double m_load = 0;
@@ -86,30 +92,52 @@
   return keys;
 }
 
-// Cuts an ownerless range into one contiguous part for each candidate that is
-// below the level that all would have in the end.
+// Load that each candidate lacks to the level that all would have in the end,
+// most first.
+std::vector<std::pair<std::string, double>>
+MissingLoads(const Shares& aShares, double aOwnerless)
+{
+  double total = aOwnerless;
+  double capacity = 0;
+  for (const auto& [holder, share] : aShares) {
+    total += share.m_load;
+    capacity += share.m_capacity;
+  }
+  std::vector<std::pair<std::string, double>> missing;
+  for (const auto& [holder, share] : aShares) {
+    missing.emplace_back(
+      holder, total * share.m_capacity / capacity - share.m_load);
+  }
+  std::ranges::stable_sort(
+    missing, std::greater<>{}, &std::pair<std::string, double>::second);
+  return missing;
+}
+
+// Gives an ownerless range to the candidate that lacks most. A range that is too
+// much for it is cut into one part for each candidate that lacks load; small
+// ranges stay whole, so that the number of ranges stays small.
 void
 SpreadRange(const wire::OwnedRange& aRange,
+            double aOwnerless,
             const KeyLoad& aLoad,
             Shares& aShares,
             std::vector<Transfer>& aTransfers,
             TimePoint aNow)
 {
   const double load = aLoad.Measure(aRange.first(), aRange.last(), aNow);
-  double total = load;
-  double capacity = 0;
-  for (const auto& [holder, share] : aShares) {
-    total += share.m_load;
-    capacity += share.m_capacity;
+  std::vector<std::pair<std::string, double>> missing =
+    MissingLoads(aShares, aOwnerless);
+  const bool whole = load <= kWholeExcess * missing.front().second ||
+                     aRange.last() - aRange.first() < kLeastCut;
+  std::erase_if(missing, [&](const auto& aItem) {
+    return aItem.second <= 0 && aItem.first != missing.front().first;
+  });
+  if (whole) {
+    missing.resize(1);
   }
-  std::vector<std::pair<std::string, double>> missing;
   double sum = 0;
-  for (const auto& [holder, share] : aShares) {
-    const double lack = total * share.m_capacity / capacity - share.m_load;
-    if (lack > 0.02 * total / static_cast<double>(aShares.size())) {
-      missing.emplace_back(holder, lack);
-      sum += lack;
-    }
+  for (const auto& [holder, lack] : missing) {
+    sum += lack;
   }
   uint32_t first = aRange.first();
   for (size_t i = 0; i < missing.size() && first <= aRange.last(); ++i) {
@@ -124,8 +152,7 @@
       last = first + keys - 1;
     }
     aShares[missing[i].first].m_load += aLoad.Measure(first, last, aNow);
-    aTransfers.push_back(
-      { first, last, aRange.holder(), missing[i].first });
+    aTransfers.push_back({ first, last, aRange.holder(), missing[i].first });
     first = last + 1;
   }
 }
@@ -315,8 +342,17 @@
     transfers.push_back(
       { range.first(), range.last(), range.holder(), successor });
   }
+  const auto loadOf = [&](const wire::OwnedRange* aRange) {
+    return aLoad.Measure(aRange->first(), aRange->last(), aNow);
+  };
+  std::ranges::stable_sort(ownerless, std::greater<>{}, loadOf);
+  double left = 0;
+  for (const wire::OwnedRange* range : ownerless) {
+    left += loadOf(range);
+  }
   for (const wire::OwnedRange* range : ownerless) {
-    SpreadRange(*range, aLoad, shares, transfers, aNow);
+    SpreadRange(*range, left, aLoad, shares, transfers, aNow);
+    left -= loadOf(range);
   }
   if (transfers.empty() && aMayRebalance) {
     RebalanceAll(aRanges, shares, aLoad, transfers, aNow);
--- /dev/null
+++ b/modules/fleet/tests/FleetStateTest.cpp
@@ -0,0 +1,140 @@
+#include "rattanloft/fleet/FleetState.h"
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+wire::ReplaceConfiguration
+Change(uint64_t aBase, uint64_t aVersion, uint64_t aDigest = 0)
+{
+  wire::ReplaceConfiguration change;
+  change.set_base_version(aBase);
+  change.mutable_configuration()->set_version(aVersion);
+  change.set_digest(aDigest == 0 ? aVersion : aDigest);
+  return change;
+}
+
+void
+Apply(FleetState& aState, uint64_t aIndex, const wire::ReplaceConfiguration& aIt)
+{
+  wire::FleetCommand command;
+  *command.mutable_replace_configuration() = aIt;
+  aState.Apply(aIndex, command.SerializeAsString());
+}
+
+void
+Assign(FleetState& aState,
+       uint64_t aIndex,
+       uint32_t aFirst,
+       uint32_t aLast,
+       const std::string& aHolder)
+{
+  wire::FleetCommand command;
+  command.mutable_assign_ranges()->set_service("s");
+  wire::RangeAssignment& range = *command.mutable_assign_ranges()->add_ranges();
+  range.set_first(aFirst);
+  range.set_last(aLast);
+  range.set_holder(aHolder);
+  aState.Apply(aIndex, command.SerializeAsString());
+}
+
+// Owner and fence of a key, by a search that shares no code with the state.
+std::pair<std::string, uint64_t>
+OwnerOf(const FleetState& aState, uint32_t aKey)
+{
+  for (const wire::OwnedRange& range : aState.Services().at("s").ranges()) {
+    if (range.first() <= aKey && aKey <= range.last()) {
+      return { range.holder(), range.fence() };
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+// Guards against two operators that both get their change on one version.
+TEST_CASE("of two changes on the same version one is accepted")
+{
+  FleetState state;
+  Apply(state, 1, Change(0, 2));
+  Apply(state, 2, Change(2, 5));
+  Apply(state, 3, Change(2, 6));
+  CHECK(state.OutcomeAt(2) == ChangeOutcome::kAccepted);
+  CHECK(state.OutcomeAt(3) == ChangeOutcome::kBaseMismatch);
+  CHECK(state.Current().configuration().version() == 5);
+}
+
+// Guards against a change that is refused after its confirmation was lost.
+TEST_CASE("an accepted change is confirmed again, also when it was replaced")
+{
+  FleetState state;
+  Apply(state, 1, Change(0, 2));
+  Apply(state, 2, Change(2, 5));
+  CHECK(state.Judge(Change(0, 2)) == ChangeOutcome::kRepeated);
+  CHECK(state.Judge(Change(2, 5)) == ChangeOutcome::kRepeated);
+  // The same number with another content is another change.
+  CHECK(state.Judge(Change(2, 5, 77)) == ChangeOutcome::kBaseMismatch);
+  CHECK(state.Judge(Change(5, 5, 77)) == ChangeOutcome::kVersionTooLow);
+  CHECK(state.Judge(Change(5, 4, 77)) == ChangeOutcome::kVersionTooLow);
+}
+
+// Guards against state that a replica loses when it starts from a snapshot.
+TEST_CASE("a snapshot carries configuration, repeats and ranges")
+{
+  FleetState state;
+  Apply(state, 1, Change(0, 2));
+  Assign(state, 2, 0, 99, "a");
+  FleetState copy;
+  REQUIRE(copy.RestoreSnapshot(state.TakeSnapshot()));
+  CHECK(copy.Current().configuration().version() == 2);
+  CHECK(copy.Judge(Change(0, 2)) == ChangeOutcome::kRepeated);
+  CHECK(copy.RangesIndex() == 2);
+  CHECK(OwnerOf(copy, 99) == std::pair<std::string, uint64_t>("a", 2));
+  CHECK(OwnerOf(copy, 100).first.empty());
+  CHECK_FALSE(copy.RestoreSnapshot("\x01nonsense"));
+}
+
+// Guards against gaps, overlaps and lost fences when ranges are cut and merged.
+TEST_CASE("random assignments agree with a table of single keys")
+{
+  const unsigned seed = GENERATE(1U, 2U, 3U);
+  std::mt19937 random(seed);
+  FleetState state;
+  std::vector<std::pair<std::string, uint64_t>> table(kLastKey + 1);
+  for (uint64_t index = 1; index <= 200; ++index) {
+    uint32_t first = random() % (kLastKey + 1);
+    uint32_t last = random() % (kLastKey + 1);
+    if (random() % 8 == 0) {
+      first = 0;
+    }
+    if (random() % 8 == 0) {
+      last = kLastKey;
+    }
+    if (first > last) {
+      std::swap(first, last);
+    }
+    const std::string holder(1, static_cast<char>('a' + random() % 5));
+    Assign(state, index, first, last, holder);
+    for (uint32_t key = first; key <= last; ++key) {
+      table[key] = { holder, index };
+    }
+    const auto& ranges = state.Services().at("s").ranges();
+    uint32_t next = 0;
+    for (const wire::OwnedRange& range : ranges) {
+      REQUIRE(range.first() == next);
+      REQUIRE(range.first() <= range.last());
+      REQUIRE(table[range.first()] ==
+              std::pair(range.holder(), uint64_t{ range.fence() }));
+      REQUIRE(table[range.last()] ==
+              std::pair(range.holder(), uint64_t{ range.fence() }));
+      next = range.last() + 1;
+    }
+    REQUIRE(next == kLastKey + 1);
+  }
+}
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/tests/MembershipPlannerTest.cpp
@@ -0,0 +1,176 @@
+#include "rattanloft/fleet/MembershipPlanner.h"
+
+#include <random>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+wire::JoinRequest
+Join(uint64_t aId, const std::string& aAddress)
+{
+  wire::JoinRequest join;
+  join.set_replica_id(aId);
+  join.set_internal_address(aAddress);
+  return join;
+}
+
+MembershipView
+FounderView()
+{
+  MembershipView view;
+  wire::GroupMember& self = *view.m_config.add_members();
+  self.set_replica_id(1);
+  self.set_grpc_address("1:1");
+  view.m_self = 1;
+  view.m_targetVoters = 5;
+  view.m_commitIndex = 1;
+  return view;
+}
+
+// A group of five voters in good health.
+MembershipView
+FullView()
+{
+  MembershipView view = FounderView();
+  for (uint64_t id = 2; id <= 5; ++id) {
+    wire::GroupMember& member = *view.m_config.add_members();
+    member.set_replica_id(id);
+    member.set_grpc_address(std::to_string(id) + ":1");
+    view.m_health[id] = { Milliseconds(50), 1 };
+  }
+  return view;
+}
+
+// Carries out changes until there are none.
+std::vector<wire::GroupConfig>
+Settle(MembershipView& aView)
+{
+  std::vector<wire::GroupConfig> steps;
+  for (int i = 0; i < 50; ++i) {
+    const auto next = PlanMembership(aView);
+    if (!next) {
+      return steps;
+    }
+    aView.m_config = *next;
+    steps.push_back(*next);
+  }
+  FAIL("the plan does not come to an end");
+  return steps;
+}
+
+std::set<uint64_t>
+Voters(const wire::GroupConfig& aConfig)
+{
+  std::set<uint64_t> voters;
+  for (const wire::GroupMember& member : aConfig.members()) {
+    if (!member.learner()) {
+      voters.insert(member.replica_id());
+    }
+  }
+  return voters;
+}
+
+} // namespace
+
+TEST_CASE("joiners become learners and then voters up to the target")
+{
+  MembershipView view = FounderView();
+  for (uint64_t id = 2; id <= 6; ++id) {
+    view.m_joins[id] = Join(id, std::to_string(id) + ":1");
+    view.m_health[id] = { Milliseconds(10), 1 };
+  }
+  Settle(view);
+  CHECK(view.m_config.members_size() == 6);
+  CHECK(CountVoters(view.m_config) == 5);
+}
+
+// Guards against a group of two whose second voter never answered.
+TEST_CASE("a learner that has applied nothing does not vote")
+{
+  MembershipView view = FounderView();
+  view.m_joins[2] = Join(2, "2:1");
+  view.m_health[2] = { Milliseconds(10), 0 };
+  Settle(view);
+  CHECK(view.m_config.members_size() == 2);
+  CHECK(CountVoters(view.m_config) == 1);
+}
+
+// Guards against a replica that lost its disk and keeps counting as a voter.
+TEST_CASE("a replica whose address has a new identity is replaced")
+{
+  MembershipView view = FullView();
+  view.m_joins[9] = Join(9, "3:1");
+  view.m_health[9] = { Milliseconds(10), 1 };
+  view.m_health[3] = { Milliseconds(700), 1 };
+  Settle(view);
+  CHECK(Voters(view.m_config) == std::set<uint64_t>{ 1, 2, 4, 5, 9 });
+}
+
+TEST_CASE("a newcomer replaces the voter that is silent for longest")
+{
+  MembershipView view = FullView();
+  view.m_joins[9] = Join(9, "9:1");
+  view.m_health[9] = { Milliseconds(10), 1 };
+  Settle(view);
+  // All voters live, so the newcomer stays a learner.
+  CHECK(Voters(view.m_config) == std::set<uint64_t>{ 1, 2, 3, 4, 5 });
+  view.m_health[2] = { Milliseconds(1600), 1 };
+  view.m_health[4] = { Milliseconds(1800), 1 };
+  Settle(view);
+  CHECK(Voters(view.m_config) == std::set<uint64_t>{ 1, 2, 3, 5, 9 });
+}
+
+// Guards against a change that leaves the group without a live majority.
+TEST_CASE("no voter is removed while most of the rest is silent")
+{
+  MembershipView view = FullView();
+  view.m_joins[9] = Join(9, "9:1");
+  view.m_health[9] = { Milliseconds(10), 1 };
+  view.m_health[2] = { Milliseconds(2000), 1 };
+  view.m_health[3] = { Milliseconds(2000), 1 };
+  view.m_health[4] = { Milliseconds(2000), 1 };
+  Settle(view);
+  CHECK(Voters(view.m_config) == std::set<uint64_t>{ 1, 2, 3, 4, 5 });
+}
+
+// Guards against a group that shrinks below what it tolerates, over random
+// losses of disks, silences and joins.
+TEST_CASE("random losses change one member at a time and keep enough voters")
+{
+  const unsigned seed = GENERATE(1U, 2U, 3U);
+  std::mt19937 random(seed);
+  MembershipView view = FullView();
+  uint64_t nextId = 10;
+  for (int step = 0; step < 20'000; ++step) {
+    const uint64_t place = 2 + random() % 4;
+    for (auto& [id, health] : view.m_health) {
+      health.m_silence = Milliseconds(random() % 4 == 0 ? 1700 : 50);
+      health.m_appliedIndex = random() % 3;
+    }
+    if (random() % 5 == 0) {
+      const std::string address = std::to_string(place) + ":1";
+      std::erase_if(view.m_joins, [&](const auto& aJoin) {
+        return aJoin.second.internal_address() == address;
+      });
+      view.m_joins[nextId] = Join(nextId, address);
+      view.m_health[nextId] = { Milliseconds(10), 1 };
+      ++nextId;
+    }
+    const auto next = PlanMembership(view);
+    if (!next) {
+      continue;
+    }
+    REQUIRE(CountVoters(*next) >= 4);
+    REQUIRE(CountVoters(*next) <= 5);
+    REQUIRE(Voters(*next).contains(1));
+    const int change = next->members_size() - view.m_config.members_size();
+    REQUIRE(std::abs(change) <= 1);
+    view.m_config = *next;
+  }
+}
+
+} // namespace rattanloft::fleet
--- /dev/null
+++ b/modules/fleet/tests/RangePlacerTest.cpp
@@ -0,0 +1,148 @@
+#include "rattanloft/fleet/RangePlacer.h"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::fleet {
+
+namespace {
+
+wire::ServiceRanges
+Unowned()
+{
+  wire::ServiceRanges ranges;
+  ranges.add_ranges()->set_last(kLastKey);
+  return ranges;
+}
+
+void
+Carry(wire::ServiceRanges& aRanges, const std::vector<Transfer>& aTransfers)
+{
+  for (const Transfer& transfer : aTransfers) {
+    wire::OwnedRange range;
+    range.set_first(transfer.m_first);
+    range.set_last(transfer.m_last);
+    range.set_holder(transfer.m_to);
+    AssignRange(aRanges, range);
+  }
+}
+
+std::map<std::string, double>
+Keys(const wire::ServiceRanges& aRanges)
+{
+  std::map<std::string, double> keys;
+  for (const wire::OwnedRange& range : aRanges.ranges()) {
+    keys[range.holder()] += range.last() - range.first() + 1;
+  }
+  return keys;
+}
+
+const std::vector<Candidate> kThree = { { "1/a@1", 100 },
+                                        { "2/b@1", 100 },
+                                        { "3/c@1", 200 } };
+
+} // namespace
+
+TEST_CASE("the first placement follows the capacities")
+{
+  const KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  Carry(ranges, PlanTransfers(ranges, kThree, load, false, {}));
+  const auto keys = Keys(ranges);
+  CHECK(ranges.ranges_size() == 3);
+  CHECK(keys.at("1/a@1") / (kLastKey + 1) == Approx(0.25).margin(0.02));
+  CHECK(keys.at("3/c@1") / (kLastKey + 1) == Approx(0.5).margin(0.02));
+  CHECK(PlanTransfers(ranges, kThree, load, true, {}).empty());
+}
+
+// Guards against one survivor that gets everything of a lost backend server.
+TEST_CASE("the ranges of a lost holder are spread over the others")
+{
+  const KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  Carry(ranges, PlanTransfers(ranges, kThree, load, false, {}));
+  const std::vector<Candidate> left = { kThree[0], kThree[1] };
+  Carry(ranges, PlanTransfers(ranges, left, load, false, {}));
+  const auto keys = Keys(ranges);
+  CHECK(keys.size() == 2);
+  CHECK(keys.at("1/a@1") / (kLastKey + 1) == Approx(0.5).margin(0.03));
+}
+
+// Guards against a restart of everything that moves all keys.
+TEST_CASE("a new lifetime gets the ranges of the earlier one beside it")
+{
+  const KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  Carry(ranges, PlanTransfers(ranges, kThree, load, false, {}));
+  const auto before = Keys(ranges);
+  const std::vector<Candidate> again = { { "1/x@9", 100 },
+                                         { "2/y@9", 100 },
+                                         { "3/z@9", 200 } };
+  Carry(ranges, PlanTransfers(ranges, again, load, false, {}));
+  const auto after = Keys(ranges);
+  CHECK(after.at("1/x@9") == before.at("1/a@1"));
+  CHECK(after.at("3/z@9") == before.at("3/c@1"));
+}
+
+// Guards against a busy range that stays with a backend server that cannot
+// serve it while others have room.
+TEST_CASE("a busy range is cut and moved until the loads are even")
+{
+  TimePoint now{ 10'000 };
+  KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  Carry(ranges, PlanTransfers(ranges, kThree, load, false, now));
+  // 160 requests/s on 10 neighbouring buckets at the start of the keys, all of
+  // them owned by a holder that serves 100.
+  for (int tenth = 0; tenth < 60; ++tenth) {
+    now = now + Milliseconds(100);
+    for (uint32_t bucket = 0; bucket < 10; ++bucket) {
+      load.Add(bucket, tenth % 5 < 3 ? 2 : 1, now);
+    }
+  }
+  double moved = 0;
+  for (int turn = 0; turn < 6; ++turn) {
+    const auto transfers = PlanTransfers(ranges, kThree, load, true, now);
+    for (const Transfer& transfer : transfers) {
+      moved += transfer.m_last - transfer.m_first + 1;
+      CHECK(transfer.m_from != transfer.m_to);
+    }
+    Carry(ranges, transfers);
+  }
+  std::map<std::string, double> loads;
+  for (const wire::OwnedRange& range : ranges.ranges()) {
+    loads[range.holder()] += load.Measure(range.first(), range.last(), now);
+  }
+  CHECK(loads.at("1/a@1") < 75);
+  // Only a small part of the keys changed hands.
+  CHECK(moved / (kLastKey + 1) < 0.05);
+}
+
+// Guards against moves that cost more than they gain.
+TEST_CASE("nothing moves while every backend server keeps up")
+{
+  TimePoint now{ 10'000 };
+  KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  Carry(ranges, PlanTransfers(ranges, kThree, load, false, now));
+  for (int tenth = 0; tenth < 60; ++tenth) {
+    now = now + Milliseconds(100);
+    load.Add(3, 5, now);
+  }
+  CHECK(PlanTransfers(ranges, kThree, load, true, now).empty());
+}
+
+TEST_CASE("a backend server that joins gets its share")
+{
+  const KeyLoad load;
+  wire::ServiceRanges ranges = Unowned();
+  const std::vector<Candidate> two = { kThree[0], kThree[1] };
+  Carry(ranges, PlanTransfers(ranges, two, load, false, {}));
+  for (int turn = 0; turn < 4; ++turn) {
+    Carry(ranges, PlanTransfers(ranges, kThree, load, true, {}));
+  }
+  CHECK(Keys(ranges)["3/c@1"] / (kLastKey + 1) > 0.3);
+}
+
+} // namespace rattanloft::fleet
--- a/modules/sidecar/src/BackendAgent.cpp
+++ b/modules/sidecar/src/BackendAgent.cpp
@@ -153,6 +153,12 @@
   }
   answer.m_hasGrants = true;
   answer.m_grants = m_planned;
+  // A token matters only with the first grant; without it, more rows fit.
+  for (wire::OwnedRange& range : answer.m_grants) {
+    if (IsHeld(range)) {
+      range.clear_handover();
+    }
+  }
   answer.m_hold = hold;
   m_offered = m_planned;
   m_offerEnd =
@@ -161,6 +167,16 @@
   return answer;
 }
 
+// Whether the last heartbeat told that the backend server holds the grant.
+bool
+BackendAgent::IsHeld(const wire::OwnedRange& aRange) const
+{
+  return std::ranges::any_of(m_held, [&](const HeldRange& aHeld) {
+    return aHeld.m_fence == aRange.fence() && aHeld.m_first <= aRange.first() &&
+           aHeld.m_last >= aRange.last();
+  });
+}
+
 void
 BackendAgent::StartDrain(wire::BackendPhase aPhase, TimePoint aNow)
 {
--- a/modules/sidecar/src/BackendAgent.h
+++ b/modules/sidecar/src/BackendAgent.h
@@ -71,6 +71,7 @@
 
 private:
   void StartLifetime(const Heartbeat& aHeartbeat, std::string aHolder);
+  bool IsHeld(const wire::OwnedRange& aRange) const;
   void StartDrain(wire::BackendPhase aPhase, TimePoint aNow);
 
   std::string m_instance;
--- /dev/null
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -0,0 +1,94 @@
+#include "EndpointSelector.h"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+wire::Endpoint
+MakeEndpoint(const std::string& aInstance,
+             const std::string& aZone = "z1",
+             wire::BackendPhase aPhase = wire::BACKEND_PHASE_READY)
+{
+  wire::Endpoint endpoint;
+  endpoint.set_instance(aInstance);
+  endpoint.set_zone(aZone);
+  endpoint.mutable_backend()->set_service("s");
+  endpoint.mutable_backend()->set_slots(10);
+  endpoint.mutable_backend()->set_phase(aPhase);
+  endpoint.mutable_backend()->set_reachable(true);
+  return endpoint;
+}
+
+std::map<std::string, int>
+ChooseMany(EndpointSelector& aSelector, TimePoint aNow)
+{
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 300; ++i) {
+    const wire::Endpoint* const endpoint =
+      aSelector.Choose("s", "z1", {}, aNow);
+    ++chosen[endpoint == nullptr ? "" : endpoint->instance()];
+  }
+  return chosen;
+}
+
+} // namespace
+
+TEST_CASE("draining, tried and foreign endpoints are not chosen")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = {
+    MakeEndpoint("a"), MakeEndpoint("b", "z1", wire::BACKEND_PHASE_DRAINING)
+  };
+  selector.SetEndpoints(endpoints, {});
+  CHECK(ChooseMany(selector, {})["a"] == 300);
+  CHECK(selector.Choose("s", "z1", { "a" }, {}) == nullptr);
+  CHECK(selector.Choose("t", "z1", {}, {}) == nullptr);
+  CHECK(selector.Find("b") != nullptr);
+}
+
+// Guards against a slow backend server that gets as much as a fast one.
+TEST_CASE("a slow backend server gets less")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("fast"),
+                                                  MakeEndpoint("slow") };
+  selector.SetEndpoints(endpoints, {});
+  selector.OnLoad("fast", { 5, 0, 10, 50 }, {});
+  selector.OnLoad("slow", { 5, 0, 10, 600 }, {});
+  CHECK(ChooseMany(selector, {})["slow"] == 0);
+}
+
+// Guards against requests that go on into a path that went silent.
+TEST_CASE("an endpoint that does not answer is suspect for a while")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("a"),
+                                                  MakeEndpoint("b", "z2") };
+  selector.SetEndpoints(endpoints, {});
+  selector.OnSilence("a", TimePoint{ 1000 });
+  CHECK(ChooseMany(selector, TimePoint{ 1100 })["a"] == 0);
+  CHECK(ChooseMany(selector, TimePoint{ 1600 })["a"] > 0);
+  // The last resort if there is no other.
+  CHECK(selector.Choose("s", "z1", { "b" }, TimePoint{ 1100 }) != nullptr);
+}
+
+// Guards against a backend server that fails fast and so attracts everything.
+TEST_CASE("a backend server that fails loses traffic")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("bad"),
+                                                  MakeEndpoint("good") };
+  selector.SetEndpoints(endpoints, {});
+  selector.OnLoad("bad", { 0, 0, 10, 20 }, {});
+  selector.OnLoad("good", { 8, 0, 10, 100 }, {});
+  for (int i = 0; i < 20; ++i) {
+    selector.OnAnswer("bad", true);
+  }
+  CHECK(ChooseMany(selector, {})["bad"] == 0);
+}
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/tests/RetryAllowanceTest.cpp
@@ -0,0 +1,46 @@
+#include "RetryAllowance.h"
+
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::sidecar {
+
+// Guards against nodes that each keep to a budget and together exceed it: the
+// retries of all, in any 10 s, stay below the fleet's ratio and slack.
+TEST_CASE("the retries of a whole fleet stay within its budget")
+{
+  const unsigned seed = GENERATE(1U, 2U, 3U);
+  std::mt19937 random(seed);
+  constexpr uint32_t kSidecars = 13;
+  constexpr double kRatio = 0.2;
+  constexpr uint32_t kSlack = 58;
+  std::vector<RetryAllowance> fleet(kSidecars, { kRatio, kSlack });
+  std::deque<int64_t> requests;
+  std::deque<int64_t> retries;
+  for (int64_t now = 0; now < 60'000; now += 10) {
+    for (RetryAllowance& sidecar : fleet) {
+      if (random() % 20 == 0) {
+        sidecar.OnRequest(TimePoint{ now });
+        requests.push_back(now);
+      }
+      if (random() % 5 == 0 &&
+          sidecar.TryRetry(kSidecars, TimePoint{ now })) {
+        retries.push_back(now);
+      }
+    }
+    while (!retries.empty() && retries.front() <= now - 10'000) {
+      retries.pop_front();
+    }
+    while (!requests.empty() && requests.front() <= now - 10'000) {
+      requests.pop_front();
+    }
+    REQUIRE(static_cast<double>(retries.size()) <=
+            kRatio * static_cast<double>(requests.size()) + kSlack);
+  }
+  CHECK(!retries.empty());
+}
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/tests/FleetTest.py
@@ -0,0 +1,295 @@
+"""Runs a fleet of real processes on loopback: three coordinators, two sidecars
+and stand-ins for the platform's backend servers and operators."""
+
+import http.client
+import http.server
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+
+BINARY = os.environ["RATTANLOFT_BINARY"]
+HOST = "shop.example"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class StandInBackend:
+    """Answers requests that it holds the key of, and sends heartbeats."""
+
+    def __init__(self, ip, port, announce, service, backend_id):
+        self.address, self.announce = f"{ip}:{port}", announce
+        self.service, self.backend_id = service, backend_id
+        self.born = int(time.time() * 1000)
+        self.sequence, self.state = 0, "ready"
+        self.holds, self.hold_end, self.released = [], 0, []
+        self.runs, self.lock, self.stopped = [], threading.Lock(), False
+        backend = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def serve(self):
+                length = int(self.headers.get("Content-Length", 0))
+                body = self.rfile.read(length)
+                backend.answer(self, body)
+
+            do_GET = do_POST = serve
+
+            def log_message(self, *_):
+                pass
+
+        self.server = http.server.ThreadingHTTPServer((ip, port), Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self.beat_forever, daemon=True).start()
+
+    def may_run(self, key):
+        if key is None:
+            return True
+        with self.lock:
+            return time.time() < self.hold_end and any(
+                row[0] <= int(key) <= row[1] for row in self.holds
+            )
+
+    def answer(self, handler, body):
+        headers = handler.headers
+        wrong = headers.get("Expected-Instance") not in (None, self.backend_id)
+        if wrong or not self.may_run(headers.get("Shard-Key")):
+            handler.send_response(421)
+            handler.send_header("Not-Executed", "1")
+            handler.send_header("Content-Length", "0")
+            handler.end_headers()
+            return
+        with self.lock:
+            self.runs.append((headers["Attempt-Id"], dict(headers), handler.path))
+        text = f"{self.backend_id} {handler.path} ".encode() + body
+        handler.send_response(200)
+        handler.send_header("Attempt-Id", headers["Attempt-Id"])
+        handler.send_header("Response-Signature", "signed")
+        handler.send_header("Content-Length", str(len(text)))
+        handler.end_headers()
+        handler.wfile.write(text)
+
+    def beat(self):
+        with self.lock:
+            self.sequence += 1
+            body = {
+                "service": self.service, "address": self.address, "zone": "z",
+                "version": "v1", "slots": 4, "state": self.state,
+                "coldRemainingS": 0, "seq": self.sequence, "born": self.born,
+                "holds": [row[:3] for row in self.holds], "released": [],
+            }
+        sent = time.time()
+        status, answer = call(
+            self.announce, "PUT", f"/v1/instances/{self.backend_id}",
+            json.dumps(body),
+        )
+        answer = json.loads(answer or "{}")
+        with self.lock:
+            if status == 200 and "holds" in answer:
+                self.holds = answer["holds"]
+                self.hold_end = sent + answer["holdS"]
+        return status
+
+    def beat_forever(self):
+        while not self.stopped:
+            try:
+                self.beat()
+            except OSError:
+                pass
+            time.sleep(0.3)
+
+
+def call(address, method, path, body=None, headers=None, timeout=3):
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+    finally:
+        connection.close()
+
+
+def wait_for(check, seconds, what):
+    end = time.time() + seconds
+    while time.time() < end:
+        try:
+            if check():
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not within {seconds} s: {what}")
+
+
+def configuration(base, version, prefix="/p/"):
+    route = {
+        "host": HOST, "pathPrefix": prefix, "routeKind": "idempotent",
+        "timeoutS": 2, "targetLatencyS": 1, "priority": 1, "service": "keyed",
+        "attempts": 2,
+    }
+    order = dict(route, pathPrefix="/order/", routeKind="non_idempotent")
+    return json.dumps({
+        "version": f"r{version}", "baseVersion": f"r{base}" if base else 0,
+        "routes": {"a": route, "b": order},
+        "services": {"keyed": {"healthCheckPath": "/h", "maxConnections": 50,
+                               "sharded": True, "warmupS": 1}},
+        "limits": {},
+    })
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = []
+        self.operator_port, self.member_port = free_port(), free_port()
+        self.operators = [f"127.0.0.{n}:{self.operator_port}" for n in (11, 12, 13)]
+        for number in range(3):
+            self.start_coordinator(number, first=True)
+        self.backends, self.sidecars = [], []
+        for number in range(2):
+            self.start_site(number)
+
+    def tearDown(self):
+        for backend in self.backends:
+            backend.stopped = True
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for backend in self.backends:
+            backend.server.shutdown()
+            backend.server.server_close()
+        self.folder.cleanup()
+
+    def start(self, *arguments):
+        log = open(os.path.join(self.folder.name, f"{len(self.processes)}.log"), "w")
+        process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log)
+        log.close()
+        self.processes.append(process)
+        return process
+
+    def start_coordinator(self, number, first):
+        ip = f"127.0.0.{11 + number}"
+        return self.start(
+            "coordinator", "--zone=z", f"--state_dir={self.folder.name}/c{number}",
+            f"--operator_address={ip}:{self.operator_port}",
+            f"--member_address={ip}:{self.member_port}",
+            "--seed_coordinators=" + ",".join(self.operators),
+            f"--form_group={'true' if first else 'false'}", "--tolerated_losses=1")
+
+    def start_site(self, number):
+        ip = f"127.0.0.{21 + number}"
+        ports = {name: free_port() for name in ("caller", "peer", "ready", "announce", "backend")}
+        site = {name: f"{ip}:{port}" for name, port in ports.items()}
+        site["process"] = self.start(
+            "sidecar", "--zone=z", f"--instance=site-{number}",
+            "--backend_service=keyed",
+            *(f"--{name}_address={site[name]}" for name in ports),
+            f"--coordinators={','.join(self.operators)}",
+            f"--coordinator_port={self.member_port}", "--bounds=retryBudgetSlack=50")
+        self.sidecars.append(site)
+        self.backends.append(StandInBackend(
+            ip, ports["backend"], site["announce"], "keyed", f"i-{number}"))
+
+    def put(self, body, operator=0):
+        return call(self.operators[operator], "PUT", "/v1/config", body)[0]
+
+    def ask(self, site, path, key, attempt, method="GET", body=None):
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000",
+                   "Shard-Key": str(key), "Caller-Service": "forged"}
+        return call(self.sidecars[site]["caller"], method, path, body, headers)
+
+    def start_service(self):
+        wait_for(lambda: self.put(configuration(0, 2)) == 200, 10, "first configuration")
+        for site in range(2):
+            wait_for(lambda s=site: call(self.sidecars[s]["ready"], "GET", "/v1/ready")[0] == 200,
+                     5, "readiness")
+        wait_for(lambda: all(self.ask(0, "/p/x", key, f"w{key}")[0] == 200
+                             for key in (0, 40000, 65535)), 10, "owners of all keys")
+
+    def test_a_day(self):
+        self.start_service()
+        # A change builds on the version in force; a repeat is confirmed again.
+        self.assertEqual(self.put(configuration(2, 5), 1), 200)
+        self.assertEqual(self.put(configuration(2, 5), 2), 200)
+        self.assertEqual(self.put(configuration(0, 2), 2), 200)
+        self.assertEqual(self.put(configuration(2, 6), 0), 412)
+        self.assertEqual(self.put(configuration(5, 4, "/z/"), 0), 400)
+        self.assertEqual(self.put(configuration(5, 9)[:100], 0), 400)
+        for operator in self.operators:
+            status, text = call(operator, "GET", "/v1/config")
+            self.assertEqual((status, json.loads(text)["version"]), (200, "r5"))
+
+        # Each key is run by one backend server, whichever sidecar is asked.
+        for key in (5, 30000, 65000):
+            answers = {self.ask(site, "/p/y?q=1", key, f"k{key}{site}")[1].split()[0]
+                       for site in range(2)}
+            self.assertEqual(len(answers), 1)
+        runs = [run for backend in self.backends for run in backend.runs]
+        self.assertTrue(all(run[1]["Caller-Service"] == "keyed" for run in runs))
+        self.assertFalse([name for run in runs for name in run[1] if name.startswith("Rattanloft")])
+
+        status, text = self.ask(0, "/order/1", 7, "o1", "POST", "stand")
+        self.assertEqual((status, text.endswith("/order/1 stand")), (200, True))
+        self.assertEqual(self.ask(0, "/none/", 7, "n1")[0], 404)
+
+        # Unreadable heartbeats change nothing.
+        announce = self.sidecars[0]["announce"]
+        for body in ("", "{", '{"seq":1}', '{"service":1}'):
+            self.assertEqual(call(announce, "PUT", "/v1/instances/i-0", body)[0], 400)
+        self.assertEqual(self.ask(1, "/p/x", 5, "after")[0], 200)
+
+    def test_leader_killed_and_disk_lost(self):
+        self.start_service()
+        # The founder leads; its loss together with its disk costs nothing.
+        self.processes[0].kill()
+        self.processes[0].wait()
+        subprocess.run(["rm", "-r", f"{self.folder.name}/c0"], check=True)
+        wait_for(lambda: self.put(configuration(2, 3), 1) == 200, 8, "a new leader")
+        self.start_coordinator(0, first=False)
+        wait_for(lambda: "rattanloft_voters 3" in call(
+            f"127.0.0.11:{self.member_port}", "GET", "/metrics")[1]
+            and "rattanloft_configuration_version 3" in call(
+            f"127.0.0.11:{self.member_port}", "GET", "/metrics")[1],
+            10, "the wiped coordinator votes again")
+        self.processes[1].kill()
+        self.processes[1].wait()
+        wait_for(lambda: json.loads(call(self.operators[0], "GET", "/v1/config")[1])["version"] == "r3",
+                 8, "the configuration after a second loss")
+        wait_for(lambda: self.ask(0, "/p/x", 1, "late")[0] == 200, 8, "service")
+
+    def test_drain_and_graceful_stop(self):
+        self.start_service()
+        leaving = self.backends[1]
+        leaving.state = "draining"
+        self.assertEqual(leaving.beat(), 200)
+        confirmed = time.time()
+        wait_for(lambda: all(self.ask(1, "/p/x", key, f"d{key}")[1].startswith("i-0")
+                             for key in range(0, 65536, 6553)), 6, "keys move to the other")
+        time.sleep(max(0, confirmed + 2 - time.time()))
+        before = len(leaving.runs)
+        for key in range(0, 65536, 9000):
+            self.ask(1, "/p/x", key, f"e{key}")
+        self.assertEqual(len(leaving.runs), before)
+
+        site = self.sidecars[1]
+        site["process"].send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        self.assertEqual(call(site["ready"], "GET", "/v1/ready")[0], 503)
+        self.assertEqual(self.ask(1, "/p/x", 5, "still")[0], 200)
+        self.assertEqual(site["process"].wait(timeout=6), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
