--- a/modules/coordinator/src/Compression.cpp
+++ b/modules/coordinator/src/Compression.cpp
@@ -29,11 +29,10 @@
     const bool last = room >= aMaxBytes;
     uLongf size = last ? aMaxBytes : room;
     std::string text(size, '\0');
-    const int result =
-      uncompress(reinterpret_cast<Bytef*>(text.data()),
-                 &size,
-                 reinterpret_cast<const Bytef*>(aBytes.data()),
-                 aBytes.size());
+    const int result = uncompress(reinterpret_cast<Bytef*>(text.data()),
+                                  &size,
+                                  reinterpret_cast<const Bytef*>(aBytes.data()),
+                                  aBytes.size());
     if (result == Z_OK) {
       text.resize(size);
       return text;
--- a/modules/coordinator/src/ConfigurationService.cpp
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -90,8 +90,8 @@
   }
   const bool read = aRequest.target().ends_with(
     boost::beast::string_view(kReadMark.data(), kReadMark.size()));
-  const OperatorCall call =
-    read ? OperatorCall::kReadConfiguration : OperatorCall::kReplaceConfiguration;
+  const OperatorCall call = read ? OperatorCall::kReadConfiguration
+                                 : OperatorCall::kReplaceConfiguration;
   std::string body = std::move(aRequest.body());
   http::Response response = co_await Serve(call, std::move(body));
   co_return response;
@@ -123,9 +123,8 @@
             "event=refused field=\"{}\" reason=\"{}\"",
             change.error().m_field,
             change.error().m_reason);
-    co_return ErrorResponse(status::bad_request,
-                            change.error().m_field,
-                            change.error().m_reason);
+    co_return ErrorResponse(
+      status::bad_request, change.error().m_field, change.error().m_reason);
   }
   change->set_digest(Hash64(aBody));
   change->set_document(Compress(aBody));
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -132,12 +132,12 @@
 
   tl::expected<void, CoordinatorError> OpenLog()
   {
-    m_transport = std::make_unique<MemberTransport>(
-      m_context,
-      m_clock,
-      *m_client,
-      m_folder->ReplicaId(),
-      m_options.m_internalAddress);
+    m_transport =
+      std::make_unique<MemberTransport>(m_context,
+                                        m_clock,
+                                        *m_client,
+                                        m_folder->ReplicaId(),
+                                        m_options.m_internalAddress);
     consensus::ReplicatedLogOptions options;
     options.m_replicaId = m_folder->ReplicaId();
     options.m_seed = RandomId();
@@ -161,8 +161,8 @@
     const size_t voters = 2 * size_t{ m_options.m_toleratedLosses } + 1;
     m_control = std::make_unique<FleetControl>(
       m_context, m_clock, *m_log, m_state, *m_transport, voters);
-    m_configuration = std::make_unique<ConfigurationService>(
-      *m_control, m_protocol, *m_client);
+    m_configuration =
+      std::make_unique<ConfigurationService>(*m_control, m_protocol, *m_client);
     return {};
   }
 
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -196,23 +196,24 @@
     wire::FleetCommand command;
     const std::string service = assign.service();
     *command.mutable_assign_ranges() = std::move(assign);
-    m_log.Propose(
-      command.SerializeAsString(),
-      m_clock.Now(),
-      [this, service, term](const tl::expected<uint64_t, consensus::LogError>& aAt) {
-        if (!aAt) {
-          LogWarning("control",
-                     "event=assignment-failed service={} reason={}",
-                     service,
-                     aAt.error().m_message);
-        }
-        // A command whose fate is unknown must keep its ranges locked; that
-        // happens only with the loss of leadership, which ends m_leader.
-        if (m_leader != nullptr && m_leaderTerm == term) {
-          m_leader->OnAssigned(service);
-          WakeSyncs();
-        }
-      });
+    m_log.Propose(command.SerializeAsString(),
+                  m_clock.Now(),
+                  [this, service, term](
+                    const tl::expected<uint64_t, consensus::LogError>& aAt) {
+                    if (!aAt) {
+                      LogWarning("control",
+                                 "event=assignment-failed service={} reason={}",
+                                 service,
+                                 aAt.error().m_message);
+                    }
+                    // A command whose fate is unknown must keep its ranges
+                    // locked; that happens only with the loss of leadership,
+                    // which ends m_leader.
+                    if (m_leader != nullptr && m_leaderTerm == term) {
+                      m_leader->OnAssigned(service);
+                      WakeSyncs();
+                    }
+                  });
     SchedulePump();
   }
   WakeSyncs();
@@ -469,8 +470,7 @@
     before->second->m_replaced = true;
     before->second->m_event.Notify();
   }
-  const auto held =
-    std::make_shared<HeldSync>(m_context, aRequest.sequence());
+  const auto held = std::make_shared<HeldSync>(m_context, aRequest.sequence());
   m_held[aRequest.instance()] = held;
   co_await WaitForNews(aRequest, held);
   const auto mine = m_held.find(aRequest.instance());
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -46,8 +46,8 @@
 void
 MemberTransport::LearnAddress(uint64_t aReplica, const std::string& aAddress)
 {
-  if (aReplica == m_self || aAddress.empty() ||
-      m_peers.contains(aReplica) || m_peers.size() >= kMaxPeers) {
+  if (aReplica == m_self || aAddress.empty() || m_peers.contains(aReplica) ||
+      m_peers.size() >= kMaxPeers) {
     return;
   }
   Peer& peer = m_peers[aReplica];
@@ -136,9 +136,7 @@
 }
 
 asio::awaitable<void>
-MemberTransport::Deliver(uint64_t aId,
-                         std::string aAddress,
-                         std::string aBatch)
+MemberTransport::Deliver(uint64_t aId, std::string aAddress, std::string aBatch)
 {
   http::Request request = MakeInternalRequest(kRaftPath, std::move(aBatch));
   tl::expected<http::Response, http::HttpError> response =
--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -15,9 +15,9 @@
 
 struct LeaderTimings
 {
-  // Lease of a backend lifetime, counted by its sidecar from the moment at which
-  // it sent the request. Below the 5 s after which the keys of a lost instance
-  // must be served again.
+  // Lease of a backend lifetime, counted by its sidecar from the moment at
+  // which it sent the request. Below the 5 s after which the keys of a lost
+  // instance must be served again.
   Duration m_lease = Milliseconds(3000);
   // A sync without news is answered after this time, so that the lease is
   // renewed several times before it ends, also over a change of leader.
--- a/modules/fleet/src/ConfigurationRules.cpp
+++ b/modules/fleet/src/ConfigurationRules.cpp
@@ -18,9 +18,8 @@
       std::string_view aField,
       std::string_view aReason)
 {
-  return tl::unexpected(
-    ConfigurationFault{ fmt::format("route {}: {}", aRoute.name(), aField),
-                        std::string(aReason) });
+  return tl::unexpected(ConfigurationFault{
+    fmt::format("route {}: {}", aRoute.name(), aField), std::string(aReason) });
 }
 
 tl::expected<void, ConfigurationFault>
@@ -67,8 +66,7 @@
 CheckConfiguration(const wire::Configuration& aConfiguration)
 {
   if (aConfiguration.version() == 0) {
-    return tl::unexpected(
-      ConfigurationFault{ "version", "must be above 0" });
+    return tl::unexpected(ConfigurationFault{ "version", "must be above 0" });
   }
   Services services;
   for (const wire::ServiceSpec& service : aConfiguration.services()) {
@@ -80,7 +78,8 @@
       return checked;
     }
     if (!places.emplace(route.host(), route.path_prefix()).second) {
-      return Fault(route, "path prefix", "another route has this host and prefix");
+      return Fault(
+        route, "path prefix", "another route has this host and prefix");
     }
   }
   return {};
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -40,8 +40,8 @@
   return aFirst <= aOther && aOtherFirst <= aLast;
 }
 
-// A sidecar that stops still serves for some seconds, but takes no new work that
-// can go elsewhere.
+// A sidecar that stops still serves for some seconds, but takes no new work
+// that can go elsewhere.
 wire::BackendView
 ListedView(const wire::FleetSyncRequest& aReport)
 {
@@ -127,8 +127,7 @@
 FleetLeader::RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow)
 {
   for (const wire::BucketLoad& load : aRequest.loads()) {
-    m_services[load.service()].m_load.Add(
-      load.bucket(), load.requests(), aNow);
+    m_services[load.service()].m_load.Add(load.bucket(), load.requests(), aNow);
   }
 }
 
@@ -206,11 +205,10 @@
 {
   return std::ranges::any_of(m_services, [&](const auto& aService) {
     const Service& service = aService.second;
-    return std::ranges::any_of(
-             service.m_pending,
-             [&](const PendingTransfer& aPending) {
-               return aPending.m_transfer.m_to == aHolder;
-             }) ||
+    return std::ranges::any_of(service.m_pending,
+                               [&](const PendingTransfer& aPending) {
+                                 return aPending.m_transfer.m_to == aHolder;
+                               }) ||
            std::ranges::any_of(service.m_proposed.ranges(),
                                [&](const wire::RangeAssignment& aRange) {
                                  return aRange.holder() == aHolder;
@@ -297,16 +295,16 @@
     AssignRange(ranges, moving);
   }
   const auto isMoving = [&](const Transfer& aTransfer) {
-    return std::ranges::any_of(
-      aService.m_pending, [&](const PendingTransfer& aPending) {
-        return Overlaps(aTransfer.m_first,
-                        aTransfer.m_last,
-                        aPending.m_transfer.m_first,
-                        aPending.m_transfer.m_last);
-      });
+    return std::ranges::any_of(aService.m_pending,
+                               [&](const PendingTransfer& aPending) {
+                                 return Overlaps(aTransfer.m_first,
+                                                 aTransfer.m_last,
+                                                 aPending.m_transfer.m_first,
+                                                 aPending.m_transfer.m_last);
+                               });
   };
-  for (Transfer& transfer : PlanTransfers(
-         ranges, candidates, aService.m_load, mayRebalance, aNow)) {
+  for (Transfer& transfer :
+       PlanTransfers(ranges, candidates, aService.m_load, mayRebalance, aNow)) {
     if (isMoving(transfer)) {
       continue;
     }
@@ -508,9 +506,8 @@
     return true;
   }
   const auto holder = m_holders.find(aRequest.backend().holder());
-  return holder != m_holders.end() &&
-         (aRequest.plan_term() != m_term ||
-          aRequest.plan() < holder->second.m_plan);
+  return holder != m_holders.end() && (aRequest.plan_term() != m_term ||
+                                       aRequest.plan() < holder->second.m_plan);
 }
 
 void
--- a/modules/fleet/src/FleetState.cpp
+++ b/modules/fleet/src/FleetState.cpp
@@ -51,10 +51,9 @@
   bool placed = false;
   for (const wire::OwnedRange& range : aRanges.ranges()) {
     if (range.first() < aRange.first()) {
-      Append(result,
-             Cut(range,
-                 range.first(),
-                 std::min(range.last(), aRange.first() - 1)));
+      Append(
+        result,
+        Cut(range, range.first(), std::min(range.last(), aRange.first() - 1)));
     }
     if (!placed && range.last() >= aRange.first()) {
       Append(result, aRange);
--- a/modules/fleet/src/HolderName.cpp
+++ b/modules/fleet/src/HolderName.cpp
@@ -9,10 +9,8 @@
 std::string
 FormatHolder(const HolderName& aName)
 {
-  return fmt::format("{}/{}@{}",
-                     aName.m_instance,
-                     aName.m_backendId,
-                     aName.m_startedAtUnixMs);
+  return fmt::format(
+    "{}/{}@{}", aName.m_instance, aName.m_backendId, aName.m_startedAtUnixMs);
 }
 
 std::optional<HolderName>
--- a/modules/fleet/src/MembershipPlanner.cpp
+++ b/modules/fleet/src/MembershipPlanner.cpp
@@ -64,10 +64,10 @@
 
   bool IsMember(uint64_t aReplica) const
   {
-    return std::ranges::any_of(
-      m_view.m_config.members(), [&](const wire::GroupMember& aMember) {
-        return aMember.replica_id() == aReplica;
-      });
+    return std::ranges::any_of(m_view.m_config.members(),
+                               [&](const wire::GroupMember& aMember) {
+                                 return aMember.replica_id() == aReplica;
+                               });
   }
 
   wire::GroupConfig Without(uint64_t aReplica) const
@@ -148,8 +148,8 @@
         continue;
       }
       const bool superseded = IsSuperseded(member);
-      const Duration silence = superseded ? kLearnerSilence * 10
-                                          : Silence(member.replica_id());
+      const Duration silence =
+        superseded ? kLearnerSilence * 10 : Silence(member.replica_id());
       alive += silence <= kAlive ? 1 : 0;
       if (silence >= kVoterSilence && silence > worstSilence) {
         worst = &member;
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -14,8 +14,8 @@
 
 // Time constant of the smoothed rates: busy keys change within seconds.
 constexpr double kRateTimeMs = 2000;
-// Load of a whole service that is spread evenly over its keys, requests/s. Keeps
-// idle keys spread without outweighing real traffic.
+// Load of a whole service that is spread evenly over its keys, requests/s.
+// Keeps idle keys spread without outweighing real traffic.
 constexpr double kIdleLoad = 4;
 // A move must cure an excess of this factor over the mean utilization. Each key
 // that moves has a price, so small differences stay.
@@ -27,7 +27,8 @@
 // bytes a row.
 constexpr int kMaxRows = 40;
 
-// An ownerless range goes to one candidate up to this factor of what that lacks.
+// An ownerless range goes to one candidate up to this factor of what that
+// lacks.
 constexpr double kWholeExcess = 1.3;
 // Ranges with fewer keys are not cut when they have lost their owner.
 constexpr uint32_t kLeastCut = 2048;
@@ -57,8 +58,7 @@
   for (const wire::OwnedRange& range : aRanges.ranges()) {
     const auto found = shares.find(range.holder());
     if (found != shares.end()) {
-      found->second.m_load +=
-        aLoad.Measure(range.first(), range.last(), aNow);
+      found->second.m_load += aLoad.Measure(range.first(), range.last(), aNow);
       ++found->second.m_rows;
     }
   }
@@ -80,8 +80,7 @@
   uint32_t keys = 0;
   while (keys < size) {
     const uint32_t step = std::min(kKeysPerBucket, size - keys);
-    const uint32_t first =
-      aFromEnd ? aLast + 1 - keys - step : aFirst + keys;
+    const uint32_t first = aFromEnd ? aLast + 1 - keys - step : aFirst + keys;
     const double load = aLoad.Measure(first, first + step - 1, aNow);
     if (keys > 0 && sum + load / 2 > aWanted) {
       break;
@@ -105,17 +104,17 @@
   }
   std::vector<std::pair<std::string, double>> missing;
   for (const auto& [holder, share] : aShares) {
-    missing.emplace_back(
-      holder, total * share.m_capacity / capacity - share.m_load);
+    missing.emplace_back(holder,
+                         total * share.m_capacity / capacity - share.m_load);
   }
   std::ranges::stable_sort(
     missing, std::greater<>{}, &std::pair<std::string, double>::second);
   return missing;
 }
 
-// Gives an ownerless range to the candidate that lacks most. A range that is too
-// much for it is cut into one part for each candidate that lacks load; small
-// ranges stay whole, so that the number of ranges stays small.
+// Gives an ownerless range to the candidate that lacks most. A range that is
+// too much for it is cut into one part for each candidate that lacks load;
+// small ranges stay whole, so that the number of ranges stays small.
 void
 SpreadRange(const wire::OwnedRange& aRange,
             double aOwnerless,
@@ -157,10 +156,11 @@
   }
 }
 
-// The candidate beside the same instance as an earlier lifetime; empty for none.
-// After a restart of everything, the ranges so stay where they were.
+// The candidate beside the same instance as an earlier lifetime; empty for
+// none. After a restart of everything, the ranges so stay where they were.
 std::string
-FindSuccessor(const std::string& aHolder, std::span<const Candidate> aCandidates)
+FindSuccessor(const std::string& aHolder,
+              std::span<const Candidate> aCandidates)
 {
   const std::optional<HolderName> before = ParseHolder(aHolder);
   for (const Candidate& candidate : aCandidates) {
@@ -188,8 +188,8 @@
       continue;
     }
     for (const bool fromEnd : { false, true }) {
-      const uint32_t keys = KeysForLoad(
-        aLoad, range.first(), range.last(), fromEnd, aWanted, aNow);
+      const uint32_t keys =
+        KeysForLoad(aLoad, range.first(), range.last(), fromEnd, aWanted, aNow);
       Transfer piece;
       piece.m_first = fromEnd ? range.last() + 1 - keys : range.first();
       piece.m_last = piece.m_first + keys - 1;
@@ -308,8 +308,7 @@
        ++bucket) {
     const uint32_t first = std::max(aFirst, bucket * kKeysPerBucket);
     const uint32_t last = std::min(aLast, (bucket + 1) * kKeysPerBucket - 1);
-    const double part =
-      static_cast<double>(last - first + 1) / kKeysPerBucket;
+    const double part = static_cast<double>(last - first + 1) / kKeysPerBucket;
     sum += part * RateAt(bucket, aNow);
   }
   return sum + kIdleLoad * (aLast - aFirst + 1) / (kLastKey + 1.0);
--- a/modules/fleet/tests/FleetStateTest.cpp
+++ b/modules/fleet/tests/FleetStateTest.cpp
@@ -19,7 +19,9 @@
 }
 
 void
-Apply(FleetState& aState, uint64_t aIndex, const wire::ReplaceConfiguration& aIt)
+Apply(FleetState& aState,
+      uint64_t aIndex,
+      const wire::ReplaceConfiguration& aIt)
 {
   wire::FleetCommand command;
   *command.mutable_replace_configuration() = aIt;
--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -29,8 +29,9 @@
   // ends without an error.
   bool m_acceptUnframed = false;
   // Field of a request that its answer repeats; empty for none. An answer with
-  // another value belongs to another request: it is an error, and the connection
-  // is closed, since everything that follows on it is off by one as well.
+  // another value belongs to another request: it is an error, and the
+  // connection is closed, since everything that follows on it is off by one as
+  // well.
   std::string m_echoedField;
 };
 
--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -83,16 +83,16 @@
 {
   const bool reset = GENERATE(false, true);
   asio::io_context context;
-  ScriptedPeer peer(
-    context, [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
-      co_await ReadHead(aSocket);
-      co_await SendText(aSocket, "HTTP/1.1 200 OK\r\n\r\npart");
-      if (reset) {
-        co_await Sleep(Milliseconds(50));
-        aSocket.set_option(asio::socket_base::linger(true, 0));
-        aSocket.close();
-      }
-    });
+  ScriptedPeer peer(context,
+                    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+                      co_await ReadHead(aSocket);
+                      co_await SendText(aSocket, "HTTP/1.1 200 OK\r\n\r\npart");
+                      if (reset) {
+                        co_await Sleep(Milliseconds(50));
+                        aSocket.set_option(asio::socket_base::linger(true, 0));
+                        aSocket.close();
+                      }
+                    });
   ClientOptions options;
   options.m_acceptUnframed = true;
   const auto client = Client::Make(context, options);
--- a/modules/sidecar/src/BackendAgent.cpp
+++ b/modules/sidecar/src/BackendAgent.cpp
@@ -133,8 +133,7 @@
       m_handovers.push_back(handover);
     }
   }
-  if (changed || !aHeartbeat.m_released.empty() ||
-      m_held.size() < heldBefore) {
+  if (changed || !aHeartbeat.m_released.empty() || m_held.size() < heldBefore) {
     ++m_revision;
   }
   return true;
@@ -161,8 +160,7 @@
   }
   answer.m_hold = hold;
   m_offered = m_planned;
-  m_offerEnd =
-    aNow + Duration{ hold.m_ms * (100 + kSlowClockPercent) / 100 };
+  m_offerEnd = aNow + Duration{ hold.m_ms * (100 + kSlowClockPercent) / 100 };
   m_holdEnd = std::max(m_holdEnd, m_offerEnd);
   return answer;
 }
@@ -214,8 +212,7 @@
       (aReply.term() == m_planTerm && aReply.plan() < m_plan)) {
     return;
   }
-  const bool newer =
-    aReply.term() != m_planTerm || aReply.plan() != m_plan;
+  const bool newer = aReply.term() != m_planTerm || aReply.plan() != m_plan;
   if (newer) {
     m_planTerm = aReply.term();
     m_plan = aReply.plan();
@@ -238,11 +235,11 @@
 BackendAgent::OnHandoversTaken(const wire::FleetSyncRequest& aRequest)
 {
   std::erase_if(m_handovers, [&](const wire::HandedOver& aHandover) {
-    return std::ranges::any_of(
-      aRequest.handovers(), [&](const wire::HandedOver& aTaken) {
-        return aTaken.token() == aHandover.token() &&
-               aTaken.first() == aHandover.first();
-      });
+    return std::ranges::any_of(aRequest.handovers(),
+                               [&](const wire::HandedOver& aTaken) {
+                                 return aTaken.token() == aHandover.token() &&
+                                        aTaken.first() == aHandover.first();
+                               });
   });
 }
 
@@ -278,7 +275,8 @@
                        bool aKeyed,
                        TimePoint aNow) const
 {
-  if (m_view.holder().empty() || m_view.phase() == wire::BACKEND_PHASE_UNKNOWN) {
+  if (m_view.holder().empty() ||
+      m_view.phase() == wire::BACKEND_PHASE_UNKNOWN) {
     return ServeVerdict::kNoBackend;
   }
   if (m_view.phase() != wire::BACKEND_PHASE_READY) {
@@ -310,8 +308,7 @@
 {
   wire::BackendView& view = *aRequest.mutable_backend();
   view = m_view;
-  view.set_cold_remaining_ms(
-    static_cast<uint32_t>(ColdRemaining(aNow).m_ms));
+  view.set_cold_remaining_ms(static_cast<uint32_t>(ColdRemaining(aNow).m_ms));
   if (!m_view.holder().empty() && aNow - m_lastHeartbeat > kHeartbeatSilence) {
     view.set_reachable(false);
   }
@@ -319,10 +316,8 @@
   aRequest.set_plan(m_plan);
   // Before the first heartbeat, an answer of an earlier process may be in
   // force.
-  aRequest.set_holds_known(m_sequence > 0 ||
-                           aNow - m_started > kLongestHold);
-  const bool expired =
-    aNow > m_holdEnd && aNow - m_started > kLongestHold;
+  aRequest.set_holds_known(m_sequence > 0 || aNow - m_started > kLongestHold);
+  const bool expired = aNow > m_holdEnd && aNow - m_started > kLongestHold;
   if (!expired) {
     for (const HeldRange& range : m_held) {
       wire::KeyRange& held = *aRequest.add_possible_holds();
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -130,13 +130,12 @@
 {
   const TimePoint now = m_clock.Now();
   const WorkId id = m_nextWork++;
-  const WorkVerdict verdict = m_queue.Submit(
-    { id,
-      aTerms.m_kind,
-      aTerms.m_rank,
-      now + aTerms.m_target,
-      now + aTerms.m_left },
-    now);
+  const WorkVerdict verdict = m_queue.Submit({ id,
+                                               aTerms.m_kind,
+                                               aTerms.m_rank,
+                                               now + aTerms.m_target,
+                                               now + aTerms.m_left },
+                                             now);
   if (verdict.m_decision == WorkDecision::kStart) {
     co_return std::nullopt;
   }
--- a/modules/sidecar/src/Directory.h
+++ b/modules/sidecar/src/Directory.h
@@ -13,8 +13,8 @@
 namespace rattanloft::sidecar {
 
 // What this sidecar knows of the fleet from the leading coordinator: the
-// configuration in force, the owners of key ranges, and the other sidecars. Each
-// part only moves forward. Traffic thread.
+// configuration in force, the owners of key ranges, and the other sidecars.
+// Each part only moves forward. Traffic thread.
 class Directory
 {
 public:
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -70,9 +70,8 @@
                        TimePoint aNow) const
 {
   const double slots = std::max(1U, aState.m_endpoint.backend().slots());
-  const double service = aState.m_load.m_serviceMs > 0
-                           ? aState.m_load.m_serviceMs
-                           : kUsualServiceMs;
+  const double service =
+    aState.m_load.m_serviceMs > 0 ? aState.m_load.m_serviceMs : kUsualServiceMs;
   const double age = static_cast<double>((aNow - aState.m_loadAt).m_ms);
   const double weight = std::max(0.0, 1 - age / kLoadAgeMs);
   const double reported =
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -101,8 +101,8 @@
   }
   const auto host = aRequest[field::host];
   const auto target = aRequest.target();
-  aPassage.m_route = aPassage.m_router->Match(
-    { host.data(), host.size() }, { target.data(), target.size() });
+  aPassage.m_route = aPassage.m_router->Match({ host.data(), host.size() },
+                                              { target.data(), target.size() });
   if (aPassage.m_route == nullptr) {
     if (m_directory.Age(aPassage.m_arrived) > kFreshDirectory) {
       return Refuse(
@@ -116,10 +116,10 @@
     std::min<int64_t>(asked, aPassage.m_route->timeout_ms());
   aPassage.m_deadline = aPassage.m_arrived + Milliseconds(allowed);
   const uint32_t targetMs = aPassage.m_route->target_latency_ms();
-  aPassage.m_target =
-    targetMs > 0 ? std::min(aPassage.m_arrived + Milliseconds(targetMs),
-                            aPassage.m_deadline)
-                 : aPassage.m_deadline;
+  aPassage.m_target = targetMs > 0
+                        ? std::min(aPassage.m_arrived + Milliseconds(targetMs),
+                                   aPassage.m_deadline)
+                        : aPassage.m_deadline;
   aPassage.m_service = m_picker.Pick(*aPassage.m_route);
   const wire::ServiceSpec* const service =
     aPassage.m_router->FindService(aPassage.m_service);
@@ -148,8 +148,7 @@
   }
   Allowance(passage.m_service).OnRequest(passage.m_arrived);
   RemovePeerFields(aRequest);
-  SetField(
-    aRequest, m_protocol.Headers().m_callerService, m_options.m_service);
+  SetField(aRequest, m_protocol.Headers().m_callerService, m_options.m_service);
   AttemptResult result =
     co_await RunAttempts(aRequest, passage, std::move(aCancel));
   co_return Finish(std::move(result), passage);
@@ -314,10 +313,10 @@
   SetField(aRequest, kKeyedField, aTerms.m_keyed ? "1" : "0");
   SetField(aRequest, kTargetField, std::to_string(aTerms.m_target.m_ms));
   SetField(aRequest, kRankField, std::to_string(aTerms.m_rank));
-  SetField(aRequest,
-           m_protocol.Headers().m_deadlineMs,
-           std::to_string(std::max<int64_t>(
-             1, (aTerms.m_left - kHopTime).m_ms)));
+  SetField(
+    aRequest,
+    m_protocol.Headers().m_deadlineMs,
+    std::to_string(std::max<int64_t>(1, (aTerms.m_left - kHopTime).m_ms)));
   tl::expected<http::Response, http::HttpError> response =
     co_await m_peers.Exchange(aAddress,
                               std::move(aRequest),
@@ -369,11 +368,11 @@
       break;
     case Outcome::kUnknown:
       ++m_counters.m_unknown;
-      response = Refuse(m_clock.Now() >= aPassage.m_deadline
-                          ? status::gateway_timeout
-                          : status::bad_gateway,
-                        aResult.m_reason,
-                        {});
+      response =
+        Refuse(m_clock.Now() >= aPassage.m_deadline ? status::gateway_timeout
+                                                    : status::bad_gateway,
+               aResult.m_reason,
+               {});
       break;
   }
   LogOutcome(aPassage, aResult, response.result_int());
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -13,8 +13,8 @@
 using beast::http::status;
 
 constexpr std::array kAllFields = {
-  kServiceField, kKindField, kKeyedField,      kTargetField, kRankField,   kOutcomeField,
-  kReasonField,  kRetryAfterField, kLoadField,   kArrivedField
+  kServiceField, kKindField,   kKeyedField,      kTargetField, kRankField,
+  kOutcomeField, kReasonField, kRetryAfterField, kLoadField,   kArrivedField
 };
 
 beast::string_view
@@ -98,9 +98,8 @@
                       ? status::service_unavailable
                       : status::bad_gateway);
     SetField(response, kReasonField, aResult.m_reason);
-    SetField(response,
-             kRetryAfterField,
-             std::to_string(aResult.m_retryAfter.m_ms));
+    SetField(
+      response, kRetryAfterField, std::to_string(aResult.m_retryAfter.m_ms));
     if (aResult.m_arrived) {
       SetField(response, kArrivedField, "1");
     }
--- a/modules/sidecar/src/RetryAllowance.cpp
+++ b/modules/sidecar/src/RetryAllowance.cpp
@@ -16,8 +16,7 @@
 RetryAllowance::At(TimePoint aNow)
 {
   const int64_t second = aNow.m_ms / 1000;
-  Second& slot =
-    m_seconds[static_cast<size_t>(second) % m_seconds.size()];
+  Second& slot = m_seconds[static_cast<size_t>(second) % m_seconds.size()];
   if (slot.m_at != second) {
     slot = { second, 0, 0 };
   }
@@ -42,8 +41,7 @@
       retries += second.m_retries;
     }
   }
-  const double slack =
-    static_cast<double>(m_slack) / std::max(1U, aSidecars);
+  const double slack = static_cast<double>(m_slack) / std::max(1U, aSidecars);
   if (retries + 1 > kUsedPart * (m_ratio * requests + slack)) {
     return false;
   }
--- a/modules/sidecar/src/WorkQueue.h
+++ b/modules/sidecar/src/WorkQueue.h
@@ -42,9 +42,9 @@
 
 // Decides which requests run on the backend server beside this sidecar. Answers
 // more load than the slots can serve: what could probably not be answered by
-// its target time is refused on arrival, and what has waited too long as soon as
-// that shows, so that the slots go to work that is still worth its full credit.
-// Pure; traffic thread.
+// its target time is refused on arrival, and what has waited too long as soon
+// as that shows, so that the slots go to work that is still worth its full
+// credit. Pure; traffic thread.
 class WorkQueue
 {
 public:
--- a/modules/sidecar/tests/BackendAgentTest.cpp
+++ b/modules/sidecar/tests/BackendAgentTest.cpp
@@ -114,8 +114,8 @@
         ServeVerdict::kNotOwner);
 }
 
-// Guards against a report that a range is free while an answer that grants it is
-// still on its way.
+// Guards against a report that a range is free while an answer that grants it
+// is still on its way.
 TEST_CASE("an offered range counts as held until a later heartbeat denies it")
 {
   BackendAgent agent = MakeAgent();
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -156,9 +156,9 @@
   void Expire(Backend& aBackend)
   {
     std::erase_if(aBackend.m_rows, [&](const Row& aRow) {
-      return aRow.m_given ? m_now >= aBackend.m_holdEnd
-                          : m_now >= std::min(aRow.m_busyUntil,
-                                              aBackend.m_holdEnd);
+      return aRow.m_given
+               ? m_now >= aBackend.m_holdEnd
+               : m_now >= std::min(aRow.m_busyUntil, aBackend.m_holdEnd);
     });
   }
 
@@ -194,9 +194,10 @@
   {
     Node& node = m_nodes[aNode];
     if (m_now < node.m_frozenUntil) {
-      After(node.m_frozenUntil - m_now, [this, aNode, aHeartbeat, aSent, aBorn] {
-        OnBeat(aNode, aHeartbeat, aSent, aBorn);
-      });
+      After(node.m_frozenUntil - m_now,
+            [this, aNode, aHeartbeat, aSent, aBorn] {
+              OnBeat(aNode, aHeartbeat, aSent, aBorn);
+            });
       return;
     }
     if (!node.m_agent->OnHeartbeat(aHeartbeat, Now())) {
--- a/modules/sidecar/tests/RetryAllowanceTest.cpp
+++ b/modules/sidecar/tests/RetryAllowanceTest.cpp
@@ -26,8 +26,7 @@
         sidecar.OnRequest(TimePoint{ now });
         requests.push_back(now);
       }
-      if (random() % 5 == 0 &&
-          sidecar.TryRetry(kSidecars, TimePoint{ now })) {
+      if (random() % 5 == 0 && sidecar.TryRetry(kSidecars, TimePoint{ now })) {
         retries.push_back(now);
       }
     }
--- a/tools/rattanloft/SettingsText.h
+++ b/tools/rattanloft/SettingsText.h
@@ -14,8 +14,8 @@
 std::vector<std::string>
 WithPort(const std::vector<std::string>& aAddresses, uint32_t aPort);
 
-// The value of --aFlag in a flagfile, for settings that change while the process
-// runs; empty if the file or the flag is missing.
+// The value of --aFlag in a flagfile, for settings that change while the
+// process runs; empty if the file or the flag is missing.
 std::string
 ReadFlagFromFile(const std::string& aPath, std::string_view aFlag);
 
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -13,7 +13,9 @@
 #include "rattanloft/sidecar/Sidecar.h"
 
 DEFINE_string(instance, "", "name of this instance, the same after a restart");
-DEFINE_string(backend_service, "", "service of the backend server on this instance");
+DEFINE_string(backend_service,
+              "",
+              "service of the backend server on this instance");
 DEFINE_string(caller_address, "", "IP address and port for callers");
 DEFINE_string(peer_address, "", "IP address and port for other sidecars");
 DEFINE_string(ready_address, "", "IP address and port for readiness checks");
@@ -25,9 +27,10 @@
 DEFINE_string(coordinators,
               "",
               "addresses of some coordinators, separated by commas");
-DEFINE_uint32(coordinator_port,
-              0,
-              "port for sidecars on coordinators; 0 takes it from the addresses");
+DEFINE_uint32(
+  coordinator_port,
+  0,
+  "port for sidecars on coordinators; 0 takes it from the addresses");
 DEFINE_string(bounds,
               "",
               "time bounds and budgets of the platform, name=value,...");
