Send partial endpoint lists on, and wait longer for the next owner of a key

Change: a sidecar that has a partial list of this leader gets its changes at once; requests wait up to their whole target for the next owner.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -113,6 +113,7 @@
   void EndEarlierLifetimes(const std::string& aInstance,
                            const wire::BackendView& aBackend);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
   void AddEndpoints(wire::FleetSyncReply& aReply) const;
 
   const FleetState& m_state;
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -493,16 +493,27 @@
   return endpoints;
 }
 
+// Until every sidecar had time to report, a list would lack those that have not.
+// It goes only to sidecars that know none of another leader.
+bool
+FleetLeader::NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const
+{
+  const bool sameTerm = aRequest.endpoints_term() == m_term;
+  if (sameTerm && aRequest.endpoints_revision() >= m_endpointsRevision) {
+    return false;
+  }
+  return sameTerm || aRequest.endpoints_revision() == 0 ||
+         m_latest - m_started >= kListDelay;
+}
+
 bool
 FleetLeader::HasNews(const wire::FleetSyncRequest& aRequest) const
 {
-  const bool listing = m_latest - m_started >= kListDelay;
   if (aRequest.stopping() || !aRequest.handovers().empty() ||
       aRequest.configuration_version() <
         m_state.Current().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
-      (listing && (aRequest.endpoints_term() != m_term ||
-                   aRequest.endpoints_revision() < m_endpointsRevision))) {
+      NeedsEndpoints(aRequest)) {
     return true;
   }
   const auto holder = m_holders.find(aRequest.backend().holder());
@@ -539,12 +550,7 @@
       *reply.add_services() = ranges;
     }
   }
-  // Until every sidecar had time to report, a list would lack those that have
-  // not; a sidecar that knows none takes what there is.
-  const bool complete = aNow - m_started >= kListDelay;
-  if ((complete || aRequest.endpoints_revision() == 0) &&
-      (aRequest.endpoints_term() != m_term ||
-       aRequest.endpoints_revision() < m_endpointsRevision)) {
+  if (NeedsEndpoints(aRequest)) {
     AddEndpoints(reply);
   }
   const std::string& name = aRequest.backend().holder();
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -112,7 +112,8 @@
     return nullptr;
   }
   std::ranges::shuffle(from, m_random);
-  std::ranges::stable_partition(from, [&](const State* aState) {
+  // The ranges form does not compile with clang 14.
+  std::stable_partition(from.begin(), from.end(), [&](const State* aState) {
     return aState->m_endpoint.zone() == aZone;
   });
   from.resize(std::min(from.size(), kCompared));
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -27,7 +27,7 @@
 constexpr Duration kAnswerSlack = Milliseconds(120);
 // A request waits at most this part of its target latency for a key to find its
 // next owner.
-constexpr int64_t kOwnerWaitPercent = 60;
+constexpr int64_t kOwnerWaitPercent = 100;
 constexpr Duration kOwnerPoll = Milliseconds(40);
 // Without word from a leader for longer, a route that is not known may exist.
 constexpr Duration kFreshDirectory = Milliseconds(2500);
