--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -26,7 +26,7 @@
 // former leader is lost.
 constexpr Duration kReportTime = Milliseconds(2000);
 // After the last report, others may be on their way.
-constexpr Duration kReportSettle = Milliseconds(200);
+constexpr Duration kReportSettle = Milliseconds(120);
 // Pause between two rebalancing moves of a service, so that the measured load
 // follows the last one.
 constexpr Duration kMovePause = Milliseconds(1000);
--- a/modules/sidecar/src/BackendAgent.h
+++ b/modules/sidecar/src/BackendAgent.h
@@ -61,6 +61,7 @@
   // Changes when the leader should hear of it at once.
   // The answer to a heartbeat may soon grant more than now.
   bool ExpectsRanges() const { return m_expectsRanges; }
+  bool HasPlannedRanges() const { return !m_planned.empty(); }
   // Changes with every plan that is adopted.
   uint64_t PlanCount() const { return m_planCount; }
   // To be called with every heartbeat's answer when it is about to be written.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -332,12 +332,28 @@
   {
     const uint64_t plans = m_agent.PlanCount();
     const TimePoint end = m_clock.Now() + kHeartbeatHold;
-    while (m_agent.ExpectsRanges() && m_agent.PlanCount() == plans &&
+    while (MayGetRanges() && m_agent.PlanCount() == plans &&
            m_clock.Now() < end) {
       co_await Pause(kHeartbeatPoll);
     }
   }
 
+  // A backend server of a keyed service that owns nothing yet waits for its
+  // first ranges, as after a restart of everything.
+  bool MayGetRanges() const
+  {
+    if (m_agent.ExpectsRanges()) {
+      return true;
+    }
+    const auto& router = m_directory.Router();
+    const wire::BackendView& view = m_agent.View();
+    const wire::ServiceSpec* const service =
+      router == nullptr ? nullptr : router->FindService(view.service());
+    return view.phase() == wire::BACKEND_PHASE_READY &&
+           !m_agent.HasPlannedRanges() && service != nullptr &&
+           service->keyed();
+  }
+
   asio::awaitable<http::Response> ServeMetrics()
   {
     const EntryCounters& counters = m_entry.Counters();
