--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -470,7 +470,7 @@
     before->second->m_replaced = true;
     before->second->m_event.Notify();
   }
-  const auto held = std::make_shared<HeldSync>(m_context, aRequest.sequence());
+  const auto held = std::make_shared<HeldSync>(m_context);
   m_held[aRequest.instance()] = held;
   co_await WaitForNews(aRequest, held);
   const auto mine = m_held.find(aRequest.instance());
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -74,14 +73,12 @@
 private:
   struct HeldSync
   {
-    HeldSync(boost::asio::io_context& aContext, uint64_t aSequence)
+    explicit HeldSync(boost::asio::io_context& aContext)
       : m_event(aContext)
-      , m_sequence(aSequence)
     {
     }
 
     Event m_event;
-    uint64_t m_sequence;
     bool m_replaced = false;
   };
 
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -155,7 +155,7 @@
   if (!waiter->m_start) {
     m_waiters.erase(id);
     m_queue.Cancel(id);
-    co_return NotRun("cancelled", {});
+    co_return NotRun("caller-left", {});
   }
   if (!*waiter->m_start) {
     co_return NotRun("overloaded", kNotServingRetry);
@@ -224,8 +224,8 @@
   }
   const http::HttpError& error = response.error();
   if (error.m_code == http::HttpErrorCode::kCancelled) {
-    co_return error.m_maybeSent ? Unknown("cancelled")
-                                : NotRun("cancelled", {});
+    co_return error.m_maybeSent ? Unknown("caller-left")
+                                : NotRun("caller-left", {});
   }
   LogInfo("backend",
           "event=exchange-failed id={} service={} holder={} maybe_sent={} "
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -339,7 +339,9 @@
   result.m_retryAfter = kNoBackendRetry;
   result.m_arrived = error.m_maybeSent;
   result.m_outcome = error.m_maybeSent ? Outcome::kUnknown : Outcome::kNotRun;
-  if (error.m_code != http::HttpErrorCode::kCancelled) {
+  if (error.m_code == http::HttpErrorCode::kCancelled) {
+    result.m_reason = "caller-left";
+  } else {
     m_selector.OnSilence(instance, now);
     LogInfo("entry",
             "event=peer-failed id={} instance={} maybe_sent={} reason=\"{}\"",
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -1,5 +1,6 @@
 #include "rattanloft/sidecar/Sidecar.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 
@@ -38,6 +39,8 @@
 // Backend servers take an answer within a second, and send the next heartbeat
 // after about 0.9 s.
 constexpr Duration kHeartbeatHold = Milliseconds(650);
+// After ranges have come while more are on their way.
+constexpr Duration kNextRangesHold = Milliseconds(150);
 constexpr Duration kHeartbeatPoll = Milliseconds(15);
 // Callers stop sending after two readiness checks at intervals of 1 s.
 constexpr Duration kNoticeTime = Milliseconds(2300);
@@ -330,11 +333,15 @@
   // which the heartbeat was sent.
   asio::awaitable<void> WaitForRanges()
   {
-    const uint64_t plans = m_agent.PlanCount();
-    const TimePoint end = m_clock.Now() + kHeartbeatHold;
-    while (MayGetRanges() && m_agent.PlanCount() == plans &&
-           m_clock.Now() < end) {
+    uint64_t plans = m_agent.PlanCount();
+    TimePoint end = m_clock.Now() + kHeartbeatHold;
+    while (MayGetRanges() && m_clock.Now() < end) {
       co_await Pause(kHeartbeatPoll);
+      if (m_agent.PlanCount() != plans) {
+        // Some have come; those close behind them are waited for.
+        plans = m_agent.PlanCount();
+        end = std::min(end, m_clock.Now() + kNextRangesHold);
+      }
     }
   }
 
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -10,6 +10,7 @@
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
+#include "rattanloft/fleet/RangePlacer.h"
 
 namespace rattanloft::sidecar {
 
@@ -32,10 +33,8 @@
 void
 LoadCounter::Count(const std::string& aService, uint32_t aKey)
 {
-  // As wide as the buckets by which the leader places ranges.
-  constexpr uint32_t kKeysPerBucket = 64;
   if (m_counts.size() < kMaxCounted) {
-    ++m_counts[{ aService, aKey / kKeysPerBucket }];
+    ++m_counts[{ aService, aKey / fleet::kKeysPerBucket }];
   }
 }
 
--- a/tools/rattanloft/NodeCommand.cpp
+++ b/tools/rattanloft/NodeCommand.cpp
@@ -8,6 +8,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "SettingsText.h"
 #include "rattanloft/http/Endpoint.h"
 #include "rattanloft/node/Node.h"
 
@@ -42,21 +43,6 @@
 constexpr uint32_t kMaxPort = 65535;
 constexpr size_t kMaxNodeId = 64;
 
-std::vector<std::string>
-SplitList(const std::string& aText)
-{
-  std::vector<std::string> parts;
-  size_t start = 0;
-  while (start <= aText.size()) {
-    const size_t comma = std::min(aText.find(',', start), aText.size());
-    if (comma > start) {
-      parts.push_back(aText.substr(start, comma - start));
-    }
-    start = comma + 1;
-  }
-  return parts;
-}
-
 bool
 IsNodeId(const std::string& aText)
 {
