Wait in the fleet test until the wiped coordinator votes

The test was wrong twice: it took a 503, which a coordinator must answer while it is not sure, for a configuration; and it took the three voters in the log of the new learner, the lost one among them, for a group that had recovered, and then killed a second voter of three. Change: a read may answer 503 and else exactly the expected version, at once; the test waits for the new metric rattanloft_voter. Both checks are as strict as before on what is answered. Conclusion: a fault of the test, and a metric that operators need as well.

--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -40,6 +40,15 @@
 constexpr uint64_t kKeptEntries = 200;
 constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 
+bool
+IsVoter(const consensus::LogStatus& aStatus)
+{
+  return std::ranges::any_of(
+    aStatus.m_config.members(), [&](const wire::GroupMember& aMember) {
+      return aMember.replica_id() == aStatus.m_replicaId && !aMember.learner();
+    });
+}
+
 std::string
 HostOf(const std::string& aAddress)
 {
@@ -269,12 +278,14 @@
     const consensus::LogStatus log = m_log->Status();
     return fmt::format("rattanloft_leading {}\nrattanloft_term {}\n"
                        "rattanloft_commit_index {}\nrattanloft_voters {}\n"
+                       "rattanloft_voter {}\n"
                        "rattanloft_configuration_version {}\n"
                        "rattanloft_sidecars {}\n",
                        m_control->IsLeading() ? 1 : 0,
                        log.m_term,
                        log.m_commitIndex,
                        fleet::CountVoters(log.m_config),
+                       IsVoter(log) ? 1 : 0,
                        m_state.Current().configuration().version(),
                        m_control->Sidecars());
   }
--- a/tests/FleetTest.py
+++ b/tests/FleetTest.py
@@ -205,6 +205,19 @@
     def put(self, body, operator=0):
         return call(self.operators[operator], "PUT", "/v1/config", body)[0]
 
+    def has_metrics(self, coordinator, *lines):
+        address = f"127.0.0.{11 + coordinator}:{self.member_port}"
+        return set(lines) <= set(call(address, "GET", "/metrics")[1].splitlines())
+
+    def reads(self, operator, version):
+        """Whether a coordinator answers a read. It may refuse while no leader
+        is sure, but must not answer with another version."""
+        status, text = call(self.operators[operator], "GET", "/v1/config")
+        if status == 503:
+            return False
+        self.assertEqual((status, json.loads(text)["version"]), (200, version))
+        return True
+
     def ask(self, site, path, key, attempt, method="GET", body=None):
         headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000",
                    "Shard-Key": str(key), "Caller-Service": "forged"}
@@ -227,9 +240,8 @@
         self.assertEqual(self.put(configuration(2, 6), 0), 412)
         self.assertEqual(self.put(configuration(5, 4, "/z/"), 0), 400)
         self.assertEqual(self.put(configuration(5, 9)[:100], 0), 400)
-        for operator in self.operators:
-            status, text = call(operator, "GET", "/v1/config")
-            self.assertEqual((status, json.loads(text)["version"]), (200, "r5"))
+        for operator in range(3):
+            wait_for(lambda o=operator: self.reads(o, "r5"), 5, "a read at each coordinator")
 
         # Each key is run by one backend server, whichever sidecar is asked.
         for key in (5, 30000, 65000):
@@ -258,15 +270,12 @@
         subprocess.run(["rm", "-r", f"{self.folder.name}/c0"], check=True)
         wait_for(lambda: self.put(configuration(2, 3), 1) == 200, 8, "a new leader")
         self.start_coordinator(0, first=False)
-        wait_for(lambda: "rattanloft_voters 3" in call(
-            f"127.0.0.11:{self.member_port}", "GET", "/metrics")[1]
-            and "rattanloft_configuration_version 3" in call(
-            f"127.0.0.11:{self.member_port}", "GET", "/metrics")[1],
-            10, "the wiped coordinator votes again")
+        wait_for(lambda: self.has_metrics(0, "rattanloft_voter 1", "rattanloft_voters 3",
+                                          "rattanloft_configuration_version 3"),
+                 10, "the wiped coordinator votes again")
         self.processes[1].kill()
         self.processes[1].wait()
-        wait_for(lambda: json.loads(call(self.operators[0], "GET", "/v1/config")[1])["version"] == "r3",
-                 8, "the configuration after a second loss")
+        wait_for(lambda: self.reads(0, "r3"), 8, "the configuration after a second loss")
         wait_for(lambda: self.ask(0, "/p/x", 1, "late")[0] == 200, 8, "service")
 
     def test_drain_and_graceful_stop(self):
