--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -493,8 +493,8 @@
   return endpoints;
 }
 
-// Until every sidecar had time to report, a list would lack those that have not.
-// It goes only to sidecars that know none of another leader.
+// Until every sidecar had time to report, a list would lack those that have
+// not. It goes only to sidecars that know none of another leader.
 bool
 FleetLeader::NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const
 {
