Decide on further attempts in pure code, and count hops without wrapping

Cause: EntryHandler::RunAttempts lowered its count of hops on every wait for the owner of a key, also when nothing had been sent. The count wrapped below zero, the request got no second attempt, and its log line a wrong count. Found by reading.

Ruled out: counting only attempts that were sent and keeping the bound of four for keyed requests as well; a move takes up to 0.5 s, so requests would end before their key has an owner. The wait for the owner bounds them.

Change: AttemptPolicy holds the decision, without sockets or clocks. The path of a sync, which stood in two modules, moves to fleet/InternalPaths.h.

--- a/modules/coordinator/src/ConfigurationService.cpp
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -176,7 +176,7 @@
   if (leader.empty()) {
     co_return Unavailable();
   }
-  std::string path(kConfigurationPath);
+  std::string path(fleet::kConfigurationPath);
   path += '/';
   if (aCall == OperatorCall::kReadConfiguration) {
     path += kReadMark;
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -222,17 +222,17 @@
   asio::awaitable<http::Response> OnInternal(http::Request aRequest)
   {
     const std::string path(aRequest.target());
-    if (path == kRaftPath) {
+    if (path == fleet::kRaftPath) {
       co_return OnRaft(aRequest.body());
     }
-    if (path == kSyncPath) {
+    if (path == fleet::kSyncPath) {
       http::Response response = co_await OnSync(aRequest.body());
       co_return response;
     }
-    if (path == kJoinPath) {
+    if (path == fleet::kJoinPath) {
       co_return OnJoin(aRequest.body());
     }
-    if (path.starts_with(kConfigurationPath)) {
+    if (path.starts_with(fleet::kConfigurationPath)) {
       http::Response response =
         co_await m_configuration->OnRelayed(std::move(aRequest));
       co_return response;
@@ -333,7 +333,7 @@
   asio::awaitable<std::string> AskToJoin(std::string aContact)
   {
     http::Request request =
-      MakeInternalRequest(kJoinPath, Self().SerializeAsString());
+      MakeInternalRequest(fleet::kJoinPath, Self().SerializeAsString());
     tl::expected<http::Response, http::HttpError> response =
       co_await m_client->Exchange(aContact, std::move(request), kCallTimeout);
     wire::JoinReply reply;
--- a/modules/coordinator/src/InternalCalls.h
+++ b/modules/coordinator/src/InternalCalls.h
@@ -3,17 +3,12 @@
 #include <string>
 #include <string_view>
 
+#include "rattanloft/fleet/InternalPaths.h"
 #include "rattanloft/http/Types.h"
 
 // The calls between coordinators and from sidecars: protobuf bodies over HTTP.
 namespace rattanloft::coordinator {
 
-constexpr std::string_view kRaftPath = "/raft";
-constexpr std::string_view kSyncPath = "/sync";
-constexpr std::string_view kJoinPath = "/join";
-// An operator's call passed on to the leader with its body unchanged.
-constexpr std::string_view kConfigurationPath = "/configuration";
-
 inline http::Request
 MakeInternalRequest(std::string_view aPath, std::string aBody)
 {
--- /dev/null
+++ b/modules/sidecar/src/AttemptPolicy.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+
+#include "PeerHeaders.h"
+#include "rattanloft/base/Time.h"
+
+namespace rattanloft::sidecar {
+
+// Pause before the owner of a key is looked up again.
+constexpr Duration kOwnerPoll = Milliseconds(40);
+
+struct AttemptLimits
+{
+  // The key has one owner, so a further attempt waits for the next owner.
+  bool m_keyed = false;
+  // The request may run more than once.
+  bool m_idempotent = false;
+  // Backend servers that one request may reach.
+  uint32_t m_maxArrivals = 1;
+  TimePoint m_deadline;
+  // End of the wait for the next owner.
+  TimePoint m_ownerWaitEnd;
+};
+
+enum class NextStep
+{
+  kSend,
+  // Look for the owner of the key again after a pause.
+  kWaitForOwner,
+  kFinish,
+};
+
+// Decides whether a request goes on after an attempt, or without one when no
+// backend server was found. Answers keys that move, full and failing backend
+// servers. Pure; one per request.
+class AttemptPolicy
+{
+public:
+  explicit AttemptPolicy(AttemptLimits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  // aMayRetry says whether the retry budget has room; it is asked only if the
+  // budget alone decides.
+  template<typename MayRetry>
+  NextStep OnResult(const AttemptResult& aResult,
+                    TimePoint aNow,
+                    MayRetry&& aMayRetry)
+  {
+    Count(aResult);
+    if (!MayGoOn(aResult, aNow) || (aResult.m_arrived && !aMayRetry())) {
+      return NextStep::kFinish;
+    }
+    return m_limits.m_keyed ? AfterKeyed(aResult, aNow) : NextStep::kSend;
+  }
+  // No backend server is there to choose.
+  NextStep OnNoTarget(TimePoint aNow) const;
+
+  // Attempts at sidecars, and those of them that reached a backend server.
+  uint32_t Hops() const { return m_hops; }
+  uint32_t Arrivals() const { return m_arrivals; }
+  // A refusal of a later attempt does not take back that an earlier one may
+  // have run.
+  bool MayHaveRun() const { return m_mayHaveRun; }
+
+private:
+  void Count(const AttemptResult& aResult);
+  bool MayGoOn(const AttemptResult& aResult, TimePoint aNow) const;
+  NextStep AfterKeyed(const AttemptResult& aResult, TimePoint aNow) const;
+  NextStep WaitForOwner(TimePoint aNow) const;
+
+  AttemptLimits m_limits;
+  uint32_t m_hops = 0;
+  uint32_t m_arrivals = 0;
+  bool m_mayHaveRun = false;
+};
+
+} // namespace rattanloft::sidecar
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -140,7 +140,7 @@
     co_return std::nullopt;
   }
   if (verdict.m_decision == WorkDecision::kRefuse) {
-    co_return NotRun("overloaded", verdict.m_retryAfter);
+    co_return NotRun(kOverloadedReason, verdict.m_retryAfter);
   }
   const auto waiter = std::make_shared<Waiter>(m_context);
   waiter->m_wake.expires_at(asio::steady_timer::time_point::max());
@@ -158,7 +158,7 @@
     co_return NotRun("caller-left", {});
   }
   if (!*waiter->m_start) {
-    co_return NotRun("overloaded", kNotServingRetry);
+    co_return NotRun(kOverloadedReason, kNotServingRetry);
   }
   co_return std::nullopt;
 }
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -25,16 +25,10 @@
 constexpr Duration kHopTime = Milliseconds(4);
 // Final answers of the backend server at its deadline are waited for.
 constexpr Duration kAnswerSlack = Milliseconds(120);
-// A request waits at most this part of its target latency for a key to find its
-// next owner.
-constexpr int64_t kOwnerWaitPercent = 100;
-constexpr Duration kOwnerPoll = Milliseconds(40);
 // Without word from a leader for longer, a route that is not known may exist.
 constexpr Duration kFreshDirectory = Milliseconds(2500);
 constexpr Duration kNoConfigurationRetry = Milliseconds(300);
 constexpr Duration kNoBackendRetry = Milliseconds(200);
-// Refusals by sidecars that never reached a backend server.
-constexpr uint32_t kMaxHops = 4;
 // Work that a running request waits for has a short target; it goes first,
 // since refusing it wastes the work of its parent.
 constexpr uint32_t kUrgentTargetMs = 200;
@@ -177,29 +171,26 @@
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-// Whether the request may go on after this result.
 bool
-EntryHandler::MayRetry(const AttemptResult& aResult, Passage& aPassage)
+EntryHandler::TryRetry(const std::string& aService)
 {
-  const TimePoint now = m_clock.Now();
-  if (aResult.m_outcome == Outcome::kAnswered || now >= aPassage.m_deadline ||
-      aPassage.m_hops >= kMaxHops) {
-    return false;
-  }
-  if (aResult.m_outcome == Outcome::kUnknown &&
-      !aPassage.m_route->idempotent()) {
-    return false;
-  }
-  if (!aResult.m_arrived) {
-    return true;
-  }
-  const uint32_t attempts = std::max(1U, aPassage.m_route->max_attempts());
-  if (aPassage.m_arrivals >= attempts ||
-      !Allowance(aPassage.m_service).TryRetry(m_directory.Sidecars(), now)) {
-    return false;
-  }
-  ++m_counters.m_retries;
-  return true;
+  const bool allowed =
+    Allowance(aService).TryRetry(m_directory.Sidecars(), m_clock.Now());
+  m_counters.m_retries += allowed ? 1 : 0;
+  return allowed;
+}
+
+AttemptPolicy
+EntryHandler::MakePolicy(const Passage& aPassage)
+{
+  AttemptLimits limits;
+  limits.m_keyed = aPassage.m_keyed;
+  limits.m_idempotent = aPassage.m_route->idempotent();
+  limits.m_maxArrivals = std::max(1U, aPassage.m_route->max_attempts());
+  limits.m_deadline = aPassage.m_deadline;
+  // After its target latency an answer is worth less than a new request.
+  limits.m_ownerWaitEnd = aPassage.m_target;
+  return AttemptPolicy(limits);
 }
 
 asio::awaitable<AttemptResult>
@@ -207,47 +198,33 @@
                           Passage& aPassage,
                           std::shared_ptr<http::CancelToken> aCancel)
 {
-  const TimePoint waitEnd =
-    aPassage.m_arrived +
-    (aPassage.m_target - aPassage.m_arrived) * kOwnerWaitPercent / 100;
+  AttemptPolicy policy = MakePolicy(aPassage);
   AttemptResult last;
   last.m_outcome = Outcome::kNotRun;
   last.m_reason = "no-backend";
   last.m_retryAfter = kNoBackendRetry;
-  // An earlier attempt may have run, so no later refusal may say otherwise.
-  bool mayHaveRun = false;
-  while (true) {
-    aPassage.m_instance = ChooseInstance(aPassage);
-    if (!aPassage.m_instance.empty()) {
-      ++aPassage.m_hops;
-      aPassage.m_tried.insert(aPassage.m_instance);
-      AttemptResult result = co_await Attempt(aRequest, aPassage, aCancel);
-      last = std::move(result);
-      aPassage.m_arrivals += last.m_arrived ? 1 : 0;
-      mayHaveRun = mayHaveRun || last.m_outcome == Outcome::kUnknown;
-      if (aCancel && aCancel->IsCancelled()) {
-        break;
-      }
-      if (!MayRetry(last, aPassage)) {
-        break;
-      }
-    }
-    const bool overloaded = last.m_reason == "overloaded";
-    if (aPassage.m_keyed) {
-      // The key has one owner only; wait for the next one while it moves.
-      if (overloaded || m_clock.Now() + kOwnerPoll > waitEnd) {
-        break;
-      }
-      --aPassage.m_hops;
+  NextStep step = NextStep::kSend;
+  while (step != NextStep::kFinish) {
+    if (step == NextStep::kWaitForOwner) {
       co_await Pause(kOwnerPoll);
-      if (aCancel && aCancel->IsCancelled()) {
-        break;
-      }
-    } else if (aPassage.m_instance.empty()) {
+    }
+    if (aCancel && aCancel->IsCancelled()) {
       break;
     }
+    aPassage.m_instance = ChooseInstance(aPassage);
+    if (aPassage.m_instance.empty()) {
+      step = policy.OnNoTarget(m_clock.Now());
+      continue;
+    }
+    aPassage.m_tried.insert(aPassage.m_instance);
+    AttemptResult result = co_await Attempt(aRequest, aPassage, aCancel);
+    last = std::move(result);
+    step = policy.OnResult(
+      last, m_clock.Now(), [&] { return TryRetry(aPassage.m_service); });
   }
-  if (mayHaveRun && last.m_outcome == Outcome::kNotRun) {
+  aPassage.m_hops = policy.Hops();
+  aPassage.m_arrivals = policy.Arrivals();
+  if (policy.MayHaveRun() && last.m_outcome == Outcome::kNotRun) {
     last.m_outcome = Outcome::kUnknown;
   }
   co_return last;
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "AttemptPolicy.h"
 #include "BackendHandler.h"
 #include "Directory.h"
 #include "EndpointSelector.h"
@@ -68,6 +69,7 @@
     TimePoint m_deadline;
     TimePoint m_target;
     std::string m_instance;
+    // Of all attempts, once they have ended.
     uint32_t m_arrivals = 0;
     uint32_t m_hops = 0;
     std::set<std::string> m_tried;
@@ -90,7 +92,9 @@
     const std::string& aAddress,
     const RequestTerms& aTerms,
     std::shared_ptr<http::CancelToken> aCancel);
-  bool MayRetry(const AttemptResult& aResult, Passage& aPassage);
+  static AttemptPolicy MakePolicy(const Passage& aPassage);
+  // Takes one retry from the budget of the service.
+  bool TryRetry(const std::string& aService);
   boost::asio::awaitable<void> Pause(Duration aTime);
   RequestTerms Terms(const Passage& aPassage) const;
   http::Response Finish(AttemptResult aResult, const Passage& aPassage);
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -27,6 +27,9 @@
 // Set if the request reached the backend server, which refused it.
 constexpr std::string_view kArrivedField = "Rattanloft-Arrived";
 
+// Reason of a refusal for want of room at the backend server.
+constexpr std::string_view kOverloadedReason = "overloaded";
+
 enum class Outcome
 {
   // The answer of the backend server.
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -10,6 +10,7 @@
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
+#include "rattanloft/fleet/InternalPaths.h"
 #include "rattanloft/fleet/RangePlacer.h"
 
 namespace rattanloft::sidecar {
@@ -18,7 +19,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kSyncPath = "/sync";
 // The leader holds a call for 500 ms; more than that means a silent path.
 constexpr Duration kCallTimeout = Milliseconds(850);
 // Pause after a failed call, before the next coordinator is asked.
@@ -167,7 +167,7 @@
   const wire::FleetSyncRequest sync = MakeRequest();
   http::Request request;
   request.method(boost::beast::http::verb::post);
-  request.target({ kSyncPath.data(), kSyncPath.size() });
+  request.target({ fleet::kSyncPath.data(), fleet::kSyncPath.size() });
   request.body() = sync.SerializeAsString();
   const TimePoint sent = m_clock.Now();
   tl::expected<http::Response, http::HttpError> response =
