Send only the ranges and plans that a sidecar does not know

Every assignment sent all ranges of all services to every sidecar, and every renewal of a lease repeated the whole plan.

Ruled out: compressing the answers of backend servers (trial: zlib makes their bodies longer).

Change: an assignment carries the log index of its command as its fence, so the leader sends the ranges above the index that the sidecar reports, and the plan only if the sidecar reports another one. Directory merges the ranges.

FleetLeaderTest failed before (34 ranges instead of 1 after one assignment; the plan again with each sync) and passes now; DirectoryTest guards the merge.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -115,6 +115,7 @@
                            const wire::BackendView& aBackend);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
+  void AddRanges(uint64_t aKnownIndex, wire::FleetSyncReply& aReply) const;
   void AddEndpoints(wire::FleetSyncReply& aReply) const;
 
   const FleetState& m_state;
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -526,6 +526,26 @@
   }
 }
 
+// Each assignment carries the index of its command as its fence, so the later
+// ones are those that the sidecar does not know.
+void
+FleetLeader::AddRanges(uint64_t aKnownIndex, wire::FleetSyncReply& aReply) const
+{
+  aReply.set_has_ranges(true);
+  for (const auto& [name, ranges] : m_state.Services()) {
+    wire::ServiceRanges changed;
+    changed.set_service(name);
+    for (const wire::OwnedRange& range : ranges.ranges()) {
+      if (range.fence() > aKnownIndex) {
+        *changed.add_ranges() = range;
+      }
+    }
+    if (!changed.ranges().empty()) {
+      *aReply.add_services() = std::move(changed);
+    }
+  }
+}
+
 wire::FleetSyncReply
 FleetLeader::BuildReply(const wire::FleetSyncRequest& aRequest, TimePoint aNow)
 {
@@ -540,10 +560,7 @@
   }
   reply.set_ranges_index(m_state.RangesIndex());
   if (aRequest.ranges_index() < m_state.RangesIndex()) {
-    reply.set_has_ranges(true);
-    for (const auto& [name, ranges] : m_state.Services()) {
-      *reply.add_services() = ranges;
-    }
+    AddRanges(aRequest.ranges_index(), reply);
   }
   if (NeedsEndpoints(aRequest)) {
     AddEndpoints(reply);
@@ -563,8 +580,10 @@
   reply.set_holder(name);
   reply.set_plan(holder.m_plan);
   reply.set_expects_ranges(Expects(name));
-  for (const wire::OwnedRange& range : holder.m_planned) {
-    *reply.add_plan_ranges() = range;
+  if (aRequest.plan_term() != m_term || aRequest.plan() != holder.m_plan) {
+    for (const wire::OwnedRange& range : holder.m_planned) {
+      *reply.add_plan_ranges() = range;
+    }
   }
   return reply;
 }
--- /dev/null
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -0,0 +1,147 @@
+#include "rattanloft/fleet/FleetLeader.h"
+
+#include <catch2/catch.hpp>
+
+#include "rattanloft/fleet/FleetState.h"
+
+namespace rattanloft::fleet {
+
+namespace {
+
+constexpr uint64_t kTerm = 3;
+const TimePoint kStart{ 100'000 };
+
+// A leader with one keyed service and a replicated log without delay.
+class Group
+{
+public:
+  Group()
+    : m_leader(m_state, kTerm, {}, kStart)
+  {
+    wire::FleetCommand command;
+    wire::ReplaceConfiguration& change =
+      *command.mutable_replace_configuration();
+    change.mutable_configuration()->set_version(1);
+    wire::ServiceSpec& service =
+      *change.mutable_configuration()->add_services();
+    service.set_name("s");
+    service.set_keyed(true);
+    Apply(command);
+  }
+
+  void Apply(const wire::FleetCommand& aCommand)
+  {
+    m_state.Apply(++m_index, aCommand.SerializeAsString());
+  }
+
+  // Lets time pass and carries out what the leader proposes.
+  void RunFor(Duration aTime)
+  {
+    constexpr Duration kStep = Milliseconds(100);
+    for (const TimePoint end = m_now + aTime; m_now < end;) {
+      m_now = m_now + kStep;
+      for (wire::AssignRanges& assign : m_leader.Plan(m_now)) {
+        const std::string service = assign.service();
+        wire::FleetCommand command;
+        *command.mutable_assign_ranges() = std::move(assign);
+        Apply(command);
+        m_leader.OnAssigned(service);
+      }
+    }
+  }
+
+  wire::FleetSyncReply Sync(wire::FleetSyncRequest aRequest)
+  {
+    aRequest.set_session(1);
+    aRequest.set_sequence(++m_sequence);
+    REQUIRE(m_leader.OnSync(aRequest, m_now));
+    return m_leader.BuildReply(aRequest, m_now);
+  }
+
+  wire::FleetSyncRequest Report(const std::string& aInstance) const
+  {
+    wire::FleetSyncRequest request;
+    request.set_instance(aInstance);
+    request.set_peer_address(aInstance + ":1");
+    wire::BackendView& backend = *request.mutable_backend();
+    backend.set_service("s");
+    backend.set_slots(4);
+    backend.set_backend_id("b");
+    backend.set_started_at_unix_ms(1);
+    backend.set_holder(aInstance + "/b@1");
+    backend.set_phase(wire::BACKEND_PHASE_READY);
+    backend.set_reachable(true);
+    return request;
+  }
+
+  FleetState m_state;
+  FleetLeader m_leader;
+  TimePoint m_now = kStart;
+  uint64_t m_index = 0;
+  uint64_t m_sequence = 0;
+};
+
+int
+CountRanges(const wire::FleetSyncReply& aReply)
+{
+  int count = 0;
+  for (const wire::ServiceRanges& service : aReply.services()) {
+    count += service.ranges_size();
+  }
+  return count;
+}
+
+} // namespace
+
+// Guards against the whole list of ranges on every change: with many ranges and
+// sidecars it is most of what control sends.
+TEST_CASE("a sync carries only the ranges that the sidecar does not know")
+{
+  Group group;
+  group.Sync(group.Report("n1"));
+  group.Sync(group.Report("n2"));
+  for (int i = 0; i < 30; ++i) {
+    group.Sync(group.Report("n1"));
+    group.Sync(group.Report("n2"));
+    group.RunFor(Milliseconds(100));
+  }
+  wire::FleetSyncRequest reader = group.Report("n1");
+  const wire::FleetSyncReply all = group.Sync(reader);
+  REQUIRE(CountRanges(all) > 10);
+  reader.set_ranges_index(all.ranges_index());
+  CHECK_FALSE(group.Sync(reader).has_ranges());
+
+  wire::FleetCommand command;
+  command.mutable_assign_ranges()->set_service("s");
+  wire::RangeAssignment& moved =
+    *command.mutable_assign_ranges()->add_ranges();
+  moved.set_first(100);
+  moved.set_last(200);
+  moved.set_holder("n2/b@1");
+  group.Apply(command);
+  const wire::FleetSyncReply changed = group.Sync(reader);
+  REQUIRE(CountRanges(changed) == 1);
+  CHECK(changed.services(0).ranges(0).first() == 100);
+  CHECK(changed.services(0).ranges(0).last() == 200);
+}
+
+// Guards against a plan that is sent again with every renewal of a lease.
+TEST_CASE("a plan is sent until the sidecar reports it")
+{
+  Group group;
+  for (int i = 0; i < 30; ++i) {
+    group.Sync(group.Report("n1"));
+    group.RunFor(Milliseconds(100));
+  }
+  wire::FleetSyncRequest report = group.Report("n1");
+  const wire::FleetSyncReply first = group.Sync(report);
+  REQUIRE(first.plan_ranges_size() > 0);
+  report.set_plan_term(first.term());
+  report.set_plan(first.plan());
+  const wire::FleetSyncReply again = group.Sync(report);
+  CHECK(again.plan() == first.plan());
+  CHECK(again.plan_ranges_size() == 0);
+  CHECK(again.lease_ms() > 0);
+}
+
+} // namespace rattanloft::fleet
--- a/modules/sidecar/src/Directory.cpp
+++ b/modules/sidecar/src/Directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/fleet/FleetState.h"
 
 namespace rattanloft::sidecar {
 
@@ -24,12 +25,7 @@
             aReply.configuration().routes_size());
   }
   if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
-    m_rangesIndex = aReply.ranges_index();
-    m_ranges.clear();
-    for (const wire::ServiceRanges& ranges : aReply.services()) {
-      m_ranges[ranges.service()] = ranges;
-    }
-    LogInfo("directory", "event=ranges index={}", m_rangesIndex);
+    AdoptRanges(aReply);
   }
   const bool laterTerm = aReply.term() > m_endpointsTerm;
   if (aReply.has_endpoints() &&
@@ -46,6 +42,28 @@
   }
 }
 
+void
+Directory::AdoptRanges(const wire::FleetSyncReply& aReply)
+{
+  int changed = 0;
+  for (const wire::ServiceRanges& service : aReply.services()) {
+    wire::ServiceRanges& known = m_ranges[service.service()];
+    if (known.ranges().empty()) {
+      known.add_ranges()->set_last(fleet::kLastKey);
+    }
+    for (const wire::OwnedRange& range : service.ranges()) {
+      fleet::AssignRange(known, range);
+    }
+    changed += service.ranges_size();
+  }
+  LogInfo("directory",
+          "event=ranges index={} before={} changed={}",
+          aReply.ranges_index(),
+          m_rangesIndex,
+          changed);
+  m_rangesIndex = aReply.ranges_index();
+}
+
 const wire::OwnedRange*
 Directory::FindOwner(const std::string& aService, uint32_t aKey) const
 {
--- a/modules/sidecar/src/Directory.h
+++ b/modules/sidecar/src/Directory.h
@@ -37,6 +37,9 @@
   Duration Age(TimePoint aNow) const { return aNow - m_heard; }
 
 private:
+  // The reply has the ranges that changed since the known index.
+  void AdoptRanges(const wire::FleetSyncReply& aReply);
+
   std::shared_ptr<const fleet::RequestRouter> m_router;
   std::map<std::string, wire::ServiceRanges> m_ranges;
   uint64_t m_rangesIndex = 0;
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -1,4 +1,4 @@
-#include "../src/AttemptPolicy.h"
+#include "AttemptPolicy.h"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/modules/sidecar/tests/DirectoryTest.cpp
@@ -0,0 +1,61 @@
+#include "Directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "rattanloft/fleet/FleetState.h"
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+const TimePoint kNow{ 1000 };
+
+wire::FleetSyncReply
+Ranges(uint64_t aIndex, uint32_t aFirst, uint32_t aLast, const char* aHolder)
+{
+  wire::FleetSyncReply reply;
+  reply.set_has_ranges(true);
+  reply.set_ranges_index(aIndex);
+  wire::ServiceRanges& service = *reply.add_services();
+  service.set_service("s");
+  wire::OwnedRange& range = *service.add_ranges();
+  range.set_first(aFirst);
+  range.set_last(aLast);
+  range.set_holder(aHolder);
+  range.set_fence(aIndex);
+  return reply;
+}
+
+std::string
+Owner(const Directory& aDirectory, uint32_t aKey)
+{
+  const wire::OwnedRange* const range = aDirectory.FindOwner("s", aKey);
+  return range == nullptr ? std::string() : range->holder();
+}
+
+} // namespace
+
+// Guards against keys that lose their owner when other keys move.
+TEST_CASE("changed ranges leave the others as they are")
+{
+  Directory directory;
+  directory.Adopt(Ranges(5, 0, 999, "a"), kNow);
+  CHECK(Owner(directory, 999) == "a");
+  CHECK(Owner(directory, 1000).empty());
+  directory.Adopt(Ranges(6, 500, fleet::kLastKey, "b"), kNow);
+  CHECK(Owner(directory, 499) == "a");
+  CHECK(Owner(directory, 500) == "b");
+  CHECK(Owner(directory, fleet::kLastKey) == "b");
+}
+
+// Guards against an owner of earlier times after a late reply.
+TEST_CASE("a reply that is older than the known ranges changes nothing")
+{
+  Directory directory;
+  directory.Adopt(Ranges(6, 0, fleet::kLastKey, "b"), kNow);
+  directory.Adopt(Ranges(5, 0, fleet::kLastKey, "a"), kNow);
+  CHECK(Owner(directory, 7) == "b");
+  CHECK(directory.RangesIndex() == 6);
+}
+
+} // namespace rattanloft::sidecar
