Keep large request bodies in their availability zone while a slot is free there

Ruled out: the answers (549 bytes on average), header fields between sidecars (about 150 bytes of each message), requests with keys (their owner decides).

Change: EndpointSelector weighs the body against the time while the own zone's backend server has a free slot; a full, slow or failing one loses them.

--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -22,6 +22,9 @@
 // Time that a request may take longer in the own availability zone before it
 // goes to another one: bytes between zones have a price.
 constexpr double kOtherZoneMs = 12;
+// The same for each KiB of the body, while the own zone has a free slot. A large
+// body must not wait for the sake of its bytes.
+constexpr double kOtherZoneMsPerKib = 12;
 constexpr int64_t kFirstSuspicionMs = 500;
 constexpr int kMaxSilences = 4;
 
@@ -66,7 +69,7 @@
 
 double
 EndpointSelector::Cost(const State& aState,
-                       const std::string& aZone,
+                       const Wanted& aWanted,
                        TimePoint aNow) const
 {
   const double slots = std::max(1U, aState.m_endpoint.backend().slots());
@@ -84,15 +87,18 @@
     cost *= kColdFactor;
   }
   cost *= 1 + kFailureCost * aState.m_failures;
-  if (aState.m_endpoint.zone() != aZone) {
+  const bool ownZone = aState.m_endpoint.zone() == aWanted.m_zone;
+  if (!ownZone) {
     cost += kOtherZoneMs;
+  } else if (busy < slots) {
+    cost -=
+      kOtherZoneMsPerKib * static_cast<double>(aWanted.m_bodyBytes) / 1024;
   }
   return cost;
 }
 
 const wire::Endpoint*
-EndpointSelector::Choose(const std::string& aService,
-                         const std::string& aZone,
+EndpointSelector::Choose(const Wanted& aWanted,
                          const std::set<std::string>& aTried,
                          TimePoint aNow)
 {
@@ -100,7 +106,7 @@
   std::vector<const State*> doubtful;
   for (const auto& [instance, state] : m_states) {
     const wire::BackendView& backend = state.m_endpoint.backend();
-    if (backend.service() != aService || aTried.contains(instance) ||
+    if (backend.service() != aWanted.m_service || aTried.contains(instance) ||
         backend.phase() != wire::BACKEND_PHASE_READY) {
       continue;
     }
@@ -114,11 +120,11 @@
   std::ranges::shuffle(from, m_random);
   // The ranges form does not compile with clang 14.
   std::stable_partition(from.begin(), from.end(), [&](const State* aState) {
-    return aState->m_endpoint.zone() == aZone;
+    return aState->m_endpoint.zone() == aWanted.m_zone;
   });
   from.resize(std::min(from.size(), kCompared));
   const State* best = *std::ranges::min_element(
-    from, {}, [&](const State* aState) { return Cost(*aState, aZone, aNow); });
+    from, {}, [&](const State* aState) { return Cost(*aState, aWanted, aNow); });
   return &best->m_endpoint;
 }
 
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -22,10 +22,19 @@
   uint32_t m_serviceMs = 0;
 };
 
+// What a request asks of an endpoint.
+struct Wanted
+{
+  std::string m_service;
+  // Availability zone in which the request began.
+  std::string m_zone;
+  size_t m_bodyBytes = 0;
+};
+
 // Chooses the sidecar to which a request of a service without keys goes, by the
-// time that it would probably take there. Answers backend servers of different
-// speed, slow and failing ones, and sidecars that cannot be reached. Pure;
-// traffic thread.
+// time that it would probably take there and the bytes that it would carry
+// between availability zones. Answers backend servers of different speed, slow
+// and failing ones, and sidecars that cannot be reached. Pure; traffic thread.
 class EndpointSelector
 {
 public:
@@ -37,8 +46,7 @@
   void SetEndpoints(std::span<const wire::Endpoint> aEndpoints, TimePoint aNow);
   // Null if there is none that was not tried. A suspect endpoint is chosen only
   // if there is no other.
-  const wire::Endpoint* Choose(const std::string& aService,
-                               const std::string& aZone,
+  const wire::Endpoint* Choose(const Wanted& aWanted,
                                const std::set<std::string>& aTried,
                                TimePoint aNow);
   const wire::Endpoint* Find(const std::string& aInstance) const;
@@ -65,9 +73,7 @@
     TimePoint m_suspectUntil;
   };
 
-  double Cost(const State& aState,
-              const std::string& aZone,
-              TimePoint aNow) const;
+  double Cost(const State& aState, const Wanted& aWanted, TimePoint aNow) const;
 
   std::map<std::string, State> m_states;
   std::mt19937_64 m_random;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -143,6 +143,7 @@
   Allowance(passage.m_service).OnRequest(passage.m_arrived);
   RemovePeerFields(aRequest);
   SetField(aRequest, m_protocol.Headers().m_callerService, m_options.m_service);
+  passage.m_bodyBytes = aRequest.body().size();
   AttemptResult result =
     co_await RunAttempts(aRequest, passage, std::move(aCancel));
   co_return Finish(std::move(result), passage);
@@ -160,7 +161,9 @@
              : owner->holder().substr(0, owner->holder().find('/'));
   }
   const wire::Endpoint* const endpoint = m_selector.Choose(
-    aPassage.m_service, m_options.m_zone, aPassage.m_tried, now);
+    { aPassage.m_service, m_options.m_zone, aPassage.m_bodyBytes },
+    aPassage.m_tried,
+    now);
   return endpoint == nullptr ? std::string() : endpoint->instance();
 }
 
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -65,6 +65,7 @@
     std::string m_service;
     bool m_keyed = false;
     std::optional<uint32_t> m_key;
+    size_t m_bodyBytes = 0;
     TimePoint m_arrived;
     TimePoint m_deadline;
     TimePoint m_target;
--- a/modules/sidecar/tests/EndpointSelectorTest.cpp
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -24,12 +24,14 @@
 }
 
 std::map<std::string, int>
-ChooseMany(EndpointSelector& aSelector, TimePoint aNow)
+ChooseMany(EndpointSelector& aSelector,
+           TimePoint aNow,
+           size_t aBodyBytes = 0)
 {
   std::map<std::string, int> chosen;
   for (int i = 0; i < 300; ++i) {
     const wire::Endpoint* const endpoint =
-      aSelector.Choose("s", "z1", {}, aNow);
+      aSelector.Choose({ "s", "z1", aBodyBytes }, {}, aNow);
     ++chosen[endpoint == nullptr ? "" : endpoint->instance()];
   }
   return chosen;
@@ -45,8 +47,8 @@
   };
   selector.SetEndpoints(endpoints, {});
   CHECK(ChooseMany(selector, {})["a"] == 300);
-  CHECK(selector.Choose("s", "z1", { "a" }, {}) == nullptr);
-  CHECK(selector.Choose("t", "z1", {}, {}) == nullptr);
+  CHECK(selector.Choose({ "s", "z1", 0 }, { "a" }, {}) == nullptr);
+  CHECK(selector.Choose({ "t", "z1", 0 }, {}, {}) == nullptr);
   CHECK(selector.Find("b") != nullptr);
 }
 
@@ -73,7 +75,7 @@
   CHECK(ChooseMany(selector, TimePoint{ 1100 })["a"] == 0);
   CHECK(ChooseMany(selector, TimePoint{ 1600 })["a"] > 0);
   // The last resort if there is no other.
-  CHECK(selector.Choose("s", "z1", { "b" }, TimePoint{ 1100 }) != nullptr);
+  CHECK(selector.Choose({ "s", "z1", 0 }, { "b" }, TimePoint{ 1100 }) != nullptr);
 }
 
 // Guards against a backend server that fails fast and so attracts everything.
@@ -91,4 +93,22 @@
   CHECK(ChooseMany(selector, {})["bad"] == 0);
 }
 
+// Guards against large bodies that cross availability zones for a few
+// milliseconds, and against a queue in the own zone for the sake of the bytes.
+TEST_CASE("a large body stays in its zone while a slot is free there")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("near", "z1"),
+                                                  MakeEndpoint("far", "z2") };
+  selector.SetEndpoints(endpoints, {});
+  selector.OnLoad("near", { 5, 0, 10, 100 }, {});
+  selector.OnLoad("far", { 5, 0, 10, 60 }, {});
+  CHECK(ChooseMany(selector, {}, 100)["far"] == 300);
+  CHECK(ChooseMany(selector, {}, 6000)["near"] == 300);
+  selector.OnLoad("near", { 10, 2, 10, 100 }, {});
+  CHECK(ChooseMany(selector, {}, 6000)["far"] == 300);
+  selector.OnLoad("near", { 5, 0, 10, 500 }, {});
+  CHECK(ChooseMany(selector, {}, 6000)["far"] == 300);
+}
+
 } // namespace rattanloft::sidecar
