Use short election timeouts after a start until a leader is heard

Ruled out: slow starts (40 ms), the sidecars' search for the leader (45 ms).

Change: for 2 s after a start, or until a leader is heard, election timeouts are 50 to 250 ms. A pre-vote deposes no leader that others hear, and each sync is confirmed by a quorum round, so no lease depends on the timeouts.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -73,6 +73,12 @@
   Duration m_heartbeat = Milliseconds(100);
   Duration m_electionMin = Milliseconds(400);
   Duration m_electionMax = Milliseconds(800);
+  // Election timeouts after a start until a leader is heard, for m_startPhase.
+  // A pre-vote does not disturb a leader that others hear, so a group that
+  // restarts as a whole need not wait for the regular timeouts.
+  Duration m_startElectionMin = Milliseconds(50);
+  Duration m_startElectionMax = Milliseconds(250);
+  Duration m_startPhase = Milliseconds(2000);
   // Applied entries between snapshots.
   uint64_t m_snapshotInterval = 10'000;
   // Entries kept in memory behind a snapshot, so that a follower that is a
--- a/modules/consensus/src/RaftCore.cpp
+++ b/modules/consensus/src/RaftCore.cpp
@@ -15,6 +15,7 @@
   , m_now(aNow)
   , m_hardState(std::move(aState.m_hardState))
   , m_snapshot(std::move(aState.m_snapshot))
+  , m_started(aNow)
 {
   if (m_snapshot) {
     m_log.Reset(m_snapshot->m_meta.index(), m_snapshot->m_meta.term());
@@ -59,11 +60,19 @@
   return m_role;
 }
 
+bool
+RaftCore::IsStarting() const
+{
+  return !m_lastLeaderContact && m_now - m_started < m_options.m_startPhase;
+}
+
 void
 RaftCore::ResetElectionTimer()
 {
-  std::uniform_int_distribution<int64_t> timeout(m_options.m_electionMin.m_ms,
-                                                 m_options.m_electionMax.m_ms);
+  const bool starting = IsStarting();
+  std::uniform_int_distribution<int64_t> timeout(
+    (starting ? m_options.m_startElectionMin : m_options.m_electionMin).m_ms,
+    (starting ? m_options.m_startElectionMax : m_options.m_electionMax).m_ms);
   m_electionDeadline = m_now + Milliseconds(timeout(m_random));
 }
 
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -25,6 +25,9 @@
   Duration m_heartbeat;
   Duration m_electionMin;
   Duration m_electionMax;
+  Duration m_startElectionMin;
+  Duration m_startElectionMax;
+  Duration m_startPhase;
   uint64_t m_keptEntries = 0;
   size_t m_keptBytes = 0;
 };
@@ -118,6 +121,7 @@
   bool SelfIsVoter() const { return IsVoter(m_options.m_replicaId); }
   std::vector<uint64_t> Voters() const;
   size_t Quorum() const { return Voters().size() / 2 + 1; }
+  bool IsStarting() const;
   void ResetElectionTimer();
   void SetTerm(uint64_t aTerm, uint64_t aVotedFor);
   void BecomeFollower(uint64_t aTerm, uint64_t aLeaderId);
@@ -188,6 +192,7 @@
 
   Role m_role = Role::kFollower;
   uint64_t m_leaderId = 0;
+  TimePoint m_started;
   TimePoint m_electionDeadline;
   // When a leader last sent something, none since the start if empty.
   std::optional<TimePoint> m_lastLeaderContact;
--- a/modules/consensus/tests/RaftCoreTest.cpp
+++ b/modules/consensus/tests/RaftCoreTest.cpp
@@ -30,10 +30,17 @@
   state.m_entries = { Entry(1, 1), Entry(2, 2) };
   state.m_entries[0].set_kind(wire::ENTRY_KIND_CONFIG);
   state.m_entries[0].set_payload(config.SerializeAsString());
-  const CoreOptions options{
-    1,   7,        Milliseconds(100), Milliseconds(400), Milliseconds(800),
-    100, 1'000'000
-  };
+  CoreOptions options;
+  options.m_replicaId = 1;
+  options.m_seed = 7;
+  options.m_heartbeat = Milliseconds(100);
+  options.m_electionMin = Milliseconds(400);
+  options.m_electionMax = Milliseconds(800);
+  options.m_startElectionMin = Milliseconds(50);
+  options.m_startElectionMax = Milliseconds(250);
+  options.m_startPhase = Milliseconds(2000);
+  options.m_keptEntries = 100;
+  options.m_keptBytes = 1'000'000;
   return { options, std::move(state), kStart };
 }
 
--- a/modules/consensus/tests/ReplicatedLogTest.cpp
+++ b/modules/consensus/tests/ReplicatedLogTest.cpp
@@ -281,4 +281,45 @@
   REQUIRE(cluster.Commit("after") != 0);
 }
 
+// Guards against the regular election timeout after a restart of everything: no
+// one serves until there is a leader.
+TEST_CASE("A group that restarts as a whole soon has a leader")
+{
+  constexpr int kRuns = 40;
+  int quick = 0;
+  for (uint64_t seed = 1; seed <= kRuns; ++seed) {
+    TestCluster cluster(seed);
+    cluster.Found(5);
+    cluster.WaitForLeader();
+    REQUIRE(cluster.Commit("a") != 0);
+    for (uint64_t id = 1; id <= 5; ++id) {
+      cluster.Crash(id);
+    }
+    for (uint64_t id = 1; id <= 5; ++id) {
+      cluster.Start(id);
+    }
+    cluster.Run(ReplicatedLogOptions().m_electionMin);
+    quick += cluster.Leader() != 0 ? 1 : 0;
+  }
+  CHECK(quick > kRuns / 2);
+}
+
+// Guards against a restarted replica that deposes a leader with its short
+// timeout.
+TEST_CASE("A replica that restarts leaves the leader in place")
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    TestCluster cluster(seed);
+    cluster.Found(5);
+    const uint64_t leader = cluster.WaitForLeader();
+    const uint64_t term = cluster.At(leader).m_log->Status().m_term;
+    const uint64_t restarted = leader == 1 ? 2 : 1;
+    cluster.Crash(restarted);
+    cluster.Start(restarted);
+    cluster.Run(Seconds(3));
+    CHECK(cluster.Leader() == leader);
+    CHECK(cluster.At(leader).m_log->Status().m_term == term);
+  }
+}
+
 } // namespace rattanloft::consensus
