Wait for the plan after a restart, and longer for keys that move

Ruled out: slow reports of the other sidecars (all had regained the leader at 33.23 s); a release that waits for the source's next heartbeat (it serves until then).

Change: the answer to a heartbeat waits while no configuration is known, as for the first ranges. A request waits for 60% of its time while the owner says that the key has moved, and as before if the owner cannot be reached. The wait of an answer rises from 650 to 850 ms; backend servers take it within a second.

Guards: two new cases of BackendAgentTest and AttemptPolicyTest.

--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -1,5 +1,7 @@
 #include "AttemptPolicy.h"
 
+#include "BackendAgent.h"
+
 namespace rattanloft::sidecar {
 
 namespace {
@@ -36,15 +38,20 @@
 NextStep
 AttemptPolicy::AfterKeyed(const AttemptResult& aResult, TimePoint aNow) const
 {
-  // The owner has no room, and no other backend server may run the request.
-  return aResult.m_reason == kOverloadedReason ? NextStep::kFinish
-                                               : WaitForOwner(aNow);
+  if (aResult.m_reason == kOverloadedReason) {
+    // No other backend server may run the request.
+    return NextStep::kFinish;
+  }
+  const bool moving =
+    aResult.m_reason == VerdictName(ServeVerdict::kNotOwner);
+  return WaitForOwner(
+    moving ? m_limits.m_moveWaitEnd : m_limits.m_ownerWaitEnd, aNow);
 }
 
 NextStep
-AttemptPolicy::WaitForOwner(TimePoint aNow) const
+AttemptPolicy::WaitForOwner(TimePoint aEnd, TimePoint aNow) const
 {
-  if (aNow + kOwnerPoll > m_limits.m_ownerWaitEnd) {
+  if (aNow + kOwnerPoll > aEnd) {
     return NextStep::kFinish;
   }
   return NextStep::kWaitForOwner;
@@ -53,7 +60,8 @@
 NextStep
 AttemptPolicy::OnNoTarget(TimePoint aNow) const
 {
-  return m_limits.m_keyed ? WaitForOwner(aNow) : NextStep::kFinish;
+  return m_limits.m_keyed ? WaitForOwner(m_limits.m_ownerWaitEnd, aNow)
+                          : NextStep::kFinish;
 }
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/AttemptPolicy.h
+++ b/modules/sidecar/src/AttemptPolicy.h
@@ -19,8 +19,11 @@
   // Backend servers that one request may reach.
   uint32_t m_maxArrivals = 1;
   TimePoint m_deadline;
-  // End of the wait for the next owner.
+  // End of the wait for the next owner if the present one cannot be reached.
   TimePoint m_ownerWaitEnd;
+  // The same while the keys move: the present owner says that it has given them
+  // up, so the next one is soon there.
+  TimePoint m_moveWaitEnd;
 };
 
 enum class NextStep
@@ -69,7 +72,7 @@
   void Count(const AttemptResult& aResult);
   bool MayGoOn(const AttemptResult& aResult, TimePoint aNow) const;
   NextStep AfterKeyed(const AttemptResult& aResult, TimePoint aNow) const;
-  NextStep WaitForOwner(TimePoint aNow) const;
+  NextStep WaitForOwner(TimePoint aEnd, TimePoint aNow) const;
 
   AttemptLimits m_limits;
   uint32_t m_hops = 0;
--- a/modules/sidecar/src/BackendAgent.cpp
+++ b/modules/sidecar/src/BackendAgent.cpp
@@ -194,12 +194,13 @@
 }
 
 bool
-BackendAgent::ShouldWaitForRanges(bool aKeyed) const
+BackendAgent::ShouldWaitForRanges(std::optional<bool> aKeyed) const
 {
-  if (MustRelease()) {
+  const bool knowsPlan = m_planTerm > 0;
+  if (knowsPlan && MustRelease()) {
     return false;
   }
-  const bool waitsForFirst = aKeyed && m_planned.empty() &&
+  const bool waitsForFirst = aKeyed.value_or(true) && m_planned.empty() &&
                              m_view.phase() == wire::BACKEND_PHASE_READY;
   return m_expectsRanges || waitsForFirst;
 }
--- a/modules/sidecar/src/BackendAgent.h
+++ b/modules/sidecar/src/BackendAgent.h
@@ -59,9 +59,10 @@
   // Fills in what the leader wants to know of the backend server.
   void Report(wire::FleetSyncRequest& aRequest, TimePoint aNow) const;
   // Whether the answer to a heartbeat should wait for ranges that are on their
-  // way, or for the first ones of a service with keys. Not if the answer takes
-  // ranges away: their next owner waits for it.
-  bool ShouldWaitForRanges(bool aKeyed) const;
+  // way, or for the first ones of a service with keys; aKeyed is empty until a
+  // configuration is known. Not if the answer takes ranges away: their next
+  // owner waits for it.
+  bool ShouldWaitForRanges(std::optional<bool> aKeyed) const;
   // Changes with every plan that is adopted.
   uint64_t PlanCount() const { return m_planCount; }
   // To be called with every heartbeat's answer when it is about to be written.
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kAnswerSlack = Milliseconds(120);
 // Without word from a leader for longer, a route that is not known may exist.
 constexpr Duration kFreshDirectory = Milliseconds(2500);
+// Part of its time that a request waits for a key that moves; the rest is for
+// the work, which may be slow at the next owner.
+constexpr int64_t kMoveWaitPercent = 60;
 constexpr Duration kNoConfigurationRetry = Milliseconds(300);
 constexpr Duration kNoBackendRetry = Milliseconds(200);
 // Work that a running request waits for has a short target; it goes first,
@@ -193,6 +196,9 @@
   limits.m_deadline = aPassage.m_deadline;
   // After its target latency an answer is worth less than a new request.
   limits.m_ownerWaitEnd = aPassage.m_target;
+  limits.m_moveWaitEnd =
+    aPassage.m_arrived +
+    (aPassage.m_deadline - aPassage.m_arrived) * kMoveWaitPercent / 100;
   return AttemptPolicy(limits);
 }
 
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -36,9 +36,9 @@
 // Work that waits is looked at more often.
 constexpr std::chrono::milliseconds kBusyTick{ 25 };
 constexpr std::chrono::milliseconds kIdleTick{ 100 };
-// Backend servers take an answer within a second, and send the next heartbeat
-// after about 0.9 s.
-constexpr Duration kHeartbeatHold = Milliseconds(650);
+// Backend servers take an answer within a second; some send the next heartbeat
+// only 1.5 s after the last one.
+constexpr Duration kHeartbeatHold = Milliseconds(850);
 // After ranges have come while more are on their way.
 constexpr Duration kNextRangesHold = Milliseconds(150);
 constexpr Duration kHeartbeatPoll = Milliseconds(15);
@@ -345,12 +345,15 @@
     }
   }
 
-  bool ServesKeys() const
+  // Empty until a configuration is known.
+  std::optional<bool> ServesKeys() const
   {
     const auto& router = m_directory.Router();
+    if (router == nullptr) {
+      return std::nullopt;
+    }
     const wire::ServiceSpec* const service =
-      router == nullptr ? nullptr
-                        : router->FindService(m_agent.View().service());
+      router->FindService(m_agent.View().service());
     return service != nullptr && service->keyed();
   }
 
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -17,6 +17,7 @@
   limits.m_maxArrivals = 2;
   limits.m_deadline = kStart + Milliseconds(1200);
   limits.m_ownerWaitEnd = kStart + Milliseconds(500);
+  limits.m_moveWaitEnd = kStart + Milliseconds(800);
   return limits;
 }
 
@@ -76,7 +77,7 @@
   NextStep step = NextStep::kWaitForOwner;
   while (step == NextStep::kWaitForOwner) {
     step = policy.OnResult(
-      Result(Outcome::kNotRun, false, "not-owner"), now, Yes);
+      Result(Outcome::kNotRun, false, "unreachable"), now, Yes);
     ++sent;
     now = now + kOwnerPoll;
   }
@@ -85,6 +86,22 @@
   CHECK(policy.Hops() == sent);
 }
 
+// Guards against a refusal while the next owner is about to serve: a move takes
+// longer than the target latency of a short request.
+TEST_CASE("a keyed request waits longer for a move than for a lost owner")
+{
+  const TimePoint late = kStart + Milliseconds(600);
+  AttemptPolicy lost(KeyedLimits());
+  CHECK(lost.OnResult(
+          Result(Outcome::kNotRun, false, "unreachable"), late, Yes) ==
+        NextStep::kFinish);
+  AttemptPolicy moving(KeyedLimits());
+  const AttemptResult moved = Result(Outcome::kNotRun, false, "not-owner");
+  CHECK(moving.OnResult(moved, late, Yes) == NextStep::kWaitForOwner);
+  CHECK(moving.OnResult(moved, kStart + Milliseconds(790), Yes) ==
+        NextStep::kFinish);
+}
+
 TEST_CASE("a keyed request does not wait for an owner that has no room")
 {
   AttemptPolicy policy(KeyedLimits());
--- a/modules/sidecar/tests/BackendAgentTest.cpp
+++ b/modules/sidecar/tests/BackendAgentTest.cpp
@@ -158,6 +158,21 @@
   CHECK(agent.ShouldWaitForRanges(true));
 }
 
+// Guards against an answer without grants to the first heartbeat after a restart
+// of everything: the next one comes only after a whole interval.
+TEST_CASE("an answer waits for the first plan after a restart")
+{
+  BackendAgent agent = MakeAgent();
+  Heartbeat holding = Beat(9);
+  holding.m_holds = { { 0, 99, 7 } };
+  agent.OnHeartbeat(holding, kStart);
+  CHECK(agent.ShouldWaitForRanges(std::nullopt));
+  CHECK(agent.ShouldWaitForRanges(true));
+  CHECK_FALSE(agent.ShouldWaitForRanges(false));
+  agent.OnPlan(Plan(1, 0, 99), kStart);
+  CHECK_FALSE(agent.ShouldWaitForRanges(std::nullopt));
+}
+
 // Guards against keys of a crashed backend server that stay without an owner,
 // and against their release while it may still hold them.
 TEST_CASE("holds of a silent backend server end with the last offer")
