--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -292,8 +292,10 @@
 void
 ReplicatedLogImpl::Stop(const std::string& aReason)
 {
-  rattanloft::LogError(
-    "raft", "{:x} takes no further part: {}", m_options.m_replicaId, aReason);
+  if (m_failure.empty()) {
+    rattanloft::LogError(
+      "raft", "{:x} takes no further part: {}", m_options.m_replicaId, aReason);
+  }
   m_failure = aReason;
   m_core.StorageFailed();
 }
