Pass over instances that answer none of several requests

Only a failed exchange made an instance suspect, and a frozen one fails none.

Change: an instance with two or more requests out and no answer for 700 ms counts as stalled. Keys that it owns are refused at once with the time to come back, as their next owner comes only after its lease; other work goes elsewhere.

Test: EndpointSelectorTest, new case.

--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -27,6 +27,10 @@
 constexpr double kOtherZoneMsPerKib = 12;
 constexpr int64_t kFirstSuspicionMs = 500;
 constexpr int kMaxSilences = 4;
+// Among several requests one is usually answered within this time, which is
+// longer than nearly all work takes.
+constexpr Duration kStalledTime = Milliseconds(700);
+constexpr uint32_t kStalledRequests = 2;
 
 } // namespace
 
@@ -110,7 +114,8 @@
         backend.phase() != wire::BACKEND_PHASE_READY) {
       continue;
     }
-    const bool suspect = aNow < state.m_suspectUntil || !backend.reachable();
+    const bool suspect = aNow < state.m_suspectUntil || !backend.reachable() ||
+                         IsStalled(instance, aNow);
     (suspect ? doubtful : sound).push_back(&state);
   }
   std::vector<const State*>& from = sound.empty() ? doubtful : sound;
@@ -130,13 +135,26 @@
   return &best->m_endpoint;
 }
 
+bool
+EndpointSelector::IsStalled(const std::string& aInstance, TimePoint aNow) const
+{
+  const auto found = m_states.find(aInstance);
+  return found != m_states.end() &&
+         found->second.m_inFlight >= kStalledRequests &&
+         aNow - found->second.m_waitsSince > kStalledTime;
+}
+
 void
-EndpointSelector::OnSent(const std::string& aInstance)
+EndpointSelector::OnSent(const std::string& aInstance, TimePoint aNow)
 {
   const auto found = m_states.find(aInstance);
-  if (found != m_states.end()) {
-    ++found->second.m_inFlight;
+  if (found == m_states.end()) {
+    return;
+  }
+  if (found->second.m_inFlight == 0) {
+    found->second.m_waitsSince = aNow;
   }
+  ++found->second.m_inFlight;
 }
 
 void
@@ -159,6 +177,7 @@
   }
   found->second.m_load = aLoad;
   found->second.m_loadAt = aNow;
+  found->second.m_waitsSince = aNow;
   found->second.m_silences = 0;
   found->second.m_suspectUntil = {};
 }
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -51,8 +51,12 @@
                                TimePoint aNow);
   const wire::Endpoint* Find(const std::string& aInstance) const;
   bool IsSuspect(const std::string& aInstance, TimePoint aNow) const;
+  // Several requests are out and none was answered for a while, as by a frozen
+  // instance.
+  bool IsStalled(const std::string& aInstance, TimePoint aNow) const;
 
-  void OnSent(const std::string& aInstance);
+  void OnSent(const std::string& aInstance, TimePoint aNow);
+  // The request has ended, with an answer or without.
   void OnDone(const std::string& aInstance);
   void OnLoad(const std::string& aInstance, ReportedLoad aLoad, TimePoint aNow);
   // The backend server answered; aFailed if with a failure of its own.
@@ -66,6 +70,8 @@
     wire::Endpoint m_endpoint;
     TimePoint m_coldUntil;
     uint32_t m_inFlight = 0;
+    // First request that was sent after the last answer.
+    TimePoint m_waitsSince;
     ReportedLoad m_load;
     TimePoint m_loadAt;
     double m_failures = 0;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -32,6 +32,7 @@
 constexpr int64_t kMoveWaitPercent = 60;
 constexpr Duration kNoConfigurationRetry = Milliseconds(300);
 constexpr Duration kNoBackendRetry = Milliseconds(200);
+constexpr Duration kStalledRetry = Milliseconds(400);
 // Work that a running request waits for has a short target; it goes first,
 // since refusing it wastes the work of its parent.
 constexpr uint32_t kUrgentTargetMs = 200;
@@ -225,6 +226,13 @@
       step = policy.OnNoTarget(m_clock.Now());
       continue;
     }
+    if (aPassage.m_keyed &&
+        m_selector.IsStalled(aPassage.m_instance, m_clock.Now())) {
+      // Its keys find another owner only after its lease.
+      last.m_reason = "owner-stalled";
+      last.m_retryAfter = kStalledRetry;
+      break;
+    }
     aPassage.m_tried.insert(aPassage.m_instance);
     AttemptResult result = co_await Attempt(aRequest, aPassage, aCancel);
     last = std::move(result);
@@ -263,7 +271,7 @@
   const RequestTerms terms = Terms(aPassage);
   http::Request copy = aRequest;
   if (aPassage.m_instance == m_options.m_instance) {
-    m_selector.OnSent(aPassage.m_instance);
+    m_selector.OnSent(aPassage.m_instance, m_clock.Now());
     AttemptResult result =
       co_await m_local.Run(std::move(copy), terms, std::move(aCancel));
     m_selector.OnDone(aPassage.m_instance);
@@ -279,7 +287,7 @@
     co_return result;
   }
   const std::string address = endpoint->peer_address();
-  m_selector.OnSent(aPassage.m_instance);
+  m_selector.OnSent(aPassage.m_instance, m_clock.Now());
   AttemptResult result = co_await SendToPeer(
     std::move(copy), aPassage, address, terms, std::move(aCancel));
   m_selector.OnDone(aPassage.m_instance);
--- a/modules/sidecar/tests/EndpointSelectorTest.cpp
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -110,4 +110,25 @@
   CHECK(ChooseMany(selector, {}, 6000)["far"] == 300);
 }
 
+// Guards against requests that wait for a frozen instance until their callers
+// leave.
+TEST_CASE("an instance that answers none of several requests is stalled")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("a", "z1"),
+                                                  MakeEndpoint("b", "z2") };
+  selector.SetEndpoints(endpoints, {});
+  selector.OnSent("a", TimePoint{ 1000 });
+  CHECK_FALSE(selector.IsStalled("a", TimePoint{ 3000 }));
+  selector.OnSent("a", TimePoint{ 1200 });
+  CHECK_FALSE(selector.IsStalled("a", TimePoint{ 1600 }));
+  CHECK(selector.IsStalled("a", TimePoint{ 1800 }));
+  CHECK(ChooseMany(selector, TimePoint{ 1800 })["b"] == 300);
+  selector.OnLoad("a", { 1, 0, 4, 50 }, TimePoint{ 1900 });
+  CHECK_FALSE(selector.IsStalled("a", TimePoint{ 2000 }));
+  selector.OnDone("a");
+  selector.OnDone("a");
+  CHECK_FALSE(selector.IsStalled("a", TimePoint{ 5000 }));
+}
+
 } // namespace rattanloft::sidecar
