--- a/modules/fleet/include/rattanloft/fleet/RangePlacer.h
+++ b/modules/fleet/include/rattanloft/fleet/RangePlacer.h
@@ -61,9 +61,10 @@
 CutAllKeys(std::string_view aService, size_t aCandidates);
 
 // Decides which ranges change hands. Ranges of holders that are no candidates
-// are spread over the candidates by capacity; among candidates, the busiest
-// edge of the most loaded one moves to the least loaded one. Answers uneven
-// backend servers, busy neighbouring keys, joins, drains and losses. Pure.
+// are spread over the candidates by capacity; among candidates, a piece
+// of the most loaded one moves to the least loaded one if that relieves more
+// overload than the move costs. Answers uneven backend servers, busy
+// neighbouring keys, joins, drains and losses. Pure.
 std::vector<Transfer>
 PlanTransfers(const wire::ServiceRanges& aRanges,
               std::span<const Candidate> aCandidates,
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -26,6 +26,12 @@
 // Part of its capacity of which a move must relieve a backend server, so that
 // noise in the measured load moves nothing.
 constexpr double kLeastGain = 0.05;
+// A backend server that has joined takes a piece up to this factor of what it
+// has room for; more would only move the overload.
+constexpr double kJoinedExcess = 1.6;
+// Keys of a piece whose load counts half as much as with few keys: each key
+// that moves has a price.
+constexpr double kUsualPieceKeys = 256;
 // The rows of one holder must fit a heartbeat answer of 4 KiB with about 60
 // bytes a row.
 constexpr int kMaxRows = 60;
@@ -252,14 +258,14 @@
                double aRoom,
                TimePoint aNow)
 {
-  return BestPiece(EdgePieces(aRanges, aFrom, aLoad, aRoom, aNow),
-                   0,
-                   [&](const Transfer& aPiece) {
-                     const double load =
-                       aLoad.Measure(aPiece.m_first, aPiece.m_last, aNow);
-                     const uint32_t keys = aPiece.m_last - aPiece.m_first + 1;
-                     return load > 1.6 * aRoom ? 0 : load / (keys + 256.0);
-                   });
+  return BestPiece(
+    EdgePieces(aRanges, aFrom, aLoad, aRoom, aNow),
+    0,
+    [&](const Transfer& aPiece) {
+      const double load = aLoad.Measure(aPiece.m_first, aPiece.m_last, aNow);
+      const uint32_t keys = aPiece.m_last - aPiece.m_first + 1;
+      return load > kJoinedExcess * aRoom ? 0 : load / (keys + kUsualPieceKeys);
+    });
 }
 
 // What an overloaded backend server gives to the least loaded one.
