Add a failing test for a connect timeout that breaks off a sent request

The test blocks the thread until the handshake is complete and the connect timeout has passed, as a process without processor time sees it.

--- a/modules/http/tests/ClientTest.cpp
+++ b/modules/http/tests/ClientTest.cpp
@@ -1,5 +1,8 @@
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <boost/asio/post.hpp>
+
 #include "TestPeer.h"
 
 namespace rattanloft::http {
@@ -330,6 +333,40 @@
   });
 }
 
+// The handshake completes and the timeout expires while the thread is blocked.
+TEST_CASE("A connect timeout does not break off a request that was sent")
+{
+  constexpr int kHandshakeRepeatTimeoutMs = 5000;
+  asio::io_context context;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+  acceptor.listen(0);
+  const tcp::endpoint endpoint = acceptor.local_endpoint();
+  tcp::socket filler(context);
+  filler.connect(endpoint);
+  tcp::socket accepted(context);
+  ClientOptions options;
+  options.m_connectTimeout = Milliseconds(50);
+  const auto client = Client::Make(context, options);
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    asio::post(context, [&] {
+      // The backlog is full, so the system repeats the handshake after 1 s.
+      acceptor.accept();
+      pollfd readable{ acceptor.native_handle(), POLLIN, 0 };
+      REQUIRE(poll(&readable, 1, kHandshakeRepeatTimeoutMs) == 1);
+      accepted = acceptor.accept();
+      asio::co_spawn(context, RespondToAllRequests(accepted), asio::detached);
+    });
+    Request request = MakeRequest("/");
+    const ExchangeResult result = co_await client->Exchange(
+      LoopbackAddress(endpoint.port()), std::move(request), Seconds(8));
+    INFO((result ? "" : result.error().m_message));
+    REQUIRE(result);
+    CHECK(result->body() == "ok");
+  });
+}
+
 // Guards against an exchange that continues after its caller has cancelled it.
 TEST_CASE("Cancelling an exchange closes its connection at once")
 {
