Do not abort an exchange for a connect timeout after its request was sent

Cause: the connect timeout and the exchange deadline share one timer. A process that gets no processor time finds the completed connect and the expired connect timeout in the same poll. The connect completes first, re-arms the timer and sends the request; the expiry, which is already queued and which re-arming does not cancel, then aborts the exchange and resets the connection.

Change: the handler acts only if the timer still has the expiry that it was armed for. It works because each re-arming sets another expiry.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -179,9 +179,10 @@
 {
   m_timeoutTimer.expires_at(aExpiry);
   m_timeoutTimer.async_wait(
-    [weak = weak_from_this(), aErrorCode](beast::error_code aError) {
+    [weak = weak_from_this(), aExpiry, aErrorCode](beast::error_code aError) {
       const auto self = weak.lock();
-      if (!aError && self) {
+      // Re-arming the timer does not cancel an expiry that is already queued.
+      if (!aError && self && self->m_timeoutTimer.expiry() == aExpiry) {
         self->Abort(aErrorCode);
       }
     });
