Test the guards for slow clocks and for leases of earlier leaders

Cause: found by taking them out. The allowance for a backend server's slow clock (kSlowClockPercent) failed no test; the wait of a new leader for the leases of an earlier one failed no test of fleet, only OwnershipRandomTest.

Tests of their own, each with its guard taken out and put back: - kSlowClockPercent = 0: both "a hold on a slow clock ends 60 ms before the lease" and "a range is reported until its hold ends on a slow clock" fail. Taken out of the grant alone the first fails, out of the end of the offer alone the second. - The lease ends set by the constructor of FleetLeader and the wait in HasReleased both taken out: all three "a new leader waits for the lease of ..." fail. The constructor alone: "... a holder without a reply". HasReleased alone: "... a holder assigned before it". kLeaseClockMargin alone: all three.

OwnershipRandomTest: backend clocks are slow by 0 to 2%, two in three by 2%, with 1/(1 - drift) in place of 102%. It failed nothing without the allowance for three further reasons: no backend server kept its grants while its sidecar lost contact with it; sidecars reported at multiples of 300 ms, which divides the lease, and so never between the end of a grant and that of the lease; and a new owner heard of its ranges only at its next sync and heartbeat. It now plays silent backend servers, random sync intervals of 200 to 500 ms, reports of changes at once, and responses that are held for ranges, as Sidecar does.

--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -1,5 +1,9 @@
 #include "rattanloft/fleet/FleetLeader.h"
 
+#include <algorithm>
+#include <memory>
+#include <optional>
+
 #include <catch2/catch.hpp>
 
 #include "rattanloft/fleet/FleetState.h"
@@ -8,7 +12,6 @@
 
 namespace {
 
-constexpr uint64_t kTerm = 3;
 const TimePoint kStart{ 100'000 };
 
 // A leader with one service with keys, and a replicated log that applies each
@@ -17,8 +20,8 @@
 {
 public:
   LeaderFixture()
-    : m_leader(m_state, kTerm, {}, kStart)
   {
+    ElectLeader();
     wire::FleetCommand command;
     wire::ReplaceConfiguration& change =
       *command.mutable_replace_configuration();
@@ -30,6 +33,13 @@
     Apply(command);
   }
 
+  // Replaces the leader by one of the next term.
+  void ElectLeader()
+  {
+    m_leader =
+      std::make_unique<FleetLeader>(m_state, ++m_term, LeaderTimings{}, m_now);
+  }
+
   void Apply(const wire::FleetCommand& aCommand)
   {
     m_state.Apply(++m_index, aCommand.SerializeAsString());
@@ -41,12 +51,12 @@
     constexpr Duration kPlanInterval = Milliseconds(100);
     for (const TimePoint end = m_now + aDuration; m_now < end;) {
       m_now = m_now + kPlanInterval;
-      for (wire::AssignRanges& assign : m_leader.PlanAssignments(m_now)) {
+      for (wire::AssignRanges& assign : m_leader->PlanAssignments(m_now)) {
         const std::string service = assign.service();
         wire::FleetCommand command;
         *command.mutable_assign_ranges() = std::move(assign);
         Apply(command);
-        m_leader.OnAssignmentFinished(service);
+        m_leader->OnAssignmentFinished(service);
       }
     }
   }
@@ -55,8 +65,8 @@
   {
     aRequest.set_session(1);
     aRequest.set_sequence(++m_sequence);
-    REQUIRE(m_leader.OnSync(aRequest, m_now));
-    return m_leader.BuildReply(aRequest, m_now);
+    REQUIRE(m_leader->OnSync(aRequest, m_now));
+    return m_leader->BuildReply(aRequest, m_now);
   }
 
   // Reports a ready backend server at the instance.
@@ -76,8 +86,50 @@
     return request;
   }
 
+  // Assigns all keys of the service to the holder.
+  void AssignAllKeys(const std::string& aHolder)
+  {
+    wire::FleetCommand command;
+    command.mutable_assign_ranges()->set_service("s");
+    wire::RangeAssignment& range =
+      *command.mutable_assign_ranges()->add_ranges();
+    range.set_first(0);
+    range.set_last(kLastKey);
+    range.set_holder(aHolder);
+    Apply(command);
+  }
+
+  bool OwnsAnyKey(const std::string& aHolder) const
+  {
+    return std::ranges::any_of(m_state.RangesByService().at("s").ranges(),
+                               [&](const wire::OwnedRange& aRange) {
+                                 return aRange.holder() == aHolder;
+                               });
+  }
+
+  // Returns the time until another backend server owns a key. Only the reports
+  // of that one get replies.
+  Duration RunUntilTakeover(
+    const std::optional<wire::FleetSyncRequest>& aReport)
+  {
+    constexpr Duration kLimit = Seconds(10);
+    const TimePoint start = m_now;
+    while (!OwnsAnyKey("n2/b@1") && m_now - start < kLimit) {
+      SendSync(MakeRequest("n2"));
+      if (aReport) {
+        wire::FleetSyncRequest request = *aReport;
+        request.set_session(1);
+        request.set_sequence(++m_sequence);
+        m_leader->OnSync(request, m_now);
+      }
+      RunFor(Milliseconds(100));
+    }
+    return m_now - start;
+  }
+
   FleetState m_state;
-  FleetLeader m_leader;
+  std::unique_ptr<FleetLeader> m_leader;
+  uint64_t m_term = 0;
   TimePoint m_now = kStart;
   uint64_t m_index = 0;
   uint64_t m_sequence = 0;
@@ -146,4 +198,43 @@
   CHECK(repeatedReply.lease_ms() > 0);
 }
 
+// The lease, and the drift of up to 2% of the clock that measures it.
+const Duration kLongestEarlierLease =
+  LeaderTimings{}.m_leaseDuration * 102 / 100;
+
+// Guards against two owners: the earlier leader may have renewed the lease.
+TEST_CASE("a new leader waits for the lease of a silent holder")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  fixture.ElectLeader();
+  const Duration wait = fixture.RunUntilTakeover({});
+  CHECK(wait.m_ms >= kLongestEarlierLease.m_ms);
+  CHECK(wait.m_ms < 4000);
+}
+
+// Guards against a lease that counts as ended because this leader granted none.
+TEST_CASE("a new leader waits for the lease of a holder without a reply")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  fixture.ElectLeader();
+  wire::FleetSyncRequest report = fixture.MakeRequest("n1");
+  report.mutable_backend()->set_reachable(false);
+  const Duration wait = fixture.RunUntilTakeover(report);
+  CHECK(wait.m_ms >= kLongestEarlierLease.m_ms);
+  CHECK(wait.m_ms < 4000);
+}
+
+// Guards against a command of the earlier leader that takes effect later.
+TEST_CASE("a new leader waits for the lease of a holder assigned before it")
+{
+  LeaderFixture fixture;
+  fixture.ElectLeader();
+  fixture.AssignAllKeys("n1/b@1");
+  const Duration wait = fixture.RunUntilTakeover({});
+  CHECK(wait.m_ms >= kLongestEarlierLease.m_ms);
+  CHECK(wait.m_ms < 4000);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -57,6 +57,13 @@
   return request;
 }
 
+// Returns how long the grants are in force on a clock that runs 2% slow.
+Duration
+HoldOnSlowClock(const HeartbeatResponse& aResponse)
+{
+  return Milliseconds((aResponse.m_grantDuration.m_ms * 100 + 97) / 98);
+}
+
 } // namespace
 
 // Guards against a restarted sidecar that sends requests to a backend server
@@ -122,6 +129,36 @@
         ServeVerdict::kNotOwner);
 }
 
+// Guards against a slow clock that uses up the margin for the clock
+// granularity.
+TEST_CASE("a hold on a slow clock ends 60 ms before the lease")
+{
+  for (const uint32_t leaseMs : { 600U, 1500U, 3000U, 3060U }) {
+    LocalBackend backend = MakeLocalBackend();
+    backend.OnHeartbeat(MakeHeartbeat(1), kStart);
+    backend.OnSyncReply(MakePlanReply(1, 0, 99, leaseMs), kStart);
+    const HeartbeatResponse response = backend.MakeHeartbeatResponse(kStart);
+    REQUIRE(response.m_hasGrants);
+    CHECK(HoldOnSlowClock(response).m_ms + 60 <= int64_t{ leaseMs });
+  }
+}
+
+// Guards against a report that a range is free while it is still held.
+TEST_CASE("a range is reported until its hold ends on a slow clock")
+{
+  LocalBackend backend = MakeLocalBackend();
+  const TimePoint now = kStart + Seconds(4);
+  backend.OnHeartbeat(MakeHeartbeat(1), now);
+  backend.OnSyncReply(MakePlanReply(1, 0, 99), now);
+  const HeartbeatResponse response = backend.MakeHeartbeatResponse(now);
+  REQUIRE(response.m_hasGrants);
+  const TimePoint holdEnd = now + HoldOnSlowClock(response);
+  CHECK(MakeReport(backend, holdEnd).possible_holds_size() == 1);
+  CHECK(
+    MakeReport(backend, holdEnd + Milliseconds(100)).possible_holds_size() ==
+    0);
+}
+
 // Guards against a report that a range is free while a response that grants it
 // may still arrive.
 TEST_CASE(
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -23,7 +24,11 @@
 
 constexpr int64_t kHeartbeatIntervalMs = 870;
 constexpr int64_t kHeartbeatTimeoutMs = 1000;
-constexpr int64_t kSyncIntervalMs = 300;
+constexpr int64_t kMinSyncIntervalMs = 200;
+constexpr int64_t kMaxSyncIntervalMs = 500;
+// Longest time for which a sidecar holds the response to a heartbeat.
+constexpr int64_t kMaxHeartbeatHoldMs = 850;
+constexpr int64_t kContactIntervalMs = 200;
 
 // A range of keys that a simulated backend server holds.
 struct HeldRow
@@ -45,10 +50,23 @@
   // Sequence number of the heartbeat that awaits its response; 0 for none.
   uint64_t m_pendingHeartbeat = 0;
   bool m_running = true;
+  // The clock of the backend server is slow by this, at most 2%.
+  int64_t m_slowPermille = 0;
+  // Until then the backend server holds its keys, but sends and answers
+  // nothing.
+  int64_t m_silentUntilMs = 0;
   int64_t m_holdEndMs = 0;
   std::vector<HeldRow> m_heldRows;
 };
 
+struct SentHeartbeat
+{
+  Heartbeat m_heartbeat;
+  int64_t m_sentMs;
+  // The process of the sidecar that ran at that time.
+  uint64_t m_session;
+};
+
 // An instance with its sidecar and its backend server.
 struct Node
 {
@@ -57,6 +75,11 @@
   Backend m_backend;
   uint64_t m_session = 1;
   uint64_t m_sequence = 0;
+  // Report revision of the last sync request.
+  uint64_t m_reportedRevision = 0;
+  // The heartbeat whose response the sidecar holds, at most until m_holdEndMs.
+  std::optional<SentHeartbeat> m_heldHeartbeat;
+  int64_t m_holdEndMs = 0;
   int64_t m_frozenUntilMs = 0;
   int64_t m_partitionedUntilMs = 0;
 };
@@ -79,7 +102,7 @@
       m_nodes[i].m_name = "n" + std::to_string(i);
       StartBackend(m_nodes[i]);
       StartSidecar(m_nodes[i]);
-      SendSync(i);
+      SendSyncs(i);
     }
     ElectLeader();
   }
@@ -137,6 +160,8 @@
     const bool reuseId = m_random() % 3 == 0;
     aNode.m_backend.m_id = reuseId ? "i" : "i" + std::to_string(++m_lastId);
     aNode.m_backend.m_startedAtUnixMs = 1'000'000 + m_nowMs;
+    aNode.m_backend.m_slowPermille =
+      m_random() % 3 == 0 ? static_cast<int64_t>(m_random() % 21) : 20;
     const size_t index = static_cast<size_t>(&aNode - m_nodes.data());
     Schedule(
       0, [this, index, startedAtUnixMs = aNode.m_backend.m_startedAtUnixMs] {
@@ -152,6 +177,8 @@
       std::make_unique<LocalBackend>(aNode.m_name, "b", Seconds(2), Now());
     aNode.m_session = ++m_lastId;
     aNode.m_sequence = 0;
+    aNode.m_reportedRevision = 0;
+    aNode.m_heldHeartbeat.reset();
   }
 
   void ElectLeader()
@@ -170,6 +197,12 @@
     return heldRanges;
   }
 
+  // Returns the time in which the clock of the backend server advances by this.
+  static int64_t RealMs(const Backend& aBackend, int64_t aBackendMs)
+  {
+    return aBackendMs * 1000 / (1000 - aBackend.m_slowPermille);
+  }
+
   // Drops ranges whose grant has expired, and ranges that were given up and
   // have no running requests any more.
   void DropExpiredRows(Backend& aBackend)
@@ -189,6 +222,16 @@
     if (!backend.m_running) {
       return;
     }
+    const int64_t startedAtUnixMs = backend.m_startedAtUnixMs;
+    if (m_nowMs < backend.m_silentUntilMs) {
+      Schedule(
+        backend.m_silentUntilMs - m_nowMs, [this, aNode, startedAtUnixMs] {
+          if (m_nodes[aNode].m_backend.m_startedAtUnixMs == startedAtUnixMs) {
+            SendHeartbeat(aNode);
+          }
+        });
+      return;
+    }
     DropExpiredRows(backend);
     Heartbeat heartbeat;
     heartbeat.m_backendId = backend.m_id;
@@ -196,19 +239,18 @@
     heartbeat.m_address = "b";
     heartbeat.m_slots = 4;
     heartbeat.m_sequence = ++backend.m_sequence;
-    heartbeat.m_startedAtUnixMs = backend.m_startedAtUnixMs;
+    heartbeat.m_startedAtUnixMs = startedAtUnixMs;
     heartbeat.m_heldRanges = HeldRanges(backend);
     backend.m_pendingHeartbeat = heartbeat.m_sequence;
     const int64_t sentMs = m_nowMs;
-    const int64_t startedAtUnixMs = backend.m_startedAtUnixMs;
+    const SentHeartbeat sent{ heartbeat, sentMs, m_nodes[aNode].m_session };
     Schedule(RandomDelayMs(),
-             [this, aNode, heartbeat, sentMs, startedAtUnixMs] {
-               ReceiveHeartbeat(aNode, heartbeat, sentMs, startedAtUnixMs);
+             [this, aNode, sent] { ReceiveHeartbeat(aNode, sent); });
+    Schedule(RealMs(backend, kHeartbeatTimeoutMs),
+             [this, aNode, sentMs, startedAtUnixMs, heartbeat] {
+               EndHeartbeat(
+                 aNode, heartbeat.m_sequence, sentMs, startedAtUnixMs);
              });
-    Schedule(
-      kHeartbeatTimeoutMs, [this, aNode, sentMs, startedAtUnixMs, heartbeat] {
-        EndHeartbeat(aNode, heartbeat.m_sequence, sentMs, startedAtUnixMs);
-      });
   }
 
   // Ends the wait for a response and schedules the next heartbeat. Returns
@@ -226,7 +268,8 @@
     backend.m_pendingHeartbeat = 0;
     const bool isReleasing = std::ranges::any_of(
       backend.m_heldRows, [](const HeldRow& aRow) { return !aRow.m_granted; });
-    const int64_t nextMs = aSentMs + (isReleasing ? 90 : kHeartbeatIntervalMs);
+    const int64_t nextMs =
+      aSentMs + RealMs(backend, isReleasing ? 90 : kHeartbeatIntervalMs);
     Schedule(
       std::max<int64_t>(0, nextMs - m_nowMs), [this, aNode, aStartedAtUnixMs] {
         if (m_nodes[aNode].m_backend.m_startedAtUnixMs == aStartedAtUnixMs) {
@@ -236,29 +279,62 @@
     return true;
   }
 
-  void ReceiveHeartbeat(size_t aNode,
-                        const Heartbeat& aHeartbeat,
-                        int64_t aSentMs,
-                        int64_t aStartedAtUnixMs)
+  void ReceiveHeartbeat(size_t aNode, const SentHeartbeat& aSent)
   {
     Node& node = m_nodes[aNode];
     if (m_nowMs < node.m_frozenUntilMs) {
       Schedule(node.m_frozenUntilMs - m_nowMs,
-               [this, aNode, aHeartbeat, aSentMs, aStartedAtUnixMs] {
-                 ReceiveHeartbeat(aNode, aHeartbeat, aSentMs, aStartedAtUnixMs);
-               });
+               [this, aNode, aSent] { ReceiveHeartbeat(aNode, aSent); });
       return;
     }
+    const Heartbeat& heartbeat = aSent.m_heartbeat;
+    // A connection that the backend server has closed does not reach a later
+    // process of the sidecar.
+    if (node.m_session != aSent.m_session &&
+        node.m_backend.m_pendingHeartbeat != heartbeat.m_sequence) {
+      return;
+    }
+    const bool isAccepted = node.m_localBackend->OnHeartbeat(heartbeat, Now());
+    SyncIfChanged(aNode);
+    node.m_heldHeartbeat = aSent;
+    node.m_holdEndMs = m_nowMs + (isAccepted ? kMaxHeartbeatHoldMs : 0);
+    AnswerHeartbeat(aNode);
+    if (node.m_heldHeartbeat) {
+      Schedule(kMaxHeartbeatHoldMs, [this, aNode] { AnswerHeartbeat(aNode); });
+    }
+  }
+
+  // Holds the response while ranges are on their way.
+  void AnswerHeartbeat(size_t aNode)
+  {
+    Node& node = m_nodes[aNode];
+    LocalBackend& localBackend = *node.m_localBackend;
+    if (!node.m_heldHeartbeat || (m_nowMs < node.m_holdEndMs &&
+                                  localBackend.ShouldWaitForRanges(true))) {
+      return;
+    }
+    if (m_nowMs < node.m_frozenUntilMs) {
+      Schedule(node.m_frozenUntilMs - m_nowMs,
+               [this, aNode] { AnswerHeartbeat(aNode); });
+      return;
+    }
+    const SentHeartbeat sent = *node.m_heldHeartbeat;
+    node.m_heldHeartbeat.reset();
+    const Heartbeat& heartbeat = sent.m_heartbeat;
+    const bool isNewest =
+      localBackend.HeartbeatSequence() == heartbeat.m_sequence &&
+      localBackend.View().started_at_unix_ms() == heartbeat.m_startedAtUnixMs;
     HeartbeatResponse response;
-    if (node.m_localBackend->OnHeartbeat(aHeartbeat, Now())) {
-      response = node.m_localBackend->MakeHeartbeatResponse(Now());
+    if (isNewest) {
+      response = localBackend.MakeHeartbeatResponse(Now());
     }
-    const uint64_t sequence = aHeartbeat.m_sequence;
-    Schedule(RandomDelayMs(),
-             [this, aNode, response, sequence, aSentMs, aStartedAtUnixMs] {
-               OnHeartbeatResponse(
-                 aNode, response, sequence, aSentMs, aStartedAtUnixMs);
-             });
+    Schedule(RandomDelayMs(), [this, aNode, response, sent] {
+      OnHeartbeatResponse(aNode,
+                          response,
+                          sent.m_heartbeat.m_sequence,
+                          sent.m_sentMs,
+                          sent.m_heartbeat.m_startedAtUnixMs);
+    });
   }
 
   void OnHeartbeatResponse(size_t aNode,
@@ -269,7 +345,8 @@
   {
     Backend& backend = m_nodes[aNode].m_backend;
     if (!backend.m_running || backend.m_startedAtUnixMs != aStartedAtUnixMs ||
-        backend.m_pendingHeartbeat != aSequence) {
+        backend.m_pendingHeartbeat != aSequence ||
+        m_nowMs < backend.m_silentUntilMs) {
       return;
     }
     ApplyGrants(aNode, aResponse, aSentMs, aStartedAtUnixMs);
@@ -288,9 +365,14 @@
     DropExpiredRows(backend);
     // A response has room for 4 KiB, at about 30 bytes for each range.
     REQUIRE(aResponse.m_grantedRanges.size() <= 100);
+    const int64_t holdEndMs =
+      aSentMs + RealMs(backend, aResponse.m_grantDuration.m_ms);
     std::vector<HeldRow> newRows;
     for (const wire::OwnedRange& range : aResponse.m_grantedRanges) {
-      RequireIncreasingFence(range, aNode, aStartedAtUnixMs);
+      // A response may arrive after its grants have expired.
+      if (m_nowMs < holdEndMs) {
+        RequireIncreasingFence(range, aNode, aStartedAtUnixMs);
+      }
       newRows.push_back({ range.first(), range.last(), range.fence() });
     }
     for (HeldRow row : backend.m_heldRows) {
@@ -310,8 +392,7 @@
       }
     }
     backend.m_heldRows = std::move(newRows);
-    // The clock of the backend server is 2% slow.
-    backend.m_holdEndMs = aSentMs + aResponse.m_grantDuration.m_ms * 102 / 100;
+    backend.m_holdEndMs = holdEndMs;
     ++m_grantCount;
   }
 
@@ -334,6 +415,26 @@
     }
   }
 
+  void SendSyncs(size_t aNode)
+  {
+    SendSync(aNode);
+    // A fixed interval that divides the duration of the lease would never fall
+    // between the end of a grant and that of the lease.
+    const int64_t intervalMs =
+      kMinSyncIntervalMs +
+      static_cast<int64_t>(m_random() %
+                           (kMaxSyncIntervalMs - kMinSyncIntervalMs));
+    Schedule(intervalMs, [this, aNode] { SendSyncs(aNode); });
+  }
+
+  void SyncIfChanged(size_t aNode)
+  {
+    const Node& node = m_nodes[aNode];
+    if (node.m_localBackend->ReportRevision() != node.m_reportedRevision) {
+      SendSync(aNode);
+    }
+  }
+
   void SendSync(size_t aNode)
   {
     Node& node = m_nodes[aNode];
@@ -344,13 +445,13 @@
       request.set_session(node.m_session);
       request.set_sequence(++node.m_sequence);
       node.m_localBackend->FillReport(request, Now());
+      node.m_reportedRevision = node.m_localBackend->ReportRevision();
       const TimePoint sentAt = Now();
       const uint64_t session = node.m_session;
       Schedule(RandomDelayMs(), [this, aNode, request, sentAt, session] {
         OnSyncRequest(aNode, request, sentAt, session);
       });
     }
-    Schedule(kSyncIntervalMs, [this, aNode] { SendSync(aNode); });
   }
 
   void OnSyncRequest(size_t aNode,
@@ -361,6 +462,7 @@
     if (m_leader == nullptr || !m_leader->OnSync(aRequest, Now())) {
       return;
     }
+    ProposeAssignments();
     const uint64_t term = m_term;
     // The confirmation by a quorum takes some time. A leader that was replaced
     // in the meantime does not reply.
@@ -374,12 +476,20 @@
         if (node.m_session == aSession &&
             m_nowMs >= node.m_partitionedUntilMs) {
           node.m_localBackend->OnSyncReply(reply, aSentAt);
+          SyncIfChanged(aNode);
+          AnswerHeartbeat(aNode);
         }
       });
     });
   }
 
   void RunPlanner()
+  {
+    ProposeAssignments();
+    Schedule(100, [this] { RunPlanner(); });
+  }
+
+  void ProposeAssignments()
   {
     if (m_leader != nullptr) {
       for (const wire::AssignRanges& assign :
@@ -391,7 +501,6 @@
                  [this, command, term] { CommitAssignment(command, term); });
       }
     }
-    Schedule(100, [this] { RunPlanner(); });
   }
 
   // A command of a leader that was replaced in the meantime is lost.
@@ -402,13 +511,40 @@
     }
     m_state.Apply(++m_appliedIndex, aCommand.SerializeAsString());
     m_leader->OnAssignmentFinished("s");
+    // The new holders have sync requests that the leader holds, and which it
+    // answers now.
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      const bool gainsRanges = std::ranges::any_of(
+        aCommand.assign_ranges().ranges(),
+        [&](const wire::RangeAssignment& aRange) {
+          return aRange.holder() == m_nodes[i].m_localBackend->View().holder();
+        });
+      if (gainsRanges) {
+        SendSync(i);
+      }
+    }
+  }
+
+  // While the backend server is silent, its sidecar cannot connect to it.
+  void FailContacts(size_t aNode)
+  {
+    Node& node = m_nodes[aNode];
+    if (m_nowMs >= node.m_backend.m_silentUntilMs) {
+      return;
+    }
+    if (m_nowMs >= node.m_frozenUntilMs) {
+      node.m_localBackend->OnContactResult(false, Now());
+      SyncIfChanged(aNode);
+    }
+    Schedule(kContactIntervalMs, [this, aNode] { FailContacts(aNode); });
   }
 
   void InjectFault()
   {
-    Node& node = m_nodes[m_random() % m_nodes.size()];
+    const size_t index = m_random() % m_nodes.size();
+    Node& node = m_nodes[index];
     const int64_t faultMs = 500 + static_cast<int64_t>(m_random() % 5000);
-    switch (m_random() % 7) {
+    switch (m_random() % 8) {
       case 0:
         StartSidecar(node);
         break;
@@ -428,6 +564,11 @@
         node.m_backend.m_running = false;
         Schedule(faultMs, [this, &node] { StartBackend(node); });
         break;
+      case 6:
+        // Long enough for the grants to expire.
+        node.m_backend.m_silentUntilMs = m_nowMs + 3000 + faultMs / 5;
+        FailContacts(index);
+        break;
       default:
         // The new leader does not know of the lease of the partitioned sidecar.
         node.m_partitionedUntilMs = m_nowMs + faultMs;
