State the kind of a refusal beside its reason

Cause: AttemptPolicy told a move from a lost owner, and a full owner from both, by comparing the text of the reason, which is meant for logs and callers.

Change: AttemptResult has a ResultKind (other, owner-moved, overloaded), which BackendHandler sets and AttemptPolicy alone goes by. It is sent between sidecars in the new field Rattanloft-Result-Kind, which is removed from the requests of callers and the responses of backend servers like the others. Rattanloft-Reason is unchanged. If a peer sends no kind, or one that is not known here, DecodeAttemptResult derives it from the reason, as the policy did.

--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -1,7 +1,5 @@
 #include "AttemptPolicy.h"
 
-#include "LocalBackend.h"
-
 namespace rattanloft::sidecar {
 
 namespace {
@@ -40,12 +38,11 @@
 AttemptPolicy::StepAfterKeyedAttempt(const AttemptResult& aResult,
                                      TimePoint aNow) const
 {
-  if (aResult.m_reason == kOverloadedReason) {
+  if (aResult.m_kind == ResultKind::kOverloaded) {
     // Only the owner of the key may run the request.
     return NextStep::kFinish;
   }
-  const bool isMoving =
-    aResult.m_reason == ServeVerdictName(ServeVerdict::kNotOwner);
+  const bool isMoving = aResult.m_kind == ResultKind::kOwnerMoved;
   return WaitOrFinish(isMoving ? m_limits.m_moveWaitDeadline
                                : m_limits.m_ownerWaitDeadline,
                       aNow);
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -44,6 +44,14 @@
   return result;
 }
 
+AttemptResult
+MakeOverloadedResult(Duration aRetryAfter)
+{
+  AttemptResult result = MakeNotRunResult(kOverloadedReason, aRetryAfter);
+  result.m_kind = ResultKind::kOverloaded;
+  return result;
+}
+
 // Calls the function on destruction, so that a slot is freed on every return
 // path.
 class FinishGuard
@@ -98,7 +106,12 @@
   const ServeVerdict verdict = m_localBackend.CheckServable(
     aAttributes.m_key, aAttributes.m_keyed, m_clock.Now());
   if (verdict != ServeVerdict::kServe) {
-    return MakeNotRunResult(ServeVerdictName(verdict), kNotServingRetryDelay);
+    AttemptResult result =
+      MakeNotRunResult(ServeVerdictName(verdict), kNotServingRetryDelay);
+    if (verdict == ServeVerdict::kNotOwner) {
+      result.m_kind = ResultKind::kOwnerMoved;
+    }
+    return result;
   }
   return std::nullopt;
 }
@@ -148,7 +161,7 @@
     co_return std::nullopt;
   }
   if (submitted.m_decision == WorkDecision::kRefuse) {
-    co_return MakeNotRunResult(kOverloadedReason, submitted.m_retryAfter);
+    co_return MakeOverloadedResult(submitted.m_retryAfter);
   }
   const auto waiter = std::make_shared<Waiter>(m_context);
   waiter->m_wakeTimer.expires_at(asio::steady_timer::time_point::max());
@@ -166,7 +179,7 @@
     co_return MakeNotRunResult("caller-left", {});
   }
   if (!*waiter->m_mayStart) {
-    co_return MakeNotRunResult(kOverloadedReason, kNotServingRetryDelay);
+    co_return MakeOverloadedResult(kNotServingRetryDelay);
   }
   co_return std::nullopt;
 }
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "LocalBackend.h"
+
 namespace rattanloft::sidecar {
 
 namespace {
@@ -13,8 +15,9 @@
 using beast::http::status;
 
 constexpr std::array kPeerFields = {
-  kServiceField, kKindField,   kKeyedField,        kTargetMsField, kRankField,
-  kOutcomeField, kReasonField, kRetryAfterMsField, kLoadField,     kArrivedField
+  kServiceField, kKindField,    kKeyedField,     kTargetMsField,
+  kRankField,    kOutcomeField, kReasonField,    kRetryAfterMsField,
+  kLoadField,    kArrivedField, kResultKindField
 };
 
 beast::string_view
@@ -36,8 +39,46 @@
   return number;
 }
 
+// Peers of the previous release state the kind only by the reason.
+ResultKind
+KindFromReason(std::string_view aReason)
+{
+  if (aReason == ServeVerdictName(ServeVerdict::kNotOwner)) {
+    return ResultKind::kOwnerMoved;
+  }
+  return aReason == kOverloadedReason ? ResultKind::kOverloaded
+                                      : ResultKind::kOther;
+}
+
+std::optional<ResultKind>
+ParseResultKind(std::string_view aName)
+{
+  for (const ResultKind kind : { ResultKind::kOther,
+                                 ResultKind::kOwnerMoved,
+                                 ResultKind::kOverloaded }) {
+    if (aName == ResultKindName(kind)) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
+std::string_view
+ResultKindName(ResultKind aKind)
+{
+  switch (aKind) {
+    case ResultKind::kOther:
+      return "other";
+    case ResultKind::kOwnerMoved:
+      return "owner-moved";
+    case ResultKind::kOverloaded:
+      return "overloaded";
+  }
+  return "other";
+}
+
 std::string_view
 AttemptOutcomeName(AttemptOutcome aOutcome)
 {
@@ -98,6 +139,7 @@
                       ? status::service_unavailable
                       : status::bad_gateway);
     SetField(response, kReasonField, aResult.m_reason);
+    SetField(response, kResultKindField, ResultKindName(aResult.m_kind));
     SetField(
       response, kRetryAfterMsField, std::to_string(aResult.m_retryAfter.m_ms));
     if (aResult.m_reachedBackend) {
@@ -130,13 +172,16 @@
   result.m_outcome = outcome == AttemptOutcomeName(AttemptOutcome::kNotRun)
                        ? AttemptOutcome::kNotRun
                        : AttemptOutcome::kUnknown;
-  result.m_reason = FieldValue(aResponse, kReasonField);
   result.m_retryAfter =
     Milliseconds(ParseNumberField(aResponse, kRetryAfterMsField).value_or(0));
   result.m_reachedBackend = !FieldValue(aResponse, kArrivedField).empty();
   if (outcome.empty()) {
     result.m_reason = "peer-error";
+    return result;
   }
+  result.m_reason = FieldValue(aResponse, kReasonField);
+  result.m_kind = ParseResultKind(FieldValue(aResponse, kResultKindField))
+                    .value_or(KindFromReason(result.m_reason));
   return result;
 }
 
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -27,6 +27,8 @@
 // Name of the AttemptOutcome.
 constexpr std::string_view kOutcomeField = "Rattanloft-Outcome";
 constexpr std::string_view kReasonField = "Rattanloft-Reason";
+// Name of the ResultKind. Peers of the previous release do not send it.
+constexpr std::string_view kResultKindField = "Rattanloft-Result-Kind";
 constexpr std::string_view kRetryAfterMsField = "Rattanloft-Retry-After-Ms";
 // Running requests, waiting requests, slots and mean service time in
 // milliseconds, separated by commas.
@@ -51,14 +53,28 @@
 std::string_view
 AttemptOutcomeName(AttemptOutcome aOutcome);
 
+// What a result without an answer means for the next attempt.
+enum class ResultKind
+{
+  kOther,
+  // The backend server does not own the key any more, or not yet.
+  kOwnerMoved,
+  // No slot of the backend server is free in time.
+  kOverloaded,
+};
+
+std::string_view
+ResultKindName(ResultKind aKind);
+
 // Result of one attempt to run a request on a backend server.
 struct AttemptResult
 {
   AttemptOutcome m_outcome = AttemptOutcome::kUnknown;
   // Set for kAnswered.
   http::Response m_response;
-  // Why there is no answer; empty for kAnswered.
+  // Why there is no answer, for logs and callers; empty for kAnswered.
   std::string m_reason;
+  ResultKind m_kind = ResultKind::kOther;
   Duration m_retryAfter;
   // The request reached a backend server.
   bool m_reachedBackend = false;
@@ -66,6 +82,7 @@
 
 // Converts between the result of an attempt and the response that a sidecar
 // sends to its peer. A response without an outcome field decodes as kUnknown.
+// The kind of a response without a kind field follows from the reason.
 http::Response
 EncodeAttemptResult(AttemptResult aResult, const ReportedLoad& aLoad);
 AttemptResult
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -33,12 +33,13 @@
 AttemptResult
 MakeResult(AttemptOutcome aOutcome,
            bool aReachedBackend,
-           std::string_view aReason = "reason")
+           ResultKind aKind = ResultKind::kOther)
 {
   AttemptResult result;
   result.m_outcome = aOutcome;
   result.m_reachedBackend = aReachedBackend;
-  result.m_reason = aReason;
+  result.m_reason = "reason";
+  result.m_kind = aKind;
   return result;
 }
 
@@ -79,10 +80,8 @@
   uint32_t sent = 0;
   NextStep step = NextStep::kWaitForOwner;
   while (step == NextStep::kWaitForOwner) {
-    step =
-      policy.OnResult(MakeResult(AttemptOutcome::kNotRun, false, "unreachable"),
-                      now,
-                      AllowRetry);
+    step = policy.OnResult(
+      MakeResult(AttemptOutcome::kNotRun, false), now, AllowRetry);
     ++sent;
     now = now + kOwnerPollInterval;
   }
@@ -97,13 +96,12 @@
 {
   const TimePoint afterOwnerWait = kStart + Milliseconds(600);
   AttemptPolicy ownerLost(MakeKeyedLimits());
-  CHECK(ownerLost.OnResult(
-          MakeResult(AttemptOutcome::kNotRun, false, "unreachable"),
-          afterOwnerWait,
-          AllowRetry) == NextStep::kFinish);
+  CHECK(ownerLost.OnResult(MakeResult(AttemptOutcome::kNotRun, false),
+                           afterOwnerWait,
+                           AllowRetry) == NextStep::kFinish);
   AttemptPolicy ownerMoving(MakeKeyedLimits());
   const AttemptResult moved =
-    MakeResult(AttemptOutcome::kNotRun, false, "not-owner");
+    MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kOwnerMoved);
   CHECK(ownerMoving.OnResult(moved, afterOwnerWait, AllowRetry) ==
         NextStep::kWaitForOwner);
   CHECK(ownerMoving.OnResult(moved, kStart + Milliseconds(790), AllowRetry) ==
@@ -114,16 +112,30 @@
 {
   AttemptPolicy policy(MakeKeyedLimits());
   CHECK(policy.OnResult(
-          MakeResult(AttemptOutcome::kNotRun, false, kOverloadedReason),
+          MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kOverloaded),
           kStart,
           AllowRetry) == NextStep::kFinish);
 }
 
+// Guards against decisions that depend on the wording of a reason.
+TEST_CASE("a keyed request waits by the kind of a result, not by its reason")
+{
+  for (const std::string_view reason : { "overloaded", "not-owner" }) {
+    AttemptPolicy policy(MakeKeyedLimits());
+    AttemptResult other = MakeResult(AttemptOutcome::kNotRun, false);
+    other.m_reason = reason;
+    CHECK(policy.OnResult(other, kStart, AllowRetry) ==
+          NextStep::kWaitForOwner);
+    CHECK(policy.OnResult(other, kStart + Milliseconds(600), AllowRetry) ==
+          NextStep::kFinish);
+  }
+}
+
 TEST_CASE("an unkeyed request finishes after four attempts")
 {
   AttemptPolicy policy(MakeUnkeyedLimits(true));
   const AttemptResult refused =
-    MakeResult(AttemptOutcome::kNotRun, false, kOverloadedReason);
+    MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kOverloaded);
   for (int i = 0; i < 3; ++i) {
     CHECK(policy.OnResult(refused, kStart, DenyRetry) == NextStep::kSend);
   }
@@ -146,8 +158,7 @@
   "a request reaches at most as many backend servers as its route allows")
 {
   AttemptPolicy policy(MakeUnkeyedLimits(true));
-  const AttemptResult full =
-    MakeResult(AttemptOutcome::kNotRun, true, "backend-full");
+  const AttemptResult full = MakeResult(AttemptOutcome::kNotRun, true);
   CHECK(policy.OnResult(full, kStart, AllowRetry) == NextStep::kSend);
   CHECK(policy.OnResult(full, kStart, AllowRetry) == NextStep::kFinish);
   CHECK(policy.BackendAttempts() == 2);
--- /dev/null
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -0,0 +1,129 @@
+#include "BackendHandler.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+namespace asio = boost::asio;
+
+class ProtocolStub final : public BackendProtocol
+{
+public:
+  ProtocolStub() { m_headers.m_requestId = "Id"; }
+
+  const HeaderNames& Headers() const override { return m_headers; }
+  BackendCall Classify(std::string_view /*aMethod*/,
+                       std::string_view /*aTarget*/) const override
+  {
+    return {};
+  }
+  tl::expected<Heartbeat, std::string> ParseHeartbeat(
+    std::string_view /*aBackendId*/,
+    std::string_view /*aBody*/) const override
+  {
+    return Heartbeat();
+  }
+  std::string FormatHeartbeatResponse(
+    const HeartbeatResponse& /*aResponse*/) const override
+  {
+    return {};
+  }
+  int64_t ParseLifetimeStartUnixMs(std::string_view /*aBody*/) const override
+  {
+    return 0;
+  }
+
+private:
+  HeaderNames m_headers;
+};
+
+// A handler beside a backend server with one slot, to which nothing can be
+// sent.
+class HandlerFixture
+{
+public:
+  HandlerFixture()
+  {
+    Heartbeat heartbeat;
+    heartbeat.m_backendId = "i-1";
+    heartbeat.m_service = "s";
+    heartbeat.m_address = "10.0.0.1:80";
+    heartbeat.m_sequence = 1;
+    heartbeat.m_startedAtUnixMs = 500;
+    m_localBackend.OnHeartbeat(heartbeat, m_clock.Now());
+    m_workQueue.SetSlots(1);
+  }
+
+  AttemptResult Run(const RequestAttributes& aAttributes)
+  {
+    AttemptResult result;
+    asio::co_spawn(
+      m_context,
+      m_handler.RunRequest({}, aAttributes, nullptr),
+      [&](const std::exception_ptr& aError, AttemptResult aResult) {
+        REQUIRE(aError == nullptr);
+        result = std::move(aResult);
+      });
+    m_context.run();
+    return result;
+  }
+
+  ManualClock m_clock;
+  ProtocolStub m_protocol;
+  asio::io_context m_context;
+  std::unique_ptr<http::Client> m_client = http::Client::Make(m_context, {});
+  LocalBackend m_localBackend{ "n1", "10.0.0.1:80", Seconds(2), m_clock.Now() };
+  WorkQueue m_workQueue;
+  BackendHandler m_handler{ m_context,    m_clock,        m_protocol,
+                            *m_client,    m_localBackend, m_workQueue,
+                            "10.0.0.1:80" };
+};
+
+} // namespace
+
+// Guards against a caller that gives up while the next owner takes over.
+TEST_CASE("a refusal for a key of another owner has the kind of a move")
+{
+  HandlerFixture fixture;
+  RequestAttributes attributes;
+  attributes.m_service = "s";
+  attributes.m_keyed = true;
+  attributes.m_key = 7;
+  const AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_kind == ResultKind::kOwnerMoved);
+  CHECK(result.m_reason == "not-owner");
+}
+
+// Guards against requests that wait for an owner that is only full.
+TEST_CASE("a refusal by the queue has the kind of an overload")
+{
+  HandlerFixture fixture;
+  fixture.m_workQueue.Submit(
+    { 1, "k", 0, fixture.m_clock.Now(), fixture.m_clock.Now() },
+    fixture.m_clock.Now());
+  RequestAttributes attributes;
+  attributes.m_service = "s";
+  attributes.m_kind = "k";
+  const AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_kind == ResultKind::kOverloaded);
+  CHECK(result.m_reason == "overloaded");
+}
+
+// Guards against other refusals that are taken for a move or an overload.
+TEST_CASE("a refusal for another service has no special kind")
+{
+  HandlerFixture fixture;
+  RequestAttributes attributes;
+  attributes.m_service = "other";
+  const AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_kind == ResultKind::kOther);
+}
+
+} // namespace rattanloft::sidecar
