Let AttemptPolicy end requests for a stalled owner

Cause: that a keyed request ends at once if its owner is stalled was decided in EntryHandler::RunAttempts, so only the detection of a stalled instance had a test without sockets.

Change: AttemptPolicy::OnInstanceChosen decides it; EntryHandler still states the reason owner-stalled and its retry delay, both unchanged.

With the decision taken out, "a keyed request ends at once if its owner is stalled" fails; with the condition on a key taken out, "an unkeyed request is sent even to a stalled instance" fails.

--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -57,6 +57,14 @@
   return NextStep::kWaitForOwner;
 }
 
+NextStep
+AttemptPolicy::OnInstanceChosen(bool aStalled) const
+{
+  // The keys of a stalled instance get another owner only after its lease has
+  // expired, so waiting does not help.
+  return m_limits.m_keyed && aStalled ? NextStep::kFinish : NextStep::kSend;
+}
+
 NextStep
 AttemptPolicy::OnNoEndpoint(TimePoint aNow) const
 {
--- a/modules/sidecar/src/AttemptPolicy.h
+++ b/modules/sidecar/src/AttemptPolicy.h
@@ -35,10 +35,10 @@
   kFinish,
 };
 
-// Decides after each attempt, or if no backend server was found, whether a
-// request is sent again, waits or finishes. Covers keys that change their owner
-// and backend servers that are overloaded or failing. Does no I/O; one instance
-// per request.
+// Decides before and after each attempt, or if no backend server was found,
+// whether a request is sent, waits or finishes. Covers keys that change their
+// owner and backend servers that are stalled, overloaded or failing. Does no
+// I/O; one instance per request.
 class AttemptPolicy
 {
 public:
@@ -62,6 +62,9 @@
     return m_limits.m_keyed ? StepAfterKeyedAttempt(aResult, aNow)
                             : NextStep::kSend;
   }
+  // Called before each attempt. aStalled is true if the instance has left
+  // several requests unanswered.
+  NextStep OnInstanceChosen(bool aStalled) const;
   // Called if there is no backend server to send the request to.
   NextStep OnNoEndpoint(TimePoint aNow) const;
 
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -238,10 +238,9 @@
       step = policy.OnNoEndpoint(m_clock.Now());
       continue;
     }
-    if (aState.m_keyed &&
-        m_endpointSelector.IsStalled(aState.m_instance, m_clock.Now())) {
-      // The keys of a stalled instance get another owner only after its lease
-      // has expired, so waiting does not help.
+    step = policy.OnInstanceChosen(
+      m_endpointSelector.IsStalled(aState.m_instance, m_clock.Now()));
+    if (step == NextStep::kFinish) {
       last.m_reason = "owner-stalled";
       last.m_retryAfter = kStalledOwnerRetryDelay;
       break;
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -131,6 +131,29 @@
   }
 }
 
+// Guards against requests that pile up at a frozen owner until their deadlines.
+TEST_CASE("a keyed request ends at once if its owner is stalled")
+{
+  AttemptPolicy policy(MakeKeyedLimits());
+  CHECK(policy.OnInstanceChosen(false) == NextStep::kSend);
+  CHECK(policy.OnInstanceChosen(true) == NextStep::kFinish);
+  CHECK(policy.SidecarAttempts() == 0);
+  CHECK_FALSE(policy.MayHaveRun());
+  const AttemptResult moved =
+    MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kOwnerMoved);
+  REQUIRE(policy.OnResult(moved, kStart, AllowRetry) ==
+          NextStep::kWaitForOwner);
+  CHECK(policy.OnInstanceChosen(true) == NextStep::kFinish);
+  CHECK(policy.OnInstanceChosen(false) == NextStep::kSend);
+}
+
+// Guards against a refusal while every instance that is left is slow.
+TEST_CASE("an unkeyed request is sent even to a stalled instance")
+{
+  const AttemptPolicy policy(MakeUnkeyedLimits(true));
+  CHECK(policy.OnInstanceChosen(true) == NextStep::kSend);
+}
+
 TEST_CASE("an unkeyed request finishes after four attempts")
 {
   AttemptPolicy policy(MakeUnkeyedLimits(true));
