Send sidecars only the endpoints that have changed

Each change of one endpoint (a drain, a restart, a new lifetime) sent the whole list to every sidecar, so that the traffic grew with the square of the fleet.

A sidecar that accepts changes and has a list of the same term gets what changed after its revision; others, among them sidecars of the previous release, get the whole list. The sidecar ignores changes that build on a list it does not have. The selector keeps the end of the cold time of an endpoint that has not changed. The leader updates one endpoint a sync instead of serializing all of them.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -8,6 +8,7 @@
 
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
+#include "rattanloft/fleet/EndpointList.h"
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/fleet/RangePlacer.h"
 
@@ -72,8 +73,6 @@
     // Latest report of the sidecar, and when it arrived.
     wire::FleetSyncRequest m_lastRequest;
     TimePoint m_lastHeardAt;
-    // Whether the endpoint list contains the sidecar.
-    bool m_listed = false;
   };
   // A backend lifetime that owns key ranges or may own some.
   struct Holder
@@ -134,15 +133,15 @@
   std::map<std::string, std::vector<wire::OwnedRange>> ComputePlannedRanges()
     const;
   void RefreshPlans();
-  void RefreshEndpoints(TimePoint aNow);
-  std::vector<wire::Endpoint> ListEndpoints() const;
+  void RemoveSilentEndpoints(TimePoint aNow);
   void MarkEarlierLifetimesEnded(const std::string& aInstance,
                                  const wire::BackendView& aBackend);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
   void AddChangedRanges(uint64_t aKnownIndex,
                         wire::FleetSyncReply& aReply) const;
-  void AddEndpoints(wire::FleetSyncReply& aReply) const;
+  void AddEndpoints(const wire::FleetSyncRequest& aRequest,
+                    wire::FleetSyncReply& aReply) const;
 
   const FleetState& m_state;
   uint64_t m_term;
@@ -158,9 +157,7 @@
   std::map<std::string, Holder> m_holders;
   // By service name.
   std::map<std::string, ServiceState> m_services;
-  uint64_t m_endpointsRevision = 1;
-  // The listed endpoints in serialized form, to detect changes.
-  std::string m_serializedEndpoints;
+  EndpointList m_endpoints;
 };
 
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -49,17 +49,21 @@
   return aFirst <= aOtherLast && aOtherFirst <= aLast;
 }
 
-// Returns the backend server as the endpoint list shows it. A sidecar that is
-// stopping still serves for some seconds, but gets no new work that can go
-// elsewhere.
-wire::BackendView
-MakeEndpointView(const wire::FleetSyncRequest& aReport)
+// A sidecar that is stopping still serves for some seconds, but is listed as
+// draining, so that it gets no new work that can go elsewhere.
+wire::Endpoint
+MakeEndpoint(const wire::FleetSyncRequest& aReport)
 {
-  wire::BackendView view = aReport.backend();
+  wire::Endpoint endpoint;
+  endpoint.set_instance(aReport.instance());
+  endpoint.set_zone(aReport.zone());
+  endpoint.set_peer_address(aReport.peer_address());
+  wire::BackendView& view = *endpoint.mutable_backend();
+  view = aReport.backend();
   if (aReport.stopping() && view.phase() == wire::BACKEND_PHASE_READY) {
     view.set_phase(wire::BACKEND_PHASE_DRAINING);
   }
-  return view;
+  return endpoint;
 }
 
 } // namespace
@@ -114,7 +118,7 @@
   RecordLoads(aRequest, aNow);
   sidecar.m_lastRequest = aRequest;
   sidecar.m_lastHeardAt = aNow;
-  RefreshEndpoints(aNow);
+  m_endpoints.Set(MakeEndpoint(aRequest));
   return true;
 }
 
@@ -411,7 +415,7 @@
     }
   }
   RefreshPlans();
-  RefreshEndpoints(aNow);
+  RemoveSilentEndpoints(aNow);
   return commands;
 }
 
@@ -469,7 +473,7 @@
 }
 
 void
-FleetLeader::RefreshEndpoints(TimePoint aNow)
+FleetLeader::RemoveSilentEndpoints(TimePoint aNow)
 {
   size_t silentCount = 0;
   for (const auto& [name, sidecar] : m_sidecars) {
@@ -478,45 +482,11 @@
   // If most sidecars are silent, this coordinator is more likely cut off from
   // them than they are lost.
   const bool mostAreSilent = silentCount * 2 > m_sidecars.size();
-  std::string serialized;
-  for (auto& [name, sidecar] : m_sidecars) {
-    const bool silentTooLong =
-      aNow - sidecar.m_lastHeardAt > kMaxEndpointSilence;
-    if (silentTooLong && !mostAreSilent) {
-      sidecar.m_listed = false;
-    } else if (!silentTooLong) {
-      sidecar.m_listed = true;
-    }
-    if (!sidecar.m_listed) {
-      continue;
-    }
-    wire::BackendView view = MakeEndpointView(sidecar.m_lastRequest);
-    view.set_cold_remaining_ms(view.cold_remaining_ms() > 0 ? 1 : 0);
-    serialized += name + '|' + sidecar.m_lastRequest.peer_address() + '|' +
-                  view.SerializeAsString();
-  }
-  if (serialized != m_serializedEndpoints) {
-    m_serializedEndpoints = std::move(serialized);
-    ++m_endpointsRevision;
-  }
-}
-
-std::vector<wire::Endpoint>
-FleetLeader::ListEndpoints() const
-{
-  std::vector<wire::Endpoint> endpoints;
   for (const auto& [name, sidecar] : m_sidecars) {
-    if (!sidecar.m_listed) {
-      continue;
+    if (aNow - sidecar.m_lastHeardAt > kMaxEndpointSilence && !mostAreSilent) {
+      m_endpoints.Remove(name);
     }
-    wire::Endpoint endpoint;
-    endpoint.set_instance(name);
-    endpoint.set_zone(sidecar.m_lastRequest.zone());
-    endpoint.set_peer_address(sidecar.m_lastRequest.peer_address());
-    *endpoint.mutable_backend() = MakeEndpointView(sidecar.m_lastRequest);
-    endpoints.push_back(std::move(endpoint));
-  }
-  return endpoints;
+  }
 }
 
 // Before every sidecar has had time to report, the list of a new leader is
@@ -526,7 +496,7 @@
 FleetLeader::NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const
 {
   const bool sameTerm = aRequest.endpoints_term() == m_term;
-  if (sameTerm && aRequest.endpoints_revision() >= m_endpointsRevision) {
+  if (sameTerm && aRequest.endpoints_revision() >= m_endpoints.Revision()) {
     return false;
   }
   return sameTerm || aRequest.endpoints_revision() == 0 ||
@@ -550,13 +520,12 @@
 }
 
 void
-FleetLeader::AddEndpoints(wire::FleetSyncReply& aReply) const
+FleetLeader::AddEndpoints(const wire::FleetSyncRequest& aRequest,
+                          wire::FleetSyncReply& aReply) const
 {
-  aReply.set_has_endpoints(true);
-  aReply.set_endpoints_revision(m_endpointsRevision);
-  for (wire::Endpoint& endpoint : ListEndpoints()) {
-    *aReply.add_endpoints() = std::move(endpoint);
-  }
+  const bool changesOnly =
+    aRequest.accepts_endpoint_changes() && aRequest.endpoints_term() == m_term;
+  m_endpoints.AddTo(aReply, changesOnly ? aRequest.endpoints_revision() : 0);
 }
 
 // Each assignment carries the log index of its command as its fencing token, so
@@ -597,7 +566,7 @@
     AddChangedRanges(aRequest.ranges_index(), reply);
   }
   if (NeedsEndpoints(aRequest)) {
-    AddEndpoints(reply);
+    AddEndpoints(aRequest, reply);
   }
   const std::string& name = aRequest.backend().holder();
   const auto found = m_holders.find(name);
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -146,4 +146,35 @@
   CHECK(repeatedReply.lease_ms() > 0);
 }
 
+// Guards against traffic that grows with the square of the fleet, and against a
+// sidecar of an earlier release that takes changes for the whole list.
+TEST_CASE("a sync carries changed endpoints only to sidecars that accept them")
+{
+  LeaderFixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.SendSync(fixture.MakeRequest("n" + std::to_string(i)));
+  }
+  wire::FleetSyncRequest request = fixture.MakeRequest("n0");
+  const wire::FleetSyncReply first = fixture.SendSync(request);
+  CHECK(first.endpoints_size() == 20);
+  request.set_endpoints_term(first.term());
+  request.set_endpoints_revision(first.endpoints_revision());
+  CHECK_FALSE(fixture.SendSync(request).has_endpoints());
+
+  wire::FleetSyncRequest stopping = fixture.MakeRequest("n5");
+  stopping.set_stopping(true);
+  fixture.SendSync(stopping);
+  CHECK(fixture.SendSync(request).endpoints_size() == 20);
+  request.set_accepts_endpoint_changes(true);
+  const wire::FleetSyncReply changes = fixture.SendSync(request);
+  REQUIRE(changes.endpoints_size() == 1);
+  CHECK(changes.endpoints(0).instance() == "n5");
+  CHECK(changes.endpoints(0).backend().phase() == wire::BACKEND_PHASE_DRAINING);
+  request.set_endpoints_term(first.term() - 1);
+  fixture.RunFor(Seconds(2));
+  const wire::FleetSyncReply otherTerm = fixture.SendSync(request);
+  CHECK(otherTerm.endpoints_base_revision() == 0);
+  CHECK(otherTerm.endpoints_size() == 20);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -48,16 +48,22 @@
     EndpointState& state = endpointStates[endpoint.instance()];
     const auto known = m_endpointStates.find(endpoint.instance());
     if (known != m_endpointStates.end()) {
-      state = known->second;
-      if (known->second.m_endpoint.backend().holder() !=
-          endpoint.backend().holder()) {
-        state.m_failureRate = 0;
-        state.m_load = {};
-      }
+      state = std::move(known->second);
+    }
+    const wire::BackendView& before = state.m_endpoint.backend();
+    const wire::BackendView& backend = endpoint.backend();
+    const bool isNewLifetime = before.holder() != backend.holder();
+    if (isNewLifetime) {
+      state.m_failureRate = 0;
+      state.m_load = {};
+    }
+    // An endpoint that has not changed was reported earlier, so its remaining
+    // time does not start again.
+    if (isNewLifetime ||
+        before.cold_remaining_ms() != backend.cold_remaining_ms()) {
+      state.m_coldUntil = aNow + Milliseconds(backend.cold_remaining_ms());
     }
     state.m_endpoint = endpoint;
-    state.m_coldUntil =
-      aNow + Milliseconds(endpoint.backend().cold_remaining_ms());
   }
   m_endpointStates = std::move(endpointStates);
 }
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -27,18 +27,61 @@
   if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
     ApplyRanges(aReply);
   }
-  const bool laterTerm = aReply.term() > m_endpointsTerm;
-  if (aReply.has_endpoints() &&
-      (laterTerm || (aReply.term() == m_endpointsTerm &&
-                     aReply.endpoints_revision() > m_endpointsRevision))) {
+  if (aReply.has_endpoints()) {
+    ApplyEndpoints(aReply);
+  }
+}
+
+void
+FleetDirectory::ApplyEndpoints(const wire::FleetSyncReply& aReply)
+{
+  const bool sameTerm = aReply.term() == m_endpointsTerm;
+  const bool isNewer = sameTerm
+                         ? aReply.endpoints_revision() > m_endpointsRevision
+                         : aReply.term() > m_endpointsTerm;
+  const uint64_t base = aReply.endpoints_base_revision();
+  // Changes apply only to a list that has all earlier changes.
+  const bool isComplete =
+    base == 0 || (sameTerm && base <= m_endpointsRevision);
+  if (!isNewer || !isComplete) {
+    return;
+  }
+  if (base == 0) {
     m_endpoints.assign(aReply.endpoints().begin(), aReply.endpoints().end());
-    m_endpointsRevision = aReply.endpoints_revision();
-    m_endpointsTerm = aReply.term();
-    LogInfo("directory",
-            "event=endpoints term={} revision={} count={}",
-            m_endpointsTerm,
-            m_endpointsRevision,
-            m_endpoints.size());
+  } else {
+    MergeEndpoints(aReply);
+  }
+  m_endpointsRevision = aReply.endpoints_revision();
+  m_endpointsTerm = aReply.term();
+  LogInfo("directory",
+          "event=endpoints term={} revision={} base={} changed={} removed={} "
+          "count={}",
+          m_endpointsTerm,
+          m_endpointsRevision,
+          base,
+          aReply.endpoints_size(),
+          aReply.removed_endpoints_size(),
+          m_endpoints.size());
+}
+
+void
+FleetDirectory::MergeEndpoints(const wire::FleetSyncReply& aReply)
+{
+  for (const std::string& instance : aReply.removed_endpoints()) {
+    std::erase_if(m_endpoints, [&](const wire::Endpoint& aKnown) {
+      return aKnown.instance() == instance;
+    });
+  }
+  for (const wire::Endpoint& endpoint : aReply.endpoints()) {
+    const auto known = std::ranges::find(
+      m_endpoints, endpoint.instance(), [](const wire::Endpoint& aKnown) {
+        return aKnown.instance();
+      });
+    if (known != m_endpoints.end()) {
+      *known = endpoint;
+    } else {
+      m_endpoints.push_back(endpoint);
+    }
   }
 }
 
--- a/modules/sidecar/src/FleetDirectory.h
+++ b/modules/sidecar/src/FleetDirectory.h
@@ -47,6 +47,9 @@
   // Merges the ranges of the reply, which are only those that changed after
   // m_rangesIndex.
   void ApplyRanges(const wire::FleetSyncReply& aReply);
+  // Replaces the endpoints, or merges the changes that the reply contains.
+  void ApplyEndpoints(const wire::FleetSyncReply& aReply);
+  void MergeEndpoints(const wire::FleetSyncReply& aReply);
 
   std::shared_ptr<const fleet::RequestRouter> m_router;
   std::map<std::string, wire::ServiceRanges> m_ranges;
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -159,6 +159,7 @@
   request.set_ranges_index(m_directory.RangesIndex());
   request.set_endpoints_revision(m_directory.EndpointsRevision());
   request.set_endpoints_term(m_directory.EndpointsTerm());
+  request.set_accepts_endpoint_changes(true);
   m_localBackend.FillReport(request, m_clock.Now());
   m_reportedRevision = m_localBackend.ReportRevision();
   request.set_service_time_ms(
--- a/modules/sidecar/tests/EndpointSelectorTest.cpp
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -137,4 +137,19 @@
   CHECK_FALSE(selector.IsStalled("a", TimePoint{ 5000 }));
 }
 
+// Guards against a warm backend server that counts as cold again whenever
+// another endpoint changes.
+TEST_CASE("a change of another endpoint does not restart the cold time")
+{
+  EndpointSelector selector(1);
+  std::vector<wire::Endpoint> endpoints = { MakeEndpoint("a"),
+                                            MakeEndpoint("b") };
+  endpoints[0].mutable_backend()->set_cold_remaining_ms(1000);
+  selector.SetEndpoints(endpoints, TimePoint{ 0 });
+  CHECK(CountChoices(selector, TimePoint{ 500 })["a"] == 0);
+  endpoints.push_back(MakeEndpoint("c", "z2"));
+  selector.SetEndpoints(endpoints, TimePoint{ 900 });
+  CHECK(CountChoices(selector, TimePoint{ 1100 })["a"] > 50);
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/FleetDirectoryTest.cpp
+++ b/modules/sidecar/tests/FleetDirectoryTest.cpp
@@ -1,7 +1,12 @@
 #include "FleetDirectory.h"
 
+#include <map>
+#include <random>
+#include <span>
+
 #include <catch2/catch.hpp>
 
+#include "rattanloft/fleet/EndpointList.h"
 #include "rattanloft/fleet/FleetState.h"
 
 namespace rattanloft::sidecar {
@@ -36,6 +41,37 @@
   return range == nullptr ? std::string() : range->holder();
 }
 
+wire::FleetSyncReply
+MakeEndpointsReply(const fleet::EndpointList& aList,
+                   uint64_t aTerm,
+                   uint64_t aBaseRevision)
+{
+  wire::FleetSyncReply reply;
+  reply.set_term(aTerm);
+  aList.AddTo(reply, aBaseRevision);
+  return reply;
+}
+
+wire::Endpoint
+MakeEndpoint(const std::string& aInstance, uint32_t aSlots = 1)
+{
+  wire::Endpoint endpoint;
+  endpoint.set_instance(aInstance);
+  endpoint.mutable_backend()->set_slots(aSlots);
+  return endpoint;
+}
+
+std::map<std::string, uint32_t>
+SlotsByInstance(std::span<const wire::Endpoint> aEndpoints)
+{
+  std::map<std::string, uint32_t> slots;
+  for (const wire::Endpoint& endpoint : aEndpoints) {
+    slots[endpoint.instance()] = endpoint.backend().slots();
+  }
+  CHECK(slots.size() == aEndpoints.size());
+  return slots;
+}
+
 } // namespace
 
 // Guards against keys that lose their owner when other keys move: a reply
@@ -62,4 +98,63 @@
   CHECK(directory.RangesIndex() == 6);
 }
 
+// Guards against changes that are applied to a list that lacks earlier ones.
+TEST_CASE("endpoint changes are ignored without the list that they build on")
+{
+  fleet::EndpointList list;
+  list.Set(MakeEndpoint("a"));
+  const uint64_t known = list.Revision();
+  list.Set(MakeEndpoint("b"));
+  FleetDirectory directory;
+  directory.ApplyReply(MakeEndpointsReply(list, 3, known), kNow);
+  CHECK(directory.Endpoints().empty());
+  CHECK(directory.EndpointsRevision() == 0);
+  directory.ApplyReply(MakeEndpointsReply(list, 2, 0), kNow);
+  directory.ApplyReply(MakeEndpointsReply(list, 3, known), kNow);
+  CHECK(directory.EndpointsTerm() == 2);
+}
+
+// Guards against a list that differs from the leader's after replies were lost,
+// delayed or applied out of order.
+TEST_CASE("endpoint changes lead to the list of the leader in any order")
+{
+  const uint64_t seed = GENERATE(range(1, 21));
+  CAPTURE(seed);
+  std::mt19937_64 random(seed);
+  fleet::EndpointList list;
+  FleetDirectory directory;
+  std::vector<wire::FleetSyncReply> delayed;
+  for (int step = 0; step < 500; ++step) {
+    const std::string instance = "n" + std::to_string(random() % 20);
+    if (random() % 4 == 0) {
+      list.Remove(instance);
+    } else {
+      list.Set(MakeEndpoint(instance, 1 + random() % 3));
+    }
+    wire::FleetSyncReply reply =
+      MakeEndpointsReply(list, 1, directory.EndpointsRevision());
+    switch (random() % 3) {
+      case 0:
+        directory.ApplyReply(reply, kNow);
+        break;
+      case 1:
+        delayed.push_back(std::move(reply));
+        break;
+      default:
+        break;
+    }
+    if (!delayed.empty() && random() % 3 == 0) {
+      const size_t index = random() % delayed.size();
+      directory.ApplyReply(delayed[index], kNow);
+      delayed.erase(delayed.begin() + static_cast<ptrdiff_t>(index));
+    }
+  }
+  directory.ApplyReply(
+    MakeEndpointsReply(list, 1, directory.EndpointsRevision()), kNow);
+  const wire::FleetSyncReply all = MakeEndpointsReply(list, 1, 0);
+  const std::vector<wire::Endpoint> expected(all.endpoints().begin(),
+                                             all.endpoints().end());
+  CHECK(SlotsByInstance(directory.Endpoints()) == SlotsByInstance(expected));
+}
+
 } // namespace rattanloft::sidecar
