Log each adopted configuration and each failed sync

The sidecar now logs, for each call that fails, how long it took and at which step, and for each configuration its size and the time of the call; the directory adds the term and the time since the last reply. An error while a body is read names the bytes that are missing.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -401,10 +401,13 @@
                                        *parser,
                                        kUseAwaitableTuple);
     if (bodyError) {
-      co_return tl::unexpected(MakeError(HttpErrorCode::kConnectionBroken,
-                                         true,
-                                         "read from",
-                                         bodyError.message()));
+      const auto bytesLeft = parser->content_length_remaining();
+      co_return tl::unexpected(MakeError(
+        HttpErrorCode::kConnectionBroken,
+        true,
+        bytesLeft ? fmt::format("read the last {} bytes from", *bytesLeft)
+                  : "read the body from",
+        bodyError.message()));
     }
   }
   m_connectionReusable = parser->get().keep_alive() && !parser->need_eof() &&
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -10,6 +10,7 @@
 void
 FleetDirectory::ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aNow)
 {
+  const Duration silence = TimeSinceLastReply(aNow);
   m_lastReplyAt = aNow;
   if (aReply.sidecars() > 0) {
     m_sidecarCount = aReply.sidecars();
@@ -19,10 +20,13 @@
       aReply.configuration().version() > version) {
     m_router = fleet::RequestRouter::Make(aReply.configuration());
     LogInfo("directory",
-            "event=configuration version={} before={} routes={}",
+            "event=configuration version={} before={} routes={} term={} "
+            "since_last_reply_ms={}",
             m_router->Version(),
             version,
-            aReply.configuration().routes_size());
+            aReply.configuration().routes_size(),
+            aReply.term(),
+            version > 0 ? silence.m_ms : 0);
   }
   if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
     ApplyRanges(aReply);
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -179,8 +179,15 @@
   tl::expected<http::Response, http::HttpError> response =
     co_await m_controlClient.Exchange(
       aAddress, std::move(request), kSyncTimeout);
+  const Duration callTime = m_clock.Now() - sentAt;
   wire::FleetSyncReply reply;
   if (!response) {
+    LogInfo("sync",
+            "event=call-failed sequence={} ms={} superseded={} reason=\"{}\"",
+            syncRequest.sequence(),
+            callTime.m_ms,
+            aCallNumber != m_newestCallNumber,
+            response.error().m_message);
     if (aCallNumber == m_newestCallNumber) {
       OnCallFailed(aAddress, response.error().m_message);
     }
@@ -188,6 +195,17 @@
     OnCallFailed(aAddress, "sync reply is not a valid FleetSyncReply message");
   } else {
     UpdateCoordinators(reply);
+    if (reply.has_configuration()) {
+      LogInfo("sync",
+              "event=configuration-received sequence={} version={} bytes={} "
+              "endpoints={} ms={} superseded={}",
+              syncRequest.sequence(),
+              reply.configuration().version(),
+              response->body().size(),
+              reply.endpoints_size(),
+              callTime.m_ms,
+              aCallNumber != m_newestCallNumber);
+    }
     if (reply.leading()) {
       OnLeaderReply(reply, syncRequest, sentAt);
     } else if (aCallNumber == m_newestCallNumber) {
