Send sidecars only the changes of the configuration

With hundreds of routes in the configuration, callers of all services were served late or not at all and routed by old versions: each version went out whole to every sidecar.

Sidecars of the previous release, sidecars that are further behind and those of a new leader without their version get it whole, as before.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -8,6 +8,7 @@
 
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
+#include "rattanloft/fleet/ConfigurationChanges.h"
 #include "rattanloft/fleet/EndpointList.h"
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/fleet/RangePlacer.h"
@@ -140,6 +141,8 @@
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
   void AddChangedRanges(uint64_t aKnownIndex,
                         wire::FleetSyncReply& aReply) const;
+  void AddConfiguration(const wire::FleetSyncRequest& aRequest,
+                        wire::FleetSyncReply& aReply);
   void AddEndpoints(const wire::FleetSyncRequest& aRequest,
                     wire::FleetSyncReply& aReply) const;
 
@@ -158,6 +161,7 @@
   // By service name.
   std::map<std::string, ServiceState> m_services;
   EndpointList m_endpoints;
+  ConfigurationHistory m_configurationHistory;
 };
 
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -78,6 +78,7 @@
   , m_leadershipStart(aNow)
   , m_latestTime(aNow)
 {
+  m_configurationHistory.Observe(m_state.CurrentChange().configuration());
   // An earlier leader may have renewed any lease until this moment.
   for (const auto& [name, ranges] : m_state.RangesByService()) {
     for (const wire::OwnedRange& range : ranges.ranges()) {
@@ -528,6 +529,27 @@
   m_endpoints.AddTo(aReply, changesOnly ? aRequest.endpoints_revision() : 0);
 }
 
+void
+FleetLeader::AddConfiguration(const wire::FleetSyncRequest& aRequest,
+                              wire::FleetSyncReply& aReply)
+{
+  const wire::Configuration& current = m_state.CurrentChange().configuration();
+  m_configurationHistory.Observe(current);
+  if (aRequest.configuration_version() >= current.version()) {
+    return;
+  }
+  const wire::ConfigurationChanges* const changes =
+    aRequest.accepts_configuration_changes()
+      ? m_configurationHistory.FindChangesSince(
+          aRequest.configuration_version())
+      : nullptr;
+  if (changes != nullptr) {
+    *aReply.mutable_configuration_changes() = *changes;
+  } else {
+    *aReply.mutable_configuration() = current;
+  }
+}
+
 // Each assignment carries the log index of its command as its fencing token, so
 // the ranges with a later index are those that the sidecar does not know.
 void
@@ -557,10 +579,7 @@
   reply.set_term(m_term);
   reply.set_sequence(aRequest.sequence());
   reply.set_sidecars(static_cast<uint32_t>(CountSidecars(aNow)));
-  const wire::Configuration& current = m_state.CurrentChange().configuration();
-  if (aRequest.configuration_version() < current.version()) {
-    *reply.mutable_configuration() = current;
-  }
+  AddConfiguration(aRequest, reply);
   reply.set_ranges_index(m_state.RangesIndex());
   if (aRequest.ranges_index() < m_state.RangesIndex()) {
     AddChangedRanges(aRequest.ranges_index(), reply);
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -177,4 +177,28 @@
   CHECK(otherTerm.endpoints_size() == 20);
 }
 
+// Guards against a small link that is filled by the routes that did not change.
+TEST_CASE("a sync carries the changes of the configuration where it can")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest request = fixture.MakeRequest("n1");
+  CHECK(fixture.SendSync(request).configuration().version() == 1);
+  wire::FleetCommand command;
+  wire::ReplaceConfiguration& change = *command.mutable_replace_configuration();
+  change.set_base_version(1);
+  *change.mutable_configuration() =
+    fixture.m_state.CurrentChange().configuration();
+  change.mutable_configuration()->set_version(2);
+  fixture.Apply(command);
+  request.set_configuration_version(1);
+  CHECK(fixture.SendSync(request).configuration().version() == 2);
+  request.set_accepts_configuration_changes(true);
+  const wire::FleetSyncReply reply = fixture.SendSync(request);
+  CHECK_FALSE(reply.has_configuration());
+  CHECK(reply.configuration_changes().base_version() == 1);
+  CHECK(reply.configuration_changes().version() == 2);
+  request.set_configuration_version(0);
+  CHECK(fixture.SendSync(request).configuration().version() == 2);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/fleet/ConfigurationChanges.h"
 #include "rattanloft/fleet/FleetState.h"
 
 namespace rattanloft::sidecar {
@@ -16,19 +17,7 @@
   if (aReply.sidecars() > 0) {
     m_sidecarCount = aReply.sidecars();
   }
-  const uint64_t version = m_router ? m_router->Version() : 0;
-  if (aReply.has_configuration() &&
-      aReply.configuration().version() > version) {
-    m_router = fleet::RequestRouter::Make(aReply.configuration());
-    LogInfo("directory",
-            "event=configuration version={} before={} routes={} term={} "
-            "since_last_reply_ms={}",
-            m_router->Version(),
-            version,
-            aReply.configuration().routes_size(),
-            aReply.term(),
-            version > 0 ? silence.m_ms : 0);
-  }
+  ApplyConfiguration(aReply, silence);
   if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
     ApplyRanges(aReply);
   }
@@ -37,6 +26,44 @@
   }
 }
 
+void
+FleetDirectory::ApplyConfiguration(const wire::FleetSyncReply& aReply,
+                                   Duration aSilence)
+{
+  const uint64_t version = m_router ? m_router->Version() : 0;
+  const wire::ConfigurationChanges& changes = aReply.configuration_changes();
+  int changed = aReply.configuration().routes_size();
+  if (aReply.configuration().version() > version) {
+    m_router = fleet::RequestRouter::Make(aReply.configuration());
+    m_needsWholeConfiguration = false;
+  } else if (m_router && changes.base_version() == version &&
+             changes.version() > version) {
+    auto next = fleet::ApplyConfigurationChanges(
+      m_router->SourceConfiguration(), changes);
+    if (!next) {
+      LogWarning("directory",
+                 "event=configuration-mismatch version={} before={}",
+                 changes.version(),
+                 version);
+      m_needsWholeConfiguration = true;
+      return;
+    }
+    m_router = fleet::RequestRouter::Make(std::move(*next));
+    changed = changes.routes_size() + changes.removed_routes_size();
+  } else {
+    return;
+  }
+  LogInfo("directory",
+          "event=configuration version={} before={} routes={} changed={} "
+          "term={} since_last_reply_ms={}",
+          m_router->Version(),
+          version,
+          m_router->SourceConfiguration().routes_size(),
+          changed,
+          aReply.term(),
+          version > 0 ? aSilence.m_ms : 0);
+}
+
 void
 FleetDirectory::ApplyEndpoints(const wire::FleetSyncReply& aReply)
 {
--- a/modules/sidecar/src/FleetDirectory.h
+++ b/modules/sidecar/src/FleetDirectory.h
@@ -27,6 +27,11 @@
   {
     return m_router;
   }
+  // False after changes led to a configuration other than the leader's.
+  bool AcceptsConfigurationChanges() const
+  {
+    return !m_needsWholeConfiguration;
+  }
   // Returns null if the service has no ranges or the key has no owner.
   const wire::OwnedRange* FindOwner(const std::string& aService,
                                     uint32_t aKey) const;
@@ -45,6 +50,10 @@
   }
 
 private:
+  // Adopts a later configuration. aSilence is the time before this reply
+  // without one.
+  void ApplyConfiguration(const wire::FleetSyncReply& aReply,
+                          Duration aSilence);
   // Merges the ranges of the reply, which are only those that changed after
   // m_rangesIndex.
   void ApplyRanges(const wire::FleetSyncReply& aReply);
@@ -53,6 +62,7 @@
   void MergeEndpoints(const wire::FleetSyncReply& aReply);
 
   std::shared_ptr<const fleet::RequestRouter> m_router;
+  bool m_needsWholeConfiguration = false;
   std::map<std::string, wire::ServiceRanges> m_ranges;
   uint64_t m_rangesIndex = 0;
   std::vector<wire::Endpoint> m_endpoints;
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -208,6 +208,8 @@
   request.set_endpoints_revision(m_directory.EndpointsRevision());
   request.set_endpoints_term(m_directory.EndpointsTerm());
   request.set_accepts_endpoint_changes(true);
+  request.set_accepts_configuration_changes(
+    m_directory.AcceptsConfigurationChanges());
   m_localBackend.FillReport(request, m_clock.Now());
   m_reportedRevision = m_localBackend.ReportRevision();
   request.set_service_time_ms(
--- a/modules/sidecar/tests/FleetDirectoryTest.cpp
+++ b/modules/sidecar/tests/FleetDirectoryTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "rattanloft/fleet/ConfigurationChanges.h"
 #include "rattanloft/fleet/EndpointList.h"
 #include "rattanloft/fleet/FleetState.h"
 
@@ -157,4 +158,35 @@
   CHECK(SlotsByInstance(directory.Endpoints()) == SlotsByInstance(expected));
 }
 
+// Guards against a sidecar that stays behind after changes that do not fit.
+TEST_CASE("a whole configuration is requested after changes that do not fit")
+{
+  wire::FleetSyncReply whole;
+  whole.mutable_configuration()->set_version(1);
+  FleetDirectory directory;
+  directory.ApplyReply(whole, kNow);
+  REQUIRE(directory.Router()->Version() == 1);
+
+  wire::FleetSyncReply reply;
+  wire::Configuration next = whole.configuration();
+  next.set_version(2);
+  next.add_routes()->set_name("r");
+  *reply.mutable_configuration_changes() =
+    fleet::CompareConfigurations(whole.configuration(), next);
+  wire::FleetSyncReply damaged = reply;
+  damaged.mutable_configuration_changes()->clear_routes();
+  directory.ApplyReply(damaged, kNow);
+  CHECK(directory.Router()->Version() == 1);
+  CHECK_FALSE(directory.AcceptsConfigurationChanges());
+
+  *whole.mutable_configuration() = next;
+  directory.ApplyReply(whole, kNow);
+  CHECK(directory.Router()->Version() == 2);
+  CHECK(directory.AcceptsConfigurationChanges());
+  // A delayed reply that builds on an earlier version is no mismatch.
+  directory.ApplyReply(reply, kNow);
+  CHECK(directory.Router()->Version() == 2);
+  CHECK(directory.AcceptsConfigurationChanges());
+}
+
 } // namespace rattanloft::sidecar
