--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -237,4 +237,60 @@
   CHECK(wait.m_ms < 4000);
 }
 
+// Guards against traffic that grows with the square of the fleet, and against
+// a sidecar of an earlier release that takes changes for the whole list.
+TEST_CASE("a sync carries changed endpoints only to sidecars that accept them")
+{
+  LeaderFixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.SendSync(fixture.MakeRequest("n" + std::to_string(i)));
+  }
+  wire::FleetSyncRequest request = fixture.MakeRequest("n0");
+  const wire::FleetSyncReply first = fixture.SendSync(request);
+  CHECK(first.endpoints_size() == 20);
+  request.set_endpoints_term(first.term());
+  request.set_endpoints_revision(first.endpoints_revision());
+  CHECK_FALSE(fixture.SendSync(request).has_endpoints());
+
+  wire::FleetSyncRequest stopping = fixture.MakeRequest("n5");
+  stopping.set_stopping(true);
+  fixture.SendSync(stopping);
+  CHECK(fixture.SendSync(request).endpoints_size() == 20);
+  request.set_accepts_endpoint_changes(true);
+  const wire::FleetSyncReply changes = fixture.SendSync(request);
+  REQUIRE(changes.endpoints_size() == 1);
+  CHECK(changes.endpoints(0).instance() == "n5");
+  CHECK(changes.endpoints(0).backend().phase() == wire::BACKEND_PHASE_DRAINING);
+  request.set_endpoints_term(first.term() - 1);
+  fixture.RunFor(Seconds(2));
+  const wire::FleetSyncReply otherTerm = fixture.SendSync(request);
+  CHECK(otherTerm.endpoints_base_revision() == 0);
+  CHECK(otherTerm.endpoints_size() == 20);
+}
+
+// Guards against a small link that is filled by the routes that did not
+// change.
+TEST_CASE("a sync carries the changes of the configuration where it can")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest request = fixture.MakeRequest("n1");
+  CHECK(fixture.SendSync(request).configuration().version() == 1);
+  wire::FleetCommand command;
+  wire::ReplaceConfiguration& change = *command.mutable_replace_configuration();
+  change.set_base_version(1);
+  *change.mutable_configuration() =
+    fixture.m_state.CurrentChange().configuration();
+  change.mutable_configuration()->set_version(2);
+  fixture.Apply(command);
+  request.set_configuration_version(1);
+  CHECK(fixture.SendSync(request).configuration().version() == 2);
+  request.set_accepts_configuration_changes(true);
+  const wire::FleetSyncReply reply = fixture.SendSync(request);
+  CHECK_FALSE(reply.has_configuration());
+  CHECK(reply.configuration_changes().base_version() == 1);
+  CHECK(reply.configuration_changes().version() == 2);
+  request.set_configuration_version(0);
+  CHECK(fixture.SendSync(request).configuration().version() == 2);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -3,42 +3,117 @@
 #include <algorithm>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/fleet/ConfigurationChanges.h"
 #include "rattanloft/fleet/FleetState.h"
 
 namespace rattanloft::sidecar {
 
 void
-FleetDirectory::ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aNow)
+FleetDirectory::ApplyReply(const wire::FleetSyncReply& aReply,
+                           TimePoint aSentAt)
 {
-  m_lastReplyAt = aNow;
+  const Duration silence = TimeSinceLastReply(aSentAt);
+  m_lastRepliedRequestAt = std::max(m_lastRepliedRequestAt, aSentAt);
   if (aReply.sidecars() > 0) {
     m_sidecarCount = aReply.sidecars();
   }
+  ApplyConfiguration(aReply, silence);
+  if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
+    ApplyRanges(aReply);
+  }
+  if (aReply.has_endpoints()) {
+    ApplyEndpoints(aReply);
+  }
+}
+
+void
+FleetDirectory::ApplyConfiguration(const wire::FleetSyncReply& aReply,
+                                   Duration aSilence)
+{
   const uint64_t version = m_router ? m_router->Version() : 0;
-  if (aReply.has_configuration() &&
-      aReply.configuration().version() > version) {
+  const wire::ConfigurationChanges& changes = aReply.configuration_changes();
+  int changed = aReply.configuration().routes_size();
+  if (aReply.configuration().version() > version) {
     m_router = fleet::RequestRouter::Make(aReply.configuration());
-    LogInfo("directory",
-            "event=configuration version={} before={} routes={}",
-            m_router->Version(),
-            version,
-            aReply.configuration().routes_size());
+    m_needsWholeConfiguration = false;
+  } else if (m_router && changes.base_version() == version &&
+             changes.version() > version) {
+    auto next = fleet::ApplyConfigurationChanges(
+      m_router->SourceConfiguration(), changes);
+    if (!next) {
+      LogWarning("directory",
+                 "event=configuration-mismatch version={} before={}",
+                 changes.version(),
+                 version);
+      m_needsWholeConfiguration = true;
+      return;
+    }
+    m_router = fleet::RequestRouter::Make(std::move(*next));
+    changed = changes.routes_size() + changes.removed_routes_size();
+  } else {
+    return;
   }
-  if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
-    ApplyRanges(aReply);
+  LogInfo("directory",
+          "event=configuration version={} before={} routes={} changed={} "
+          "term={} since_last_reply_ms={}",
+          m_router->Version(),
+          version,
+          m_router->SourceConfiguration().routes_size(),
+          changed,
+          aReply.term(),
+          version > 0 ? aSilence.m_ms : 0);
+}
+
+void
+FleetDirectory::ApplyEndpoints(const wire::FleetSyncReply& aReply)
+{
+  const bool sameTerm = aReply.term() == m_endpointsTerm;
+  const bool isNewer = sameTerm
+                         ? aReply.endpoints_revision() > m_endpointsRevision
+                         : aReply.term() > m_endpointsTerm;
+  const uint64_t base = aReply.endpoints_base_revision();
+  // Changes apply only to a list that has all earlier changes.
+  const bool isComplete =
+    base == 0 || (sameTerm && base <= m_endpointsRevision);
+  if (!isNewer || !isComplete) {
+    return;
   }
-  const bool laterTerm = aReply.term() > m_endpointsTerm;
-  if (aReply.has_endpoints() &&
-      (laterTerm || (aReply.term() == m_endpointsTerm &&
-                     aReply.endpoints_revision() > m_endpointsRevision))) {
+  if (base == 0) {
     m_endpoints.assign(aReply.endpoints().begin(), aReply.endpoints().end());
-    m_endpointsRevision = aReply.endpoints_revision();
-    m_endpointsTerm = aReply.term();
-    LogInfo("directory",
-            "event=endpoints term={} revision={} count={}",
-            m_endpointsTerm,
-            m_endpointsRevision,
-            m_endpoints.size());
+  } else {
+    MergeEndpoints(aReply);
+  }
+  m_endpointsRevision = aReply.endpoints_revision();
+  m_endpointsTerm = aReply.term();
+  LogInfo("directory",
+          "event=endpoints term={} revision={} base={} changed={} removed={} "
+          "count={}",
+          m_endpointsTerm,
+          m_endpointsRevision,
+          base,
+          aReply.endpoints_size(),
+          aReply.removed_endpoints_size(),
+          m_endpoints.size());
+}
+
+void
+FleetDirectory::MergeEndpoints(const wire::FleetSyncReply& aReply)
+{
+  for (const std::string& instance : aReply.removed_endpoints()) {
+    std::erase_if(m_endpoints, [&](const wire::Endpoint& aKnown) {
+      return aKnown.instance() == instance;
+    });
+  }
+  for (const wire::Endpoint& endpoint : aReply.endpoints()) {
+    const auto known = std::ranges::find(
+      m_endpoints, endpoint.instance(), [](const wire::Endpoint& aKnown) {
+        return aKnown.instance();
+      });
+    if (known != m_endpoints.end()) {
+      *known = endpoint;
+    } else {
+      m_endpoints.push_back(endpoint);
+    }
   }
 }
 
--- a/modules/sidecar/src/FleetDirectory.h
+++ b/modules/sidecar/src/FleetDirectory.h
@@ -19,13 +19,19 @@
 class FleetDirectory
 {
 public:
-  void ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aNow);
+  // aSentAt is when the request was sent: the reply is at least as new.
+  void ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aSentAt);
 
   // Null until the first configuration is received.
   const std::shared_ptr<const fleet::RequestRouter>& Router() const
   {
     return m_router;
   }
+  // False after changes led to a configuration other than the leader's.
+  bool AcceptsConfigurationChanges() const
+  {
+    return !m_needsWholeConfiguration;
+  }
   // Returns null if the service has no ranges or the key has no owner.
   const wire::OwnedRange* FindOwner(const std::string& aService,
                                     uint32_t aKey) const;
@@ -37,25 +43,33 @@
   uint64_t RangesIndex() const { return m_rangesIndex; }
   // Number of sidecars in the fleet; 1 until the leader has reported it.
   uint32_t SidecarCount() const { return m_sidecarCount; }
-  // Time since the last reply of a leader.
+  // Time since the newest request that a leader has replied to.
   Duration TimeSinceLastReply(TimePoint aNow) const
   {
-    return aNow - m_lastReplyAt;
+    return aNow - m_lastRepliedRequestAt;
   }
 
 private:
+  // Adopts a later configuration. aSilence is the time before this reply
+  // without one.
+  void ApplyConfiguration(const wire::FleetSyncReply& aReply,
+                          Duration aSilence);
   // Merges the ranges of the reply, which are only those that changed after
   // m_rangesIndex.
   void ApplyRanges(const wire::FleetSyncReply& aReply);
+  // Replaces the endpoints, or merges the changes that the reply contains.
+  void ApplyEndpoints(const wire::FleetSyncReply& aReply);
+  void MergeEndpoints(const wire::FleetSyncReply& aReply);
 
   std::shared_ptr<const fleet::RequestRouter> m_router;
+  bool m_needsWholeConfiguration = false;
   std::map<std::string, wire::ServiceRanges> m_ranges;
   uint64_t m_rangesIndex = 0;
   std::vector<wire::Endpoint> m_endpoints;
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
   uint32_t m_sidecarCount = 1;
-  TimePoint m_lastReplyAt;
+  TimePoint m_lastRepliedRequestAt;
 };
 
 } // namespace rattanloft::sidecar
