Do not pass a request on whose client has already left

Cause: a session calls the handler for a request that it has read and looks only in a later poll whether its client has gone. A process that was blocked finds the request and the end of its connection in the same poll, so the entry sidecar sends the request on with all of its time left, and cancels it milliseconds later. The sidecar beside the backend server does the same with the request and its reset.

Change: the session looks at its connection before it calls the handler. After a reset it drops the request; after an end of input it waits up to 100 ms for the reset that the interim response causes. Clients that shut down their sending side get their response as before. Each dropped request is logged.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -37,6 +38,9 @@
 // connection, and the client could lose the response before it has read it.
 constexpr Duration kLingerTimeout = Milliseconds(1000);
 constexpr size_t kMaxLingerBytes = 4 * 1024 * 1024;
+// How long a request whose client has ended its input waits for the reset that
+// a client which has closed the connection replies to an interim response.
+constexpr Duration kResetTimeout = Milliseconds(100);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 status
@@ -288,7 +292,14 @@
 
   EnterState(State::kRunningHandler, Duration{});
   m_cancelToken = std::make_shared<CancelToken>();
-  WatchForInput();
+  if (co_await HasClientLeft()) {
+    m_cancelToken.reset();
+    LogInfo(
+      "http",
+      "event=client-left target={}",
+      std::string_view(aRequest.target().data(), aRequest.target().size()));
+    co_return false;
+  }
   Response response = co_await CallHandler(std::move(aRequest), m_cancelToken);
   m_cancelToken.reset();
   if (m_clientGone || !m_socket.is_open()) {
@@ -317,6 +328,19 @@
   co_return isWritten&& keepAlive;
 }
 
+asio::awaitable<bool>
+ServerSession::HasClientLeft()
+{
+  if (CheckInput() && !m_clientGone) {
+    asio::steady_timer timer(m_socket.get_executor(),
+                             std::chrono::milliseconds(kResetTimeout.m_ms));
+    m_cancelToken->SetCancelCallback([&timer] { timer.cancel(); });
+    co_await timer.async_wait(kUseAwaitableTuple);
+    m_cancelToken->SetCancelCallback({});
+  }
+  co_return m_clientGone || !m_socket.is_open();
+}
+
 asio::awaitable<Response>
 ServerSession::CallHandler(Request aRequest,
                            std::shared_ptr<CancelToken> aCancelToken)
@@ -399,13 +423,13 @@
                       [self = shared_from_this(),
                        cancelToken = m_cancelToken](beast::error_code aError) {
                         if (!aError && self->m_cancelToken == cancelToken) {
-                          self->OnReadable();
+                          self->CheckInput();
                         }
                       });
 }
 
-void
-ServerSession::OnReadable()
+bool
+ServerSession::CheckInput()
 {
   char byte = 0;
   const int socket = m_socket.native_handle();
@@ -413,12 +437,13 @@
   if (received < 0) {
     if (errno == EAGAIN || errno == EINTR) {
       WatchForInput();
-      return;
+      return false;
     }
     OnClientGone();
-    return;
+    return true;
   }
-  if (received == 0 && m_httpVersion >= 11) {
+  const bool isProbed = received == 0 && m_httpVersion >= 11;
+  if (isProbed) {
     // End of input: the client has closed the connection or only shut down its
     // sending side. An interim response, which clients must skip, shows which:
     // the system of a client that has closed replies to it with a reset.
@@ -428,13 +453,14 @@
                                    MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sentBytes != static_cast<ssize_t>(kContinueResponse.size())) {
       OnClientGone();
-      return;
+      return true;
     }
   }
   // The client has shut down its sending side only, or has sent a pipelined
   // request, which stays unread until the response to the current one is
   // written. Only a reset can show from here on that the client has gone.
   WatchForReset();
+  return isProbed;
 }
 
 void
--- a/modules/http/src/ServerSession.h
+++ b/modules/http/src/ServerSession.h
@@ -104,10 +104,16 @@
   // still unread.
   bool IsOpenWithoutInput();
 
-  // While the handler runs, these detect that the client closes or resets the
-  // connection, and then cancel the handler.
+  // Whether the client has closed or reset the connection before the handler
+  // is called. A thread that was blocked reads the request as well as the end
+  // of its connection.
+  boost::asio::awaitable<bool> HasClientLeft();
+  // From then on, these detect that the client closes or resets the connection,
+  // and then cancel the handler.
   void WatchForInput();
-  void OnReadable();
+  // Returns whether the client has left, or has ended its input and so may have
+  // left.
+  bool CheckInput();
   void WatchForReset();
   void OnClientGone();
 
--- a/modules/http/tests/ServerTest.cpp
+++ b/modules/http/tests/ServerTest.cpp
@@ -309,6 +309,29 @@
   });
 }
 
+// The request and the end of its connection are found in the same poll.
+TEST_CASE("A request whose client has already left is not run")
+{
+  CancellableHandlerServer testServer(Seconds(5));
+  const bool reset = GENERATE(false, true);
+  RunTest(testServer.m_context, [&]() -> asio::awaitable<void> {
+    RawClient client(testServer.m_context, testServer.m_server->Port());
+    while (testServer.m_server->ConnectionCount() == 0) {
+      co_await Sleep(Milliseconds(2));
+    }
+    const std::string request = "GET / HTTP/1.1\r\n" + kHostField + "\r\n";
+    asio::write(client.m_socket, asio::buffer(request));
+    if (reset) {
+      client.m_socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    client.m_socket.close();
+    while (testServer.m_server->ConnectionCount() > 0) {
+      co_await Sleep(Milliseconds(2));
+    }
+    CHECK(testServer.m_startedCount == 0);
+  });
+}
+
 // Guards against cancelling a request while its client still waits for the
 // response.
 TEST_CASE("A half-closed connection or a pipelined request does not cancel")
