Do not send a request after the deadline of its exchange

Cause: a thread that was blocked finds the completed connect and the expired deadline of an exchange in the same poll. The connect completes first, so the request is written, and the expiry then breaks it off.

Change: the exchange compares the time with its deadline before it writes. The request counts as not sent, and the connection can be used again.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -304,6 +304,12 @@
   if (acquireError) {
     co_return tl::unexpected(std::move(*acquireError));
   }
+  // The connection and the expiry of the timer may be found in the same poll.
+  if (Clock::now() >= m_deadline) {
+    m_connectionReusable = true;
+    co_return tl::unexpected(
+      MakeError(HttpErrorCode::kTimeout, false, "send to", "timed out"));
+  }
   auto [error, sentBytes] = co_await beast::http::async_write(
     m_connection->m_socket, aRequest, kUseAwaitableTuple);
   // If part of the request was sent, go on to read: a peer may respond and
--- a/modules/http/tests/ClientTest.cpp
+++ b/modules/http/tests/ClientTest.cpp
@@ -367,6 +367,42 @@
   });
 }
 
+// The handshake completes and the deadline passes while the thread is blocked.
+TEST_CASE("A request is not sent after the deadline of its exchange")
+{
+  constexpr int kHandshakeRepeatTimeoutMs = 5000;
+  asio::io_context context;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+  acceptor.listen(0);
+  const tcp::endpoint endpoint = acceptor.local_endpoint();
+  tcp::socket filler(context);
+  filler.connect(endpoint);
+  tcp::socket accepted(context);
+  auto client = Client::Make(context, {});
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    asio::post(context, [&] {
+      // The backlog is full, so the system repeats the handshake after 1 s.
+      acceptor.accept();
+      pollfd readable{ acceptor.native_handle(), POLLIN, 0 };
+      REQUIRE(poll(&readable, 1, kHandshakeRepeatTimeoutMs) == 1);
+      accepted = acceptor.accept();
+    });
+    Request request = MakeRequest("/");
+    const ExchangeResult result = co_await client->Exchange(
+      LoopbackAddress(endpoint.port()), std::move(request), Milliseconds(50));
+    REQUIRE_FALSE(result);
+    CHECK(result.error().m_code == HttpErrorCode::kTimeout);
+    CHECK_FALSE(result.error().m_maybeSent);
+    client.reset();
+    std::string received;
+    co_await asio::async_read(
+      accepted, asio::dynamic_buffer(received), kUseAwaitableTuple);
+    CHECK(received.empty());
+  });
+}
+
 // Guards against an exchange that continues after its caller has cancelled it.
 TEST_CASE("Cancelling an exchange closes its connection at once")
 {
