Limit the bytes of a chunk header and of the trailer fields of a response

Callers of a backend server that sends an endless chunk size, chunk extension or trailer got kTimeout at their deadline, and the client held in memory all that the server had sent until then.

Cause: header_limit and body_limit of the Beast parser do not apply to the header of a chunk and to the trailer fields. The parser consumes them only when they are complete, and the read buffer had no maximum size.

Change: the read buffer of a connection holds m_maxHeaderBytes at most; the read fails with buffer_overflow at that point, reported as kConnectionBroken.

--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -24,7 +24,8 @@
   Duration m_idleTimeout = Seconds(30);
   // A connection that has been open for this long is not used again.
   Duration m_maxConnectionAge = Seconds(300);
-  // Limits of a response; a larger one is a kConnectionBroken error.
+  // Limits of a response; a larger one is a kConnectionBroken error. The header
+  // limit also applies to the header of each chunk and to the trailer fields.
   uint32_t m_maxHeaderBytes = 64 * 1024;
   uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
   // Exchanges that may wait for a connection; further ones fail at once with
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -277,6 +277,9 @@
 ClientExchange::Connect(tcp::endpoint aEndpoint)
 {
   m_connection = std::make_unique<PooledConnection>(m_pool->IoContext());
+  // Limits what the parser reads before it can consume anything. header_limit
+  // does not apply to the header of a chunk and to trailer fields.
+  m_connection->m_buffer.max_size(m_pool->Options().m_maxHeaderBytes);
   const auto connectDeadline =
     Clock::now() +
     std::chrono::milliseconds(m_pool->Options().m_connectTimeout.m_ms);
