Give no connection with unread input to a waiting exchange

An exchange that waited for a connection could return the response of another request: bytes that a backend server sent after a complete response. If the caller names an echoed header field, the exchange failed instead, with a request that may have been sent.

Cause: the pool checks an idle connection for input when an exchange takes it, but hands a connection that is returned to a waiting exchange unchecked. The exchange that returns it knows only of bytes that it has read itself.

Change: a connection with unread input, or one that the peer has closed, is closed when it is returned while exchanges wait; a waiting exchange gets its slot and connects.

--- a/modules/http/src/ConnectionPool.cpp
+++ b/modules/http/src/ConnectionPool.cpp
@@ -148,8 +148,10 @@
 {
   PeerState& peer = m_peers[aPeer];
   const TimePoint now = m_clock.Now();
+  // An idle connection is checked for input when it is taken.
   if (m_isShutDown ||
-      now - aConnection->m_openedAt >= m_options.m_maxConnectionAge) {
+      now - aConnection->m_openedAt >= m_options.m_maxConnectionAge ||
+      (!peer.m_waiters.empty() && !IsOpenWithoutInput(*aConnection))) {
     aConnection.reset();
     ReleaseSlot(aPeer);
     return;
--- a/modules/http/tests/EndlessResponseTest.cpp
+++ b/modules/http/tests/EndlessResponseTest.cpp
@@ -11,6 +11,8 @@
 // What a paced peer may send beyond the limits before it sees the close.
 constexpr size_t kSlackBytes = 64 * 1024;
 constexpr size_t kPacedBytes = 400;
+// The client reads so many bytes at a time.
+constexpr size_t kReadBytes = 512;
 
 const std::string kStatusLine = "HTTP/1.1 200 OK\r\n";
 const std::string kChunkedHead =
@@ -288,4 +290,47 @@
   });
 }
 
+// Guards against extra bytes that the next exchange takes for its response.
+TEST_CASE("A waiting exchange gets no connection with extra bytes")
+{
+  // The last read ends with the body, so that the extra bytes stay unread.
+  const std::string head = kStatusLine + "Content-Length: 1000\r\n\r\n";
+  const std::string sound = head + std::string(1000, 'x');
+  const size_t bodyBytes = 4 * kReadBytes - head.size();
+  REQUIRE(bodyBytes > 1000);
+  const std::string withExtraBytes =
+    kStatusLine + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" +
+    std::string(bodyBytes, 'x') + head + std::string(1000, 'e');
+  asio::io_context context;
+  ScriptedPeer peer(
+    context, [&](tcp::socket& aSocket, int aIndex) -> asio::awaitable<void> {
+      const std::string& text = aIndex == 0 ? withExtraBytes : sound;
+      bool open = co_await ReadRequestHeader(aSocket);
+      while (open) {
+        co_await SendText(aSocket, text);
+        open = co_await ReadRequestHeader(aSocket);
+      }
+    });
+  ClientOptions options = MakeOptions();
+  options.m_maxConnectionsPerPeer = 1;
+  const auto client = Client::Make(context, options);
+  std::vector<std::string> bodies;
+  const auto exchange = [&]() -> asio::awaitable<void> {
+    Request request = MakeRequest("/");
+    const ExchangeResult result = co_await client->Exchange(
+      LoopbackAddress(peer.Port()), std::move(request), Seconds(2));
+    bodies.push_back(result ? result->body() : result.error().m_message);
+  };
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    asio::co_spawn(context, exchange(), asio::detached);
+    asio::co_spawn(context, exchange(), asio::detached);
+    while (bodies.size() < 2) {
+      co_await Sleep(Milliseconds(5));
+    }
+  });
+  CHECK(bodies[0] == std::string(bodyBytes, 'x'));
+  CHECK(bodies[1] == std::string(1000, 'x'));
+  CHECK(peer.AcceptedCount() == 2);
+}
+
 } // namespace rattanloft::http
