Limit the whole header of a response, not only its last field

Callers of a backend server that sends header fields one by one without end got kTimeout at their deadline, and the client held all fields that had arrived.

Cause: header_limit of the Beast parser applies to the bytes that are not parsed yet. A read that ends up to three bytes after the start of a field leaves the parser nothing to search, so it consumes all fields before that one and counts again from there. Reads that end elsewhere make it wait for the end of the header with all bytes unparsed; such headers were limited before.

Change: the client reads the header itself with the parser of Beast and counts the parsed bytes too. A header that is incomplete after twice m_maxHeaderBytes fails with header_limit. The factor leaves room for a start line and for fields that are each within the limit, as before.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -11,6 +11,7 @@
 
 #include "ConnectionPool.h"
 #include "HeaderFields.h"
+#include "ReadHeader.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
 
@@ -359,14 +360,13 @@
   for (int interimCount = 0; interimCount < kMaxInterimResponses;
        ++interimCount) {
     aParser.emplace();
-    aParser->header_limit(m_pool->Options().m_maxHeaderBytes);
     aParser->body_limit(m_pool->Options().m_maxBodyBytes);
     aParser->skip(aIsHeadRequest);
-    auto [error, byteCount] =
-      co_await beast::http::async_read_header(m_connection->m_socket,
-                                              m_connection->m_buffer,
-                                              *aParser,
-                                              kUseAwaitableTuple);
+    const beast::error_code error =
+      co_await ReadHeader<false>(m_connection->m_socket,
+                                 m_connection->m_buffer,
+                                 *aParser,
+                                 m_pool->Options().m_maxHeaderBytes);
     if (error ||
         to_status_class(aParser->get().result()) !=
           status_class::informational ||
--- a/modules/http/tests/EndlessResponseTest.cpp
+++ b/modules/http/tests/EndlessResponseTest.cpp
@@ -198,6 +198,19 @@
   CheckFailedAndClosed(outcome, HttpErrorCode::kConnectionBroken);
 }
 
+// Guards against a limit that counts only the last, incomplete header line.
+TEST_CASE("Header lines that arrive one by one are limited in total")
+{
+  const bool isInterim = GENERATE(false, true);
+  const EndlessOutcome outcome = ExchangeWithEndlessPeer(
+    (isInterim ? "HTTP/1.1 100 Continue\r\n" : kStatusLine) + "X",
+    ": " + std::string(95, 'x') + "\r\nX",
+    Milliseconds(2),
+    Milliseconds(1500));
+  CheckFailedAndClosed(outcome, HttpErrorCode::kConnectionBroken);
+  CHECK(outcome.m_peer.m_sentBytes < 4 * kMaxHeaderBytes);
+}
+
 // Guards against a deadline that starts again with each byte.
 TEST_CASE("A slow response without end is broken off at the deadline")
 {
