Limit the bytes of a chunk header and of the trailer fields of a request

The server held in memory all that a client sent as an endless chunk size, chunk extension or trailer, until the read timeout, and without an end if the client sent at full speed.

Cause: as for responses, header_limit and body_limit of the Beast parser do not apply there, and the read buffer had no maximum size. Full speed adds a second fault: the read timeout does not end a read that always finds input.

Change: the read buffer holds m_maxHeaderBytes at most, and 4 kB at least, the size of a first read; beyond it the request is refused with 431.

--- a/modules/http/include/rattanloft/http/Server.h
+++ b/modules/http/include/rattanloft/http/Server.h
@@ -23,6 +23,7 @@
   uint16_t m_port = 0;
   // Further connections are answered with 503 and closed.
   size_t m_maxConnections = 1000;
+  // Also limits the header of each chunk and the trailer fields.
   uint32_t m_maxHeaderBytes = 16 * 1024;
   uint64_t m_maxBodyBytes = 1024 * 1024;
   // Limits the time from the first byte of a request to its last.
--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -98,6 +98,10 @@
   beast::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
   m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  // Limits what the parser reads before it can consume anything. header_limit
+  // does not apply to the header of a chunk and to trailer fields.
+  m_buffer.max_size(std::max<size_t>(
+    kReadChunkBytes, m_serverState->m_options.m_maxHeaderBytes));
   m_serverState->m_sessions.insert(this);
 }
 
--- /dev/null
+++ b/modules/http/tests/EndlessRequestTest.cpp
@@ -0,0 +1,164 @@
+#include "TestPeer.h"
+
+namespace rattanloft::http {
+
+namespace {
+
+constexpr uint32_t kMaxHeaderBytes = 4 * 1024;
+constexpr uint64_t kMaxBodyBytes = 32 * 1024;
+// What a paced client may send beyond the limits before it sees the refusal.
+constexpr size_t kSlackBytes = 64 * 1024;
+constexpr size_t kPacedBytes = 400;
+
+const std::string kRequestLine = "POST / HTTP/1.1\r\n";
+const std::string kHead = kRequestLine + "Host: a\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+// A request that starts with m_start and repeats m_unit without end.
+struct EndlessRequest
+{
+  std::string m_name;
+  std::string m_start;
+  std::string m_unit;
+  std::string m_status;
+};
+
+const std::vector<EndlessRequest>&
+EndlessRequests()
+{
+  static const std::vector<EndlessRequest> requests = {
+    { "method", "", "X", "431" },
+    { "target", "GET /", "x", "431" },
+    { "header name", kHead, "x", "431" },
+    { "header line", kHead + "X: ", "x", "431" },
+    { "header lines", kHead, "Field: value\r\n", "431" },
+    { "empty lines", "", "\r\n", "400" },
+    { "zero bytes", "", std::string(8, '\0'), "400" },
+    { "body of a large length",
+      kHead + "Content-Length: 99999999999\r\n\r\n",
+      "x",
+      "413" },
+    { "chunks", kChunkedHead, "8\r\n12345678\r\n", "413" },
+    { "chunk size", kChunkedHead, "1", "431" },
+    { "chunk size of zeros", kChunkedHead, "0", "431" },
+    { "chunk extension", kChunkedHead + "8;", "x", "431" },
+    { "extension of the last chunk", kChunkedHead + "0;", "x", "431" },
+    { "trailer line", kChunkedHead + "0\r\nX: ", "x", "431" },
+    { "trailer lines", kChunkedHead + "0\r\n", "Field: value\r\n", "431" },
+  };
+  return requests;
+}
+
+std::string
+Repeat(const std::string& aUnit, size_t aMinBytes)
+{
+  std::string text;
+  while (text.size() < aMinBytes) {
+    text += aUnit;
+  }
+  return text;
+}
+
+struct EndlessOutcome
+{
+  std::string m_response;
+  // Sent by the client until it got the response.
+  size_t m_sentBytes = 0;
+  bool m_sawClose = false;
+  int m_handlerCalls = 0;
+};
+
+// Sends the start once and then the text without end, until the server closes
+// the connection, at most for five seconds. The pauses end with the response.
+EndlessOutcome
+SendEndlessRequest(const std::string& aStart,
+                   const std::string& aText,
+                   Duration aPause,
+                   const ServerOptions& aOptions)
+{
+  asio::io_context context;
+  EndlessOutcome outcome;
+  const auto server = Server::Make(
+    context,
+    aOptions,
+    [&](Request, std::shared_ptr<CancelToken>) -> asio::awaitable<Response> {
+      ++outcome.m_handlerCalls;
+      co_return Response();
+    });
+  REQUIRE(server);
+  RawClient client(context, (*server)->Port());
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        co_await client.Send(aStart);
+        while (!outcome.m_sawClose) {
+          auto [error, byteCount] = co_await asio::async_write(
+            client.m_socket, asio::buffer(aText), kUseAwaitableTuple);
+          outcome.m_sawClose = error.failed();
+          outcome.m_sentBytes += outcome.m_response.empty() ? byteCount : 0;
+          if (aPause.m_ms > 0 && outcome.m_response.empty()) {
+            co_await Sleep(aPause);
+          }
+        }
+      },
+      asio::detached);
+    outcome.m_response = co_await client.ReadAll();
+    for (int i = 0; i < 1000 && !outcome.m_sawClose; ++i) {
+      co_await Sleep(Milliseconds(5));
+    }
+  });
+  return outcome;
+}
+
+ServerOptions
+MakeOptions()
+{
+  ServerOptions options;
+  options.m_maxHeaderBytes = kMaxHeaderBytes;
+  options.m_maxBodyBytes = kMaxBodyBytes;
+  options.m_readTimeout = Milliseconds(1500);
+  return options;
+}
+
+void
+CheckRefusedAndClosed(const EndlessOutcome& aOutcome,
+                      const std::string& aStatus)
+{
+  CHECK(aOutcome.m_response.substr(0, 12) == "HTTP/1.1 " + aStatus);
+  CHECK(aOutcome.m_sawClose);
+  CHECK(aOutcome.m_handlerCalls == 0);
+}
+
+} // namespace
+
+// Guards against a request that makes the server use unbounded memory.
+TEST_CASE("A request without end is refused at the limits")
+{
+  const size_t index = GENERATE(range(size_t{ 0 }, EndlessRequests().size()));
+  const EndlessRequest& request = EndlessRequests()[index];
+  INFO(request.m_name);
+  const EndlessOutcome outcome =
+    SendEndlessRequest(request.m_start,
+                       Repeat(request.m_unit, kPacedBytes),
+                       Milliseconds(1),
+                       MakeOptions());
+  CheckRefusedAndClosed(outcome, request.m_status);
+  CHECK(outcome.m_sentBytes < kMaxHeaderBytes + kMaxBodyBytes + kSlackBytes);
+}
+
+// Guards against a limit that holds only while the client is slow.
+TEST_CASE("A request without end at full speed ends with the connection")
+{
+  const size_t index = GENERATE(range(size_t{ 0 }, EndlessRequests().size()));
+  const EndlessRequest& request = EndlessRequests()[index];
+  INFO(request.m_name);
+  const EndlessOutcome outcome =
+    SendEndlessRequest(request.m_start,
+                       Repeat(request.m_unit, 64 * 1024),
+                       Duration{},
+                       MakeOptions());
+  CheckRefusedAndClosed(outcome, request.m_status);
+}
+
+} // namespace rattanloft::http
