End a request body at the read timeout even if input is always ready

A client could keep a request open past the read timeout by sending its body at full speed: chunks of one byte, each with a long extension, reach the body limit only after gigabytes. Memory was bounded, the time and the processor were not.

Exchanges of the client are not affected: their deadline closes the socket.

Change: the server reads the body step by step and checks for the timeout after each step. A step ends each time the parser makes progress, and the read buffer limits what it reads without any.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -237,9 +237,13 @@
     headerError = FindHeaderError(head);
     if (headerError.empty() && !parser.is_done() && !m_timedOut) {
       co_await ContinueIfExpected(head);
-      auto [bodyError, bodyCount] = co_await beast::http::async_read(
-        m_socket, m_buffer, parser, kUseAwaitableTuple);
-      error = bodyError;
+      parser.eager(true);
+      // A read that finds input at once is never cancelled by CheckDeadline().
+      while (!error && !parser.is_done() && !m_timedOut) {
+        auto [bodyError, bodyCount] = co_await beast::http::async_read_some(
+          m_socket, m_buffer, parser, kUseAwaitableTuple);
+        error = bodyError;
+      }
       // The parser adds trailer fields to the header, after the header has been
       // checked.
       if (!error && CountFields(parser.get()) != headerFieldCount) {
--- a/modules/http/tests/EndlessRequestTest.cpp
+++ b/modules/http/tests/EndlessRequestTest.cpp
@@ -161,4 +161,16 @@
   CheckRefusedAndClosed(outcome, request.m_status);
 }
 
+// Guards against a read timeout that a client evades by sending fast.
+TEST_CASE("Many chunks of one byte with long extensions end at the timeout")
+{
+  ServerOptions options = MakeOptions();
+  options.m_maxBodyBytes = 64 * 1024 * 1024;
+  options.m_readTimeout = Milliseconds(300);
+  const std::string chunk = "1;" + std::string(3000, 'x') + "\r\nx\r\n";
+  const EndlessOutcome outcome = SendEndlessRequest(
+    kChunkedHead, Repeat(chunk, 64 * 1024), Duration{}, options);
+  CheckRefusedAndClosed(outcome, "408");
+}
+
 } // namespace rattanloft::http
