Limit the whole header of a request, not only its last field

A client that sends header fields one by one without end got 408 at the read timeout, and the server held all fields that had arrived.

Cause: as for responses, header_limit of the Beast parser applies only to the bytes that are not parsed yet.

Change: the server reads the header with ReadHeader() too. A header that is incomplete after twice m_maxHeaderBytes is refused with 431; all headers that are within the limit of the start line and that of the fields pass, as before.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include "HeaderFields.h"
+#include "ReadHeader.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::http {
@@ -224,10 +225,9 @@
 {
   EnterState(State::kReadingRequest, m_serverState->m_options.m_readTimeout);
   beast::http::request_parser<beast::http::string_body> parser;
-  parser.header_limit(m_serverState->m_options.m_maxHeaderBytes);
   parser.body_limit(m_serverState->m_options.m_maxBodyBytes);
-  auto [error, byteCount] = co_await beast::http::async_read_header(
-    m_socket, m_buffer, parser, kUseAwaitableTuple);
+  beast::error_code error = co_await ReadHeader<true>(
+    m_socket, m_buffer, parser, m_serverState->m_options.m_maxHeaderBytes);
   size_t headerFieldCount = 0;
   std::string_view headerError;
   if (!error) {
--- a/modules/http/tests/EndlessRequestTest.cpp
+++ b/modules/http/tests/EndlessRequestTest.cpp
@@ -161,6 +161,18 @@
   CheckRefusedAndClosed(outcome, request.m_status);
 }
 
+// Guards against a limit that counts only the last, incomplete header line.
+TEST_CASE("Request header lines that arrive one by one are limited in total")
+{
+  const EndlessOutcome outcome =
+    SendEndlessRequest(kHead + "X",
+                       ": " + std::string(95, 'x') + "\r\nX",
+                       Milliseconds(2),
+                       MakeOptions());
+  CheckRefusedAndClosed(outcome, "431");
+  CHECK(outcome.m_sentBytes < 4 * kMaxHeaderBytes);
+}
+
 // Guards against a read timeout that a client evades by sending fast.
 TEST_CASE("Many chunks of one byte with long extensions end at the timeout")
 {
