--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -11,6 +11,7 @@
 
 #include "ConnectionPool.h"
 #include "HeaderFields.h"
+#include "ReadHeader.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
 
@@ -277,6 +278,9 @@
 ClientExchange::Connect(tcp::endpoint aEndpoint)
 {
   m_connection = std::make_unique<PooledConnection>(m_pool->IoContext());
+  // Limits what the parser reads before it can consume anything. header_limit
+  // does not apply to the header of a chunk and to trailer fields.
+  m_connection->m_buffer.max_size(m_pool->Options().m_maxHeaderBytes);
   const auto connectDeadline =
     Clock::now() +
     std::chrono::milliseconds(m_pool->Options().m_connectTimeout.m_ms);
@@ -362,14 +366,13 @@
   for (int interimCount = 0; interimCount < kMaxInterimResponses;
        ++interimCount) {
     aParser.emplace();
-    aParser->header_limit(m_pool->Options().m_maxHeaderBytes);
     aParser->body_limit(m_pool->Options().m_maxBodyBytes);
     aParser->skip(aIsHeadRequest);
-    auto [error, byteCount] =
-      co_await beast::http::async_read_header(m_connection->m_socket,
-                                              m_connection->m_buffer,
-                                              *aParser,
-                                              kUseAwaitableTuple);
+    const beast::error_code error =
+      co_await ReadHeader<false>(m_connection->m_socket,
+                                 m_connection->m_buffer,
+                                 *aParser,
+                                 m_pool->Options().m_maxHeaderBytes);
     if (error ||
         to_status_class(aParser->get().result()) !=
           status_class::informational ||
--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 
 #include "HeaderFields.h"
+#include "ReadHeader.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::http {
@@ -102,6 +103,10 @@
   beast::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
   m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  // Limits what the parser reads before it can consume anything. header_limit
+  // does not apply to the header of a chunk and to trailer fields.
+  m_buffer.max_size(std::max<size_t>(
+    kReadChunkBytes, m_serverState->m_options.m_maxHeaderBytes));
   m_serverState->m_sessions.insert(this);
 }
 
@@ -224,10 +229,9 @@
 {
   EnterState(State::kReadingRequest, m_serverState->m_options.m_readTimeout);
   beast::http::request_parser<beast::http::string_body> parser;
-  parser.header_limit(m_serverState->m_options.m_maxHeaderBytes);
   parser.body_limit(m_serverState->m_options.m_maxBodyBytes);
-  auto [error, byteCount] = co_await beast::http::async_read_header(
-    m_socket, m_buffer, parser, kUseAwaitableTuple);
+  beast::error_code error = co_await ReadHeader<true>(
+    m_socket, m_buffer, parser, m_serverState->m_options.m_maxHeaderBytes);
   size_t headerFieldCount = 0;
   std::string_view headerError;
   if (!error) {
@@ -237,9 +241,13 @@
     headerError = FindHeaderError(head);
     if (headerError.empty() && !parser.is_done() && !m_timedOut) {
       co_await ContinueIfExpected(head);
-      auto [bodyError, bodyCount] = co_await beast::http::async_read(
-        m_socket, m_buffer, parser, kUseAwaitableTuple);
-      error = bodyError;
+      parser.eager(true);
+      // A read that finds input at once is never cancelled by CheckDeadline().
+      while (!error && !parser.is_done() && !m_timedOut) {
+        auto [bodyError, bodyCount] = co_await beast::http::async_read_some(
+          m_socket, m_buffer, parser, kUseAwaitableTuple);
+        error = bodyError;
+      }
       // The parser adds trailer fields to the header, after the header has been
       // checked.
       if (!error && CountFields(parser.get()) != headerFieldCount) {
