Await a slow sync reply while another coordinator is called

Cause: a sync call ended after 850 ms, of which the leader may hold it for 500 ms, and the connection was dropped with it. A new connection had 250 ms. When packets wait on the full link of a sidecar (3.5 Mbit/s, under a crest), the call is broken off before its reply arrives, and no new connection opens until the queue is shorter.

Change: after 850 ms without a reply another coordinator is called, as before, but the earlier call stays open for 2.5 s, less than a lease, and a connection may take as long. Its reply is applied, and the next call uses its connection. While the leader is not reached, a coordinator gets at most 3 calls at once. The age of the directory now counts from the request, so that a late reply does not make it younger than it is.

Test: with the old timing, version 2 does not arrive in 2 of 9 cases (links with 400 and 450 ms of delay); it does in all after. Without the limit, 5 calls are open.

--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -8,10 +8,11 @@
 namespace rattanloft::sidecar {
 
 void
-FleetDirectory::ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aNow)
+FleetDirectory::ApplyReply(const wire::FleetSyncReply& aReply,
+                           TimePoint aSentAt)
 {
-  const Duration silence = TimeSinceLastReply(aNow);
-  m_lastReplyAt = aNow;
+  const Duration silence = TimeSinceLastReply(aSentAt);
+  m_lastRepliedRequestAt = std::max(m_lastRepliedRequestAt, aSentAt);
   if (aReply.sidecars() > 0) {
     m_sidecarCount = aReply.sidecars();
   }
--- a/modules/sidecar/src/FleetDirectory.h
+++ b/modules/sidecar/src/FleetDirectory.h
@@ -19,7 +19,8 @@
 class FleetDirectory
 {
 public:
-  void ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aNow);
+  // aSentAt is when the request was sent: the reply is at least as new.
+  void ApplyReply(const wire::FleetSyncReply& aReply, TimePoint aSentAt);
 
   // Null until the first configuration is received.
   const std::shared_ptr<const fleet::RequestRouter>& Router() const
@@ -37,10 +38,10 @@
   uint64_t RangesIndex() const { return m_rangesIndex; }
   // Number of sidecars in the fleet; 1 until the leader has reported it.
   uint32_t SidecarCount() const { return m_sidecarCount; }
-  // Time since the last reply of a leader.
+  // Time since the newest request that a leader has replied to.
   Duration TimeSinceLastReply(TimePoint aNow) const
   {
-    return aNow - m_lastReplyAt;
+    return aNow - m_lastRepliedRequestAt;
   }
 
 private:
@@ -55,7 +56,7 @@
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
   uint32_t m_sidecarCount = 1;
-  TimePoint m_lastReplyAt;
+  TimePoint m_lastRepliedRequestAt;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -79,9 +79,10 @@
                      m_options.m_drainTimeout,
                      m_clock.Now())
     , m_endpointSelector(RandomId())
-    , m_peerClient(MakeClient(kPeerIdleTimeout))
+    , m_peerClient(MakePeerClient())
     , m_backendClient(MakeBackendClient())
-    , m_controlClient(MakeClient(kPeerIdleTimeout))
+    , m_controlClient(
+        http::Client::Make(m_context, SyncClient::MakeClientOptions()))
     , m_localHandler(m_context,
                      m_clock,
                      m_protocol,
@@ -195,10 +196,10 @@
     return http::Client::Make(m_context, options);
   }
 
-  std::unique_ptr<http::Client> MakeClient(Duration aIdleTimeout)
+  std::unique_ptr<http::Client> MakePeerClient()
   {
     http::ClientOptions options;
-    options.m_idleTimeout = aIdleTimeout;
+    options.m_idleTimeout = kPeerIdleTimeout;
     options.m_connectTimeout = kConnectTimeout;
     return http::Client::Make(m_context, options);
   }
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,13 +20,23 @@
 
 namespace asio = boost::asio;
 
-// The leader holds a call without news for 500 ms, so a call that takes this
-// long means that the network path or the leader is down.
-constexpr Duration kSyncTimeout = Milliseconds(850);
+// The leader holds a call without news for 500 ms. After this time, the network
+// path or the leader may be down, or the link is slow. Another coordinator is
+// then called, while the reply is still awaited.
+constexpr Duration kMaxLeaderSilence = Milliseconds(850);
+// The same for a coordinator that is not known to lead or did not reply before.
+constexpr Duration kMaxSearchSilence = Milliseconds(250);
+// A call ends after this time. Shorter than a lease, so that its reply still
+// renews one.
+constexpr Duration kCallTimeout = Milliseconds(2500);
+// Calls that may await the reply of one coordinator while the leader is not
+// reached. Limits the load on a leader that is slow because it is overloaded.
+constexpr int kMaxSearchCalls = 3;
 // Delay after a failed call before the next coordinator is called.
 constexpr Duration kFailureRetryDelay = Milliseconds(60);
 // Delay between two calls. Limits their rate while the state changes often.
 constexpr Duration kMinCallPause = Milliseconds(15);
+constexpr Duration kIdleTimeout = Seconds(20);
 constexpr size_t kMaxCoordinatorAddresses = 32;
 // Once this many buckets have counts, further requests are not counted until
 // the next report.
@@ -53,6 +64,16 @@
   m_counts.clear();
 }
 
+http::ClientOptions
+SyncClient::MakeClientOptions()
+{
+  http::ClientOptions options;
+  // A slow link delays a new connection as much as a reply.
+  options.m_connectTimeout = kCallTimeout;
+  options.m_idleTimeout = kIdleTimeout;
+  return options;
+}
+
 SyncClient::SyncClient(asio::io_context& aContext,
                        const Clock& aClock,
                        const SidecarOptions& aOptions,
@@ -95,6 +116,12 @@
   }
   // Stops waiting for the call that the leader holds; the loop starts the next
   // one.
+  EndWait();
+}
+
+void
+SyncClient::EndWait()
+{
   m_callPending = false;
   m_wakeTimer.cancel();
 }
@@ -119,22 +146,43 @@
                                 m_coordinatorAddresses.size()];
 }
 
+int
+SyncClient::CountUnansweredCalls(const std::string& aAddress) const
+{
+  const auto found = m_unansweredCalls.find(aAddress);
+  return found == m_unansweredCalls.end() ? 0 : found->second;
+}
+
 asio::awaitable<void>
 SyncClient::RunLoop()
 {
   while (true) {
     const std::string address = NextCoordinator();
-    if (!address.empty()) {
-      m_callPending = true;
+    const bool mayCall =
+      !address.empty() &&
+      (m_leaderReached || CountUnansweredCalls(address) < kMaxSearchCalls);
+    const TimePoint startedAt = m_clock.Now();
+    const Duration searchSilence =
+      address == m_leaderAddress && CountUnansweredCalls(address) == 0
+        ? kMaxLeaderSilence
+        : kMaxSearchSilence;
+    m_callPending = true;
+    if (mayCall) {
       const uint64_t callNumber = ++m_newestCallNumber;
       asio::co_spawn(m_context, RunCall(address, callNumber), asio::detached);
     }
-    while (m_callPending || address.empty()) {
-      m_wakeTimer.expires_after(std::chrono::milliseconds(kSyncTimeout.m_ms));
-      co_await m_wakeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
-      if (address.empty()) {
+    while (m_callPending) {
+      const Duration maxSilence =
+        m_leaderReached ? kMaxLeaderSilence : searchSilence;
+      const Duration left = startedAt + maxSilence - m_clock.Now();
+      if (left <= Milliseconds(0)) {
+        m_callPending = false;
+        m_searching = true;
+        OnCallFailed(address, "no reply yet");
         break;
       }
+      m_wakeTimer.expires_after(std::chrono::milliseconds(left.m_ms));
+      co_await m_wakeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     const Duration pauseTime = m_backOff ? kFailureRetryDelay : kMinCallPause;
     m_backOff = false;
@@ -176,9 +224,13 @@
   request.target({ fleet::kSyncPath.data(), fleet::kSyncPath.size() });
   request.body() = syncRequest.SerializeAsString();
   const TimePoint sentAt = m_clock.Now();
+  ++m_unansweredCalls[aAddress];
   tl::expected<http::Response, http::HttpError> response =
     co_await m_controlClient.Exchange(
-      aAddress, std::move(request), kSyncTimeout);
+      aAddress, std::move(request), kCallTimeout);
+  if (--m_unansweredCalls[aAddress] == 0) {
+    m_unansweredCalls.erase(aAddress);
+  }
   const Duration callTime = m_clock.Now() - sentAt;
   wire::FleetSyncReply reply;
   if (!response) {
@@ -208,6 +260,13 @@
     }
     if (reply.leading()) {
       OnLeaderReply(reply, syncRequest, sentAt);
+      if (m_leaderAddress.empty()) {
+        m_leaderAddress = aAddress;
+      }
+      if (reply.term() != 0 && std::exchange(m_searching, false)) {
+        // The connection of this call is faster than a new one.
+        EndWait();
+      }
     } else if (aCallNumber == m_newestCallNumber) {
       const bool hasLeaderHint =
         !reply.leader_address().empty() && reply.leader_address() != aAddress;
@@ -216,8 +275,7 @@
     }
   }
   if (aCallNumber == m_newestCallNumber) {
-    m_callPending = false;
-    m_wakeTimer.cancel();
+    EndWait();
   }
 }
 
@@ -237,7 +295,7 @@
   if (aReply.term() == 0) {
     return;
   }
-  m_directory.ApplyReply(aReply, m_clock.Now());
+  m_directory.ApplyReply(aReply, aSentAt);
   m_localBackend.OnSyncReply(aReply, aSentAt);
   m_localBackend.OnHandoversDelivered(aRequest);
   if (m_onReplyApplied) {
--- a/modules/sidecar/src/SyncClient.h
+++ b/modules/sidecar/src/SyncClient.h
@@ -40,6 +40,9 @@
 class SyncClient
 {
 public:
+  // Options of the client that the calls are to be sent with.
+  static http::ClientOptions MakeClientOptions();
+
   // All references must outlive the client.
   SyncClient(boost::asio::io_context& aContext,
              const Clock& aClock,
@@ -74,6 +77,9 @@
                      const wire::FleetSyncRequest& aRequest,
                      TimePoint aSentAt);
   void OnCallFailed(const std::string& aAddress, std::string_view aReason);
+  int CountUnansweredCalls(const std::string& aAddress) const;
+  // Lets the loop start the next call.
+  void EndWait();
   void UpdateCoordinators(const wire::FleetSyncReply& aReply);
   // Returns the leader if it is known, otherwise the coordinators in turn;
   // empty if none is known.
@@ -101,6 +107,10 @@
   bool m_callPending = false;
   bool m_stopping = false;
   bool m_leaderReached = false;
+  // Whether calls were started because earlier ones had no reply yet.
+  bool m_searching = false;
+  // Calls without a reply, by coordinator. Has no entries of 0.
+  std::map<std::string, int> m_unansweredCalls;
   // The next call waits for kFailureRetryDelay.
   bool m_backOff = false;
 };
--- a/modules/sidecar/tests/FleetDirectoryTest.cpp
+++ b/modules/sidecar/tests/FleetDirectoryTest.cpp
@@ -62,4 +62,13 @@
   CHECK(directory.RangesIndex() == 6);
 }
 
+// Guards against routes that count as fresh because a late reply was applied.
+TEST_CASE("the age of the directory counts from the newest replied request")
+{
+  FleetDirectory directory;
+  directory.ApplyReply({}, kNow + Seconds(1));
+  directory.ApplyReply({}, kNow);
+  CHECK(directory.TimeSinceLastReply(kNow + Seconds(3)) == Seconds(2));
+}
+
 } // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -0,0 +1,238 @@
+#include "SyncClient.h"
+
+#include <chrono>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include "rattanloft/fleet/FleetLeader.h"
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kPollInterval{ 5 };
+const std::string kLeaderAddress = "10.0.0.1:7600";
+// Another coordinator, which names the leader.
+const std::string kFollowerAddress = "10.0.0.2:7600";
+
+// The link of a sidecar to two coordinators. All packets to the sidecar wait
+// for the same time. An exchange needs a connection, as with the real client.
+class DelayedLink final : public http::Client
+{
+public:
+  explicit DelayedLink(const Clock& aClock)
+    : m_clock(aClock)
+    , m_leader(m_state, 1, {}, aClock.Now())
+  {
+  }
+
+  void SetDelay(Duration aDelay) { m_delay = aDelay; }
+  // The most calls to one coordinator that were open at the same time.
+  int MaxOpenCalls() const { return m_maxOpenCalls; }
+
+  void ReplaceConfiguration(uint64_t aVersion)
+  {
+    wire::FleetCommand command;
+    wire::ReplaceConfiguration& change =
+      *command.mutable_replace_configuration();
+    change.set_base_version(m_state.CurrentChange().configuration().version());
+    change.mutable_configuration()->set_version(aVersion);
+    m_state.Apply(++m_index, command.SerializeAsString());
+  }
+
+  asio::awaitable<tl::expected<http::Response, http::HttpError>> Exchange(
+    std::string aPeer,
+    http::Request aRequest,
+    Duration aTimeout,
+    std::shared_ptr<http::CancelToken> /*aCancel*/) override
+  {
+    const TimePoint deadline = m_clock.Now() + aTimeout;
+    std::shared_ptr<int>& openCount = m_openCounts[aPeer];
+    if (!openCount) {
+      openCount = std::make_shared<int>(0);
+    }
+    const OpenCall openCall(openCount);
+    m_maxOpenCalls = std::max(m_maxOpenCalls, *openCount);
+    int& idleConnections = m_idleConnections[aPeer];
+    if (idleConnections > 0) {
+      --idleConnections;
+    } else {
+      const TimePoint connectDeadline = std::min(
+        deadline,
+        m_clock.Now() + SyncClient::MakeClientOptions().m_connectTimeout);
+      const bool connected = co_await PassLink(connectDeadline);
+      if (!connected) {
+        co_return tl::unexpected(http::HttpError{
+          http::HttpErrorCode::kConnectFailed, false, "no connection" });
+      }
+    }
+    wire::FleetSyncRequest sync;
+    REQUIRE(sync.ParseFromString(aRequest.body()));
+    wire::FleetSyncReply reply;
+    if (aPeer == kLeaderAddress) {
+      reply = co_await AskLeader(sync);
+    } else {
+      reply.set_leader_address(kLeaderAddress);
+    }
+    const bool received = co_await PassLink(deadline);
+    if (!received) {
+      co_return tl::unexpected(
+        http::HttpError{ http::HttpErrorCode::kTimeout, true, "timed out" });
+    }
+    ++idleConnections;
+    http::Response response;
+    response.body() = reply.SerializeAsString();
+    co_return response;
+  }
+
+  void CloseIdleConnections(std::string_view) override {}
+  size_t ConnectionCount() const override { return 0; }
+
+private:
+  // Counts a call while it exists, which may be longer than the link.
+  struct OpenCall
+  {
+    explicit OpenCall(std::shared_ptr<int> aCount)
+      : m_count(std::move(aCount))
+    {
+      ++*m_count;
+    }
+    ~OpenCall() { --*m_count; }
+    OpenCall(const OpenCall&) = delete;
+    OpenCall& operator=(const OpenCall&) = delete;
+
+    std::shared_ptr<int> m_count;
+  };
+
+  static asio::awaitable<void> Sleep(std::chrono::milliseconds aDuration)
+  {
+    asio::steady_timer timer(co_await asio::this_coro::executor, aDuration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+
+  // Returns false at the deadline if the packet is still on its way then.
+  asio::awaitable<bool> PassLink(TimePoint aDeadline)
+  {
+    const TimePoint arrival = m_clock.Now() + m_delay;
+    while (m_clock.Now() < std::min(arrival, aDeadline)) {
+      co_await Sleep(kPollInterval);
+    }
+    co_return arrival <= aDeadline;
+  }
+
+  asio::awaitable<wire::FleetSyncReply> AskLeader(
+    const wire::FleetSyncRequest& aRequest)
+  {
+    wire::FleetSyncReply superseded;
+    superseded.set_leading(true);
+    if (!m_leader.OnSync(aRequest, m_clock.Now())) {
+      co_return superseded;
+    }
+    m_newestSequence = aRequest.sequence();
+    const TimePoint end = m_clock.Now() + m_leader.MaxSyncHold();
+    while (!m_leader.HasUpdates(aRequest) && m_clock.Now() < end) {
+      if (m_newestSequence != aRequest.sequence()) {
+        co_return superseded;
+      }
+      co_await Sleep(kPollInterval);
+    }
+    co_return m_leader.BuildReply(aRequest, m_clock.Now());
+  }
+
+  const Clock& m_clock;
+  fleet::FleetState m_state;
+  fleet::FleetLeader m_leader;
+  Duration m_delay;
+  std::map<std::string, int> m_idleConnections;
+  std::map<std::string, std::shared_ptr<int>> m_openCounts;
+  int m_maxOpenCalls = 0;
+  uint64_t m_newestSequence = 0;
+  uint64_t m_index = 0;
+};
+
+// A sidecar whose calls pass the link.
+class SyncFixture
+{
+public:
+  SyncFixture()
+    : m_link(m_clock)
+    , m_localBackend("n1", "127.0.0.1:1", Seconds(2), m_clock.Now())
+    , m_syncClient(m_context,
+                   m_clock,
+                   m_options,
+                   m_link,
+                   m_localBackend,
+                   m_directory,
+                   m_workQueue,
+                   m_loadCounter)
+  {
+    m_link.ReplaceConfiguration(1);
+    m_syncClient.SetCoordinators({ kLeaderAddress, kFollowerAddress });
+    m_syncClient.Start();
+    REQUIRE(WaitForVersion(1) == 1);
+  }
+
+  void RunFor(Duration aDuration)
+  {
+    m_context.run_for(std::chrono::milliseconds(aDuration.m_ms));
+  }
+
+  // Returns the version that the sidecar has then.
+  uint64_t WaitForVersion(uint64_t aVersion)
+  {
+    constexpr Duration kApplyLimit = Seconds(2);
+    const TimePoint end = m_clock.Now() + kApplyLimit;
+    while (m_clock.Now() < end && Version() < aVersion) {
+      m_context.run_for(kPollInterval);
+    }
+    return Version();
+  }
+
+  asio::io_context m_context{ 1 };
+  BootClock m_clock;
+  DelayedLink m_link;
+
+private:
+  uint64_t Version() const
+  {
+    return m_directory.Router() ? m_directory.Router()->Version() : 0;
+  }
+
+  SidecarOptions m_options;
+  LocalBackend m_localBackend;
+  FleetDirectory m_directory;
+  WorkQueue m_workQueue;
+  LoadCounter m_loadCounter;
+  SyncClient m_syncClient;
+};
+
+} // namespace
+
+// Guards against a sidecar that gives up each call, and each connection, that
+// takes longer than the packets wait on its link.
+TEST_CASE("a new configuration arrives over a link on which packets wait")
+{
+  SyncFixture fixture;
+  const int delayMs = GENERATE(300, 400, 450);
+  const int changeAtMs = GENERATE(0, 600, 1100);
+  CAPTURE(delayMs, changeAtMs);
+  fixture.m_link.SetDelay(Milliseconds(delayMs));
+  fixture.RunFor(Milliseconds(changeAtMs));
+  fixture.m_link.ReplaceConfiguration(2);
+  CHECK(fixture.WaitForVersion(2) == 2);
+}
+
+// Guards against calls that pile up at a leader that is slow to reply.
+TEST_CASE("few calls are open to a coordinator that does not reply")
+{
+  SyncFixture fixture;
+  fixture.m_link.SetDelay(Seconds(10));
+  fixture.RunFor(Seconds(4));
+  CHECK(fixture.m_link.MaxOpenCalls() <= 3);
+}
+
+} // namespace rattanloft::sidecar
