--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -31,6 +31,8 @@
   }
 
   void SetDelay(Duration aDelay) { m_delay = aDelay; }
+  // The most calls to one coordinator that were open at the same time.
+  int MaxOpenCalls() const { return m_maxOpenCalls; }
 
   void ReplaceConfiguration(uint64_t aVersion)
   {
@@ -49,6 +51,12 @@
     std::shared_ptr<http::CancelToken> /*aCancel*/) override
   {
     const TimePoint deadline = m_clock.Now() + aTimeout;
+    std::shared_ptr<int>& openCount = m_openCounts[aPeer];
+    if (!openCount) {
+      openCount = std::make_shared<int>(0);
+    }
+    const OpenCall openCall(openCount);
+    m_maxOpenCalls = std::max(m_maxOpenCalls, *openCount);
     int& idleConnections = m_idleConnections[aPeer];
     if (idleConnections > 0) {
       --idleConnections;
@@ -85,6 +93,21 @@
   size_t ConnectionCount() const override { return 0; }
 
 private:
+  // Counts a call while it exists, which may be longer than the link.
+  struct OpenCall
+  {
+    explicit OpenCall(std::shared_ptr<int> aCount)
+      : m_count(std::move(aCount))
+    {
+      ++*m_count;
+    }
+    ~OpenCall() { --*m_count; }
+    OpenCall(const OpenCall&) = delete;
+    OpenCall& operator=(const OpenCall&) = delete;
+
+    std::shared_ptr<int> m_count;
+  };
+
   static asio::awaitable<void> Sleep(std::chrono::milliseconds aDuration)
   {
     asio::steady_timer timer(co_await asio::this_coro::executor, aDuration);
@@ -125,53 +148,91 @@
   fleet::FleetLeader m_leader;
   Duration m_delay;
   std::map<std::string, int> m_idleConnections;
+  std::map<std::string, std::shared_ptr<int>> m_openCounts;
+  int m_maxOpenCalls = 0;
   uint64_t m_newestSequence = 0;
   uint64_t m_index = 0;
 };
 
+// A sidecar whose calls pass the link.
+class SyncFixture
+{
+public:
+  SyncFixture()
+    : m_link(m_clock)
+    , m_localBackend("n1", "127.0.0.1:1", Seconds(2), m_clock.Now())
+    , m_syncClient(m_context,
+                   m_clock,
+                   m_options,
+                   m_link,
+                   m_localBackend,
+                   m_directory,
+                   m_workQueue,
+                   m_loadCounter)
+  {
+    m_link.ReplaceConfiguration(1);
+    m_syncClient.SetCoordinators({ kLeaderAddress, kFollowerAddress });
+    m_syncClient.Start();
+    REQUIRE(WaitForVersion(1) == 1);
+  }
+
+  void RunFor(Duration aDuration)
+  {
+    m_context.run_for(std::chrono::milliseconds(aDuration.m_ms));
+  }
+
+  // Returns the version that the sidecar has then.
+  uint64_t WaitForVersion(uint64_t aVersion)
+  {
+    constexpr Duration kApplyLimit = Seconds(2);
+    const TimePoint end = m_clock.Now() + kApplyLimit;
+    while (m_clock.Now() < end && Version() < aVersion) {
+      m_context.run_for(kPollInterval);
+    }
+    return Version();
+  }
+
+  asio::io_context m_context{ 1 };
+  BootClock m_clock;
+  DelayedLink m_link;
+
+private:
+  uint64_t Version() const
+  {
+    return m_directory.Router() ? m_directory.Router()->Version() : 0;
+  }
+
+  SidecarOptions m_options;
+  LocalBackend m_localBackend;
+  FleetDirectory m_directory;
+  WorkQueue m_workQueue;
+  LoadCounter m_loadCounter;
+  SyncClient m_syncClient;
+};
+
 } // namespace
 
 // Guards against a sidecar that gives up each call, and each connection, that
 // takes longer than the packets wait on its link.
 TEST_CASE("a new configuration arrives over a link on which packets wait")
 {
-  asio::io_context context{ 1 };
-  BootClock clock;
-  DelayedLink link(clock);
-  link.ReplaceConfiguration(1);
-  SidecarOptions options;
-  options.m_instance = "n1";
-  options.m_coordinators = { kLeaderAddress, kFollowerAddress };
-  LocalBackend localBackend("n1", "127.0.0.1:1", Seconds(2), clock.Now());
-  FleetDirectory directory;
-  const WorkQueue workQueue;
-  LoadCounter loadCounter;
-  SyncClient syncClient(context,
-                        clock,
-                        options,
-                        link,
-                        localBackend,
-                        directory,
-                        workQueue,
-                        loadCounter);
-  syncClient.Start();
-  const auto waitForVersion = [&](uint64_t aVersion) {
-    constexpr Duration kApplyLimit = Seconds(2);
-    const TimePoint end = clock.Now() + kApplyLimit;
-    while (clock.Now() < end &&
-           (!directory.Router() || directory.Router()->Version() < aVersion)) {
-      context.run_for(kPollInterval);
-    }
-    return directory.Router() ? directory.Router()->Version() : 0;
-  };
-  REQUIRE(waitForVersion(1) == 1);
+  SyncFixture fixture;
   const int delayMs = GENERATE(300, 400, 450);
   const int changeAtMs = GENERATE(0, 600, 1100);
   CAPTURE(delayMs, changeAtMs);
-  link.SetDelay(Milliseconds(delayMs));
-  context.run_for(std::chrono::milliseconds(changeAtMs));
-  link.ReplaceConfiguration(2);
-  CHECK(waitForVersion(2) == 2);
+  fixture.m_link.SetDelay(Milliseconds(delayMs));
+  fixture.RunFor(Milliseconds(changeAtMs));
+  fixture.m_link.ReplaceConfiguration(2);
+  CHECK(fixture.WaitForVersion(2) == 2);
+}
+
+// Guards against calls that pile up at a leader that is slow to reply.
+TEST_CASE("few calls are open to a coordinator that does not reply")
+{
+  SyncFixture fixture;
+  fixture.m_link.SetDelay(Seconds(10));
+  fixture.RunFor(Seconds(4));
+  CHECK(fixture.m_link.MaxOpenCalls() <= 3);
 }
 
 } // namespace rattanloft::sidecar
