--- a/modules/fleet/include/rattanloft/fleet/ConfigurationChanges.h
+++ b/modules/fleet/include/rattanloft/fleet/ConfigurationChanges.h
@@ -13,8 +13,9 @@
 wire::ConfigurationChanges
 CompareConfigurations(const wire::Configuration& aBase,
                       const wire::Configuration& aNext);
-// Returns the later configuration. Returns nullopt if the changes build on
-// another version, or if the result differs from what they were computed for.
+// Returns the later configuration, with its routes in the order of their names.
+// Returns nullopt if the changes build on another version, or if the result
+// differs from what they were computed for.
 std::optional<wire::Configuration>
 ApplyConfigurationChanges(const wire::Configuration& aBase,
                           const wire::ConfigurationChanges& aChanges);
@@ -28,15 +29,17 @@
   // Records the version in force. Must be called before sidecars are sent it.
   void Observe(const wire::Configuration& aCurrent);
   // Returns what turns the given version into the one observed last. Returns
-  // null if the given version is not known. Valid until the next Observe().
+  // null if the given version is not known or changes by name cannot describe
+  // the difference. Valid until the next Observe().
   const wire::ConfigurationChanges* FindChangesSince(uint64_t aVersion);
 
 private:
   // Oldest first; the last one is in force.
   std::deque<wire::Configuration> m_versions;
   int m_routeCount = 0;
-  // Changes since earlier versions, computed when they are first needed.
-  std::map<uint64_t, wire::ConfigurationChanges> m_changesByBase;
+  // Changes since earlier versions, computed when they are first needed. Empty
+  // where changes by name cannot describe the difference.
+  std::map<uint64_t, std::optional<wire::ConfigurationChanges>> m_changesByBase;
 };
 
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/ConfigurationChanges.cpp
+++ b/modules/fleet/src/ConfigurationChanges.cpp
@@ -1,10 +1,10 @@
 #include "rattanloft/fleet/ConfigurationChanges.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "rattanloft/base/Hash.h"
 
@@ -17,24 +17,19 @@
 constexpr size_t kMaxVersions = 32;
 constexpr int kMaxRoutes = 50'000;
 
-// Seeds that keep the hashes of routes, services and limits apart.
-constexpr uint64_t kRouteSeed = 1;
-constexpr uint64_t kServiceSeed = 2;
-constexpr uint64_t kLimitsSeed = 3;
-
-// Does not depend on the order of routes and services.
+// Depends on the order of routes, since a router prefers the later one of two
+// that match the same requests.
 uint64_t
 Fingerprint(const wire::Configuration& aConfiguration)
 {
-  uint64_t sum =
-    Hash64(aConfiguration.limits().SerializeAsString(), kLimitsSeed);
+  uint64_t hash = Hash64(aConfiguration.limits().SerializeAsString());
   for (const wire::RouteSpec& route : aConfiguration.routes()) {
-    sum += Hash64(route.SerializeAsString(), kRouteSeed);
+    hash = Hash64(route.SerializeAsString(), hash);
   }
   for (const wire::ServiceSpec& service : aConfiguration.services()) {
-    sum += Hash64(service.SerializeAsString(), kServiceSeed);
+    hash = Hash64(service.SerializeAsString(), hash);
   }
-  return sum;
+  return hash;
 }
 
 } // namespace
@@ -76,20 +71,21 @@
   if (aBase.version() != aChanges.base_version()) {
     return std::nullopt;
   }
-  std::unordered_set<std::string_view> replaced(
-    aChanges.removed_routes().begin(), aChanges.removed_routes().end());
+  // Operators send routes as a table by name, so they are in this order.
+  std::map<std::string_view, const wire::RouteSpec*> routes;
+  for (const wire::RouteSpec& route : aBase.routes()) {
+    routes[route.name()] = &route;
+  }
+  for (const std::string& name : aChanges.removed_routes()) {
+    routes.erase(name);
+  }
   for (const wire::RouteSpec& route : aChanges.routes()) {
-    replaced.insert(route.name());
+    routes[route.name()] = &route;
   }
   wire::Configuration next;
   next.set_version(aChanges.version());
-  for (const wire::RouteSpec& route : aBase.routes()) {
-    if (!replaced.contains(route.name())) {
-      *next.add_routes() = route;
-    }
-  }
-  for (const wire::RouteSpec& route : aChanges.routes()) {
-    *next.add_routes() = route;
+  for (const auto& [name, route] : routes) {
+    *next.add_routes() = *route;
   }
   *next.mutable_services() = aChanges.services();
   *next.mutable_limits() = aChanges.limits();
@@ -128,8 +124,11 @@
   const auto [changes, isNew] = m_changesByBase.try_emplace(aVersion);
   if (isNew) {
     changes->second = CompareConfigurations(*base, m_versions.back());
+    if (!ApplyConfigurationChanges(*base, *changes->second)) {
+      changes->second.reset();
+    }
   }
-  return &changes->second;
+  return changes->second ? &*changes->second : nullptr;
 }
 
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -1,6 +1,8 @@
 #include "FleetDirectory.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/fleet/ConfigurationChanges.h"
@@ -96,25 +98,30 @@
           m_endpoints.size());
 }
 
+// Takes time in proportion to the endpoints, since this runs on the traffic
+// thread.
 void
 FleetDirectory::MergeEndpoints(const wire::FleetSyncReply& aReply)
 {
-  for (const std::string& instance : aReply.removed_endpoints()) {
-    std::erase_if(m_endpoints, [&](const wire::Endpoint& aKnown) {
-      return aKnown.instance() == instance;
-    });
-  }
+  const std::unordered_set<std::string_view> removed(
+    aReply.removed_endpoints().begin(), aReply.removed_endpoints().end());
+  std::erase_if(m_endpoints, [&](const wire::Endpoint& aKnown) {
+    return removed.contains(aKnown.instance());
+  });
+  std::map<std::string_view, const wire::Endpoint*> changed;
   for (const wire::Endpoint& endpoint : aReply.endpoints()) {
-    const auto known = std::ranges::find(
-      m_endpoints, endpoint.instance(), [](const wire::Endpoint& aKnown) {
-        return aKnown.instance();
-      });
-    if (known != m_endpoints.end()) {
-      *known = endpoint;
-    } else {
-      m_endpoints.push_back(endpoint);
+    changed[endpoint.instance()] = &endpoint;
+  }
+  for (wire::Endpoint& known : m_endpoints) {
+    const auto found = changed.find(known.instance());
+    if (found != changed.end()) {
+      known = *found->second;
+      changed.erase(found);
     }
   }
+  for (const auto& [instance, endpoint] : changed) {
+    m_endpoints.push_back(*endpoint);
+  }
 }
 
 void
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -29,9 +29,9 @@
 // A call ends after this time. Shorter than a lease, so that its reply still
 // renews one.
 constexpr Duration kCallTimeout = Milliseconds(2500);
-// Calls that may await the reply of one coordinator while the leader is not
-// reached. Limits the load on a leader that is slow because it is overloaded.
-constexpr int kMaxSearchCalls = 3;
+// Calls that may await the reply of one coordinator. Limits the load on one
+// that is slow because it is overloaded.
+constexpr int kMaxOpenCalls = 3;
 // Delay after a failed call before the next coordinator is called.
 constexpr Duration kFailureRetryDelay = Milliseconds(60);
 // Delay between two calls. Limits their rate while the state changes often.
@@ -111,7 +111,8 @@
 void
 SyncClient::SyncIfChanged()
 {
-  if (m_localBackend.ReportRevision() == m_reportedRevision && !m_stopping) {
+  if (m_localBackend.ReportRevision() == m_reportedRevision &&
+      m_stopping == m_reportedStopping) {
     return;
   }
   // Stops waiting for the call that the leader holds; the loop starts the next
@@ -159,9 +160,12 @@
   while (true) {
     const std::string address = NextCoordinator();
     const bool mayCall =
-      !address.empty() &&
-      (m_leaderReached || CountUnansweredCalls(address) < kMaxSearchCalls);
-    const TimePoint startedAt = m_clock.Now();
+      !address.empty() && CountUnansweredCalls(address) < kMaxOpenCalls;
+    // Calls that follow each other closely must not extend the wait for the
+    // first one.
+    const TimePoint startedAt = m_leaderReached
+                                  ? m_unansweredSince.value_or(m_clock.Now())
+                                  : m_clock.Now();
     const Duration searchSilence =
       address == m_leaderAddress && CountUnansweredCalls(address) == 0
         ? kMaxLeaderSilence
@@ -202,6 +206,7 @@
   request.set_zone(m_options.m_zone);
   request.set_peer_address(m_options.m_peerAddress);
   request.set_stopping(m_stopping);
+  m_reportedStopping = m_stopping;
   request.set_configuration_version(
     m_directory.Router() ? m_directory.Router()->Version() : 0);
   request.set_ranges_index(m_directory.RangesIndex());
@@ -228,6 +233,9 @@
   request.body() = syncRequest.SerializeAsString();
   const TimePoint sentAt = m_clock.Now();
   ++m_unansweredCalls[aAddress];
+  if (!m_unansweredSince) {
+    m_unansweredSince = sentAt;
+  }
   tl::expected<http::Response, http::HttpError> response =
     co_await m_controlClient.Exchange(
       aAddress, std::move(request), kCallTimeout);
@@ -290,6 +298,7 @@
                           const wire::FleetSyncRequest& aRequest,
                           TimePoint aSentAt)
 {
+  m_unansweredSince.reset();
   if (!m_leaderReached) {
     m_leaderReached = true;
     LogInfo("sync",
@@ -314,6 +323,7 @@
 SyncClient::OnCallFailed(const std::string& aAddress, std::string_view aReason)
 {
   m_leaderAddress.clear();
+  m_unansweredSince.reset();
   m_backOff = true;
   if (m_leaderReached) {
     m_leaderReached = false;
--- a/modules/sidecar/src/SyncClient.h
+++ b/modules/sidecar/src/SyncClient.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -55,8 +56,8 @@
 
   // Starts the sync loop, which runs until the io_context stops.
   void Start();
-  // Starts a new call at once if the backend server has unreported changes or
-  // this sidecar is stopping.
+  // Starts a new call at once if there is an unreported change of the backend
+  // server, or that this sidecar is stopping.
   void SyncIfChanged();
   // Reports to the leader that this sidecar is stopping.
   void Stop();
@@ -106,7 +107,12 @@
   uint64_t m_newestCallNumber = 0;
   bool m_callPending = false;
   bool m_stopping = false;
+  // Value of m_stopping in the last request.
+  bool m_reportedStopping = false;
   bool m_leaderReached = false;
+  // When the first call was sent that the leader has not replied to; empty
+  // after a reply.
+  std::optional<TimePoint> m_unansweredSince;
   // Whether calls were started because earlier ones had no reply yet.
   bool m_searching = false;
   // Calls without a reply, by coordinator. Has no entries of 0.
--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -31,6 +31,7 @@
   }
 
   void SetDelay(Duration aDelay) { m_delay = aDelay; }
+  int FollowerCallCount() const { return m_followerCallCount; }
   // The most calls to one coordinator that were open at the same time.
   int MaxOpenCalls() const { return m_maxOpenCalls; }
 
@@ -50,6 +51,7 @@
     Duration aTimeout,
     std::shared_ptr<http::CancelToken> /*aCancel*/) override
   {
+    m_followerCallCount += aPeer == kFollowerAddress ? 1 : 0;
     const TimePoint deadline = m_clock.Now() + aTimeout;
     std::shared_ptr<int>& openCount = m_openCounts[aPeer];
     if (!openCount) {
@@ -150,6 +152,7 @@
   std::map<std::string, int> m_idleConnections;
   std::map<std::string, std::shared_ptr<int>> m_openCounts;
   int m_maxOpenCalls = 0;
+  int m_followerCallCount = 0;
   uint64_t m_newestSequence = 0;
   uint64_t m_index = 0;
 };
@@ -181,6 +184,18 @@
     m_context.run_for(std::chrono::milliseconds(aDuration.m_ms));
   }
 
+  // Calls the client every 100 ms, as the sidecar does after SIGTERM.
+  void StopAndRunFor(Duration aDuration)
+  {
+    constexpr Duration kTickInterval = Milliseconds(100);
+    m_syncClient.Stop();
+    for (const TimePoint end = m_clock.Now() + aDuration;
+         m_clock.Now() < end;) {
+      RunFor(kTickInterval);
+      m_syncClient.SyncIfChanged();
+    }
+  }
+
   // Returns the version that the sidecar has then.
   uint64_t WaitForVersion(uint64_t aVersion)
   {
@@ -235,4 +250,16 @@
   CHECK(fixture.m_link.MaxOpenCalls() <= 3);
 }
 
+// Guards against a sidecar that calls a lost leader until its own end, so that
+// no other leader learns that it stops.
+TEST_CASE("a stopping sidecar calls others if the leader does not reply")
+{
+  SyncFixture fixture;
+  fixture.m_link.SetDelay(Seconds(10));
+  const int callCountBefore = fixture.m_link.FollowerCallCount();
+  fixture.StopAndRunFor(Seconds(2));
+  CHECK(fixture.m_link.MaxOpenCalls() <= 3);
+  CHECK(fixture.m_link.FollowerCallCount() > callCountBefore);
+}
+
 } // namespace rattanloft::sidecar
