--- a/modules/http/tests/ClientTest.cpp
+++ b/modules/http/tests/ClientTest.cpp
@@ -98,6 +98,41 @@
   }
 };
 
+// A listener whose backlog is full, so that the system repeats the handshake of
+// the next client after 1 s.
+class FullListener
+{
+public:
+  explicit FullListener(asio::io_context& aContext)
+    : m_acceptor(aContext)
+    , m_filler(aContext)
+  {
+    m_acceptor.open(tcp::v4());
+    m_acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+    m_acceptor.listen(0);
+    m_filler.connect(m_acceptor.local_endpoint());
+  }
+
+  std::string Address() const
+  {
+    return LoopbackAddress(m_acceptor.local_endpoint().port());
+  }
+  // Empties the backlog and blocks the thread until the next client has
+  // connected.
+  tcp::socket BlockUntilConnected()
+  {
+    constexpr int kHandshakeRepeatTimeoutMs = 5000;
+    m_acceptor.accept();
+    pollfd readable{ m_acceptor.native_handle(), POLLIN, 0 };
+    REQUIRE(poll(&readable, 1, kHandshakeRepeatTimeoutMs) == 1);
+    return m_acceptor.accept();
+  }
+
+private:
+  tcp::acceptor m_acceptor;
+  tcp::socket m_filler;
+};
+
 } // namespace
 
 // Guards against a truncated or ambiguous response that is returned as
@@ -336,31 +371,20 @@
 // The handshake completes and the timeout expires while the thread is blocked.
 TEST_CASE("A connect timeout does not break off a request that was sent")
 {
-  constexpr int kHandshakeRepeatTimeoutMs = 5000;
   asio::io_context context;
-  tcp::acceptor acceptor(context);
-  acceptor.open(tcp::v4());
-  acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
-  acceptor.listen(0);
-  const tcp::endpoint endpoint = acceptor.local_endpoint();
-  tcp::socket filler(context);
-  filler.connect(endpoint);
+  FullListener listener(context);
   tcp::socket accepted(context);
   ClientOptions options;
   options.m_connectTimeout = Milliseconds(50);
   const auto client = Client::Make(context, options);
   RunTest(context, [&]() -> asio::awaitable<void> {
     asio::post(context, [&] {
-      // The backlog is full, so the system repeats the handshake after 1 s.
-      acceptor.accept();
-      pollfd readable{ acceptor.native_handle(), POLLIN, 0 };
-      REQUIRE(poll(&readable, 1, kHandshakeRepeatTimeoutMs) == 1);
-      accepted = acceptor.accept();
+      accepted = listener.BlockUntilConnected();
       asio::co_spawn(context, RespondToAllRequests(accepted), asio::detached);
     });
     Request request = MakeRequest("/");
     const ExchangeResult result = co_await client->Exchange(
-      LoopbackAddress(endpoint.port()), std::move(request), Seconds(8));
+      listener.Address(), std::move(request), Seconds(8));
     INFO((result ? "" : result.error().m_message));
     REQUIRE(result);
     CHECK(result->body() == "ok");
@@ -370,28 +394,15 @@
 // The handshake completes and the deadline passes while the thread is blocked.
 TEST_CASE("A request is not sent after the deadline of its exchange")
 {
-  constexpr int kHandshakeRepeatTimeoutMs = 5000;
   asio::io_context context;
-  tcp::acceptor acceptor(context);
-  acceptor.open(tcp::v4());
-  acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
-  acceptor.listen(0);
-  const tcp::endpoint endpoint = acceptor.local_endpoint();
-  tcp::socket filler(context);
-  filler.connect(endpoint);
+  FullListener listener(context);
   tcp::socket accepted(context);
   auto client = Client::Make(context, {});
   RunTest(context, [&]() -> asio::awaitable<void> {
-    asio::post(context, [&] {
-      // The backlog is full, so the system repeats the handshake after 1 s.
-      acceptor.accept();
-      pollfd readable{ acceptor.native_handle(), POLLIN, 0 };
-      REQUIRE(poll(&readable, 1, kHandshakeRepeatTimeoutMs) == 1);
-      accepted = acceptor.accept();
-    });
+    asio::post(context, [&] { accepted = listener.BlockUntilConnected(); });
     Request request = MakeRequest("/");
     const ExchangeResult result = co_await client->Exchange(
-      LoopbackAddress(endpoint.port()), std::move(request), Milliseconds(50));
+      listener.Address(), std::move(request), Milliseconds(50));
     REQUIRE_FALSE(result);
     CHECK(result.error().m_code == HttpErrorCode::kTimeout);
     CHECK_FALSE(result.error().m_maybeSent);
--- a/modules/http/tests/EndlessRequestTest.cpp
+++ b/modules/http/tests/EndlessRequestTest.cpp
@@ -49,16 +49,6 @@
   return requests;
 }
 
-std::string
-Repeat(const std::string& aUnit, size_t aMinBytes)
-{
-  std::string text;
-  while (text.size() < aMinBytes) {
-    text += aUnit;
-  }
-  return text;
-}
-
 struct EndlessOutcome
 {
   std::string m_response;
--- a/modules/http/tests/EndlessResponseTest.cpp
+++ b/modules/http/tests/EndlessResponseTest.cpp
@@ -65,16 +65,6 @@
   return responses;
 }
 
-std::string
-Repeat(const std::string& aUnit, size_t aMinBytes)
-{
-  std::string text;
-  while (text.size() < aMinBytes) {
-    text += aUnit;
-  }
-  return text;
-}
-
 // What the peer saw of one connection.
 struct PeerLog
 {
--- a/modules/http/tests/TestPeer.h
+++ b/modules/http/tests/TestPeer.h
@@ -71,6 +71,17 @@
   return request;
 }
 
+// Returns the unit repeated until it has at least so many bytes.
+inline std::string
+Repeat(const std::string& aUnit, size_t aMinBytes)
+{
+  std::string text;
+  while (text.size() < aMinBytes) {
+    text += aUnit;
+  }
+  return text;
+}
+
 inline std::string
 LoopbackAddress(uint16_t aPort)
 {
