Log the fingerprint of requests in the sidecar

`event=request` and `event=exchange-failed` now carry a hash of host, method, target and body.

Tests: http, node and sidecar pass. No behaviour changes.

--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -11,6 +11,7 @@
 #include "RecordCodec.h"
 #include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::node {
 
@@ -269,7 +270,7 @@
     m_context.m_recordTable.Begin(request.m_service,
                                   *request.m_shard,
                                   request.m_idempotencyKey,
-                                  ComputeFingerprint(aRun->m_request),
+                                  http::ComputeFingerprint(aRun->m_request),
                                   m_context.m_clock.Now());
   switch (beginResult.m_outcome) {
     case BeginOutcome::kNew:
@@ -363,7 +364,7 @@
 {
   const ClassifiedRequest& request = aRun->m_classified;
   const uint64_t fingerprint =
-    m_context.m_quarantineEnabled ? ComputeFingerprint(aRun->m_request) : 0;
+    m_context.m_quarantineEnabled ? http::ComputeFingerprint(aRun->m_request) : 0;
   const auto notBlocked = m_quarantineGate.CheckBlocked(fingerprint);
   if (!notBlocked) {
     co_return MakeRefusalResponse(notBlocked.error());
--- a/modules/node/src/RequestClassifier.cpp
+++ b/modules/node/src/RequestClassifier.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "Headers.h"
-#include "rattanloft/base/Hash.h"
 
 namespace rattanloft::node {
 
@@ -128,16 +127,4 @@
   return result;
 }
 
-uint64_t
-ComputeFingerprint(const http::Request& aRequest)
-{
-  const uint64_t target = Hash64(
-    std::string_view(aRequest.target().data(), aRequest.target().size()));
-  const uint64_t method =
-    Hash64(std::string_view(aRequest.method_string().data(),
-                            aRequest.method_string().size()),
-           target);
-  return Hash64(aRequest.body(), method);
-}
-
 } // namespace rattanloft::node
--- a/modules/node/src/RequestClassifier.h
+++ b/modules/node/src/RequestClassifier.h
@@ -42,9 +42,4 @@
 Classify(const http::Request& aRequest,
          std::shared_ptr<const routing::RoutingView> aView);
 
-// Hash of the method, target and body, which must be the same when an
-// idempotency key is used again.
-uint64_t
-ComputeFingerprint(const http::Request& aRequest);
-
 } // namespace rattanloft::node
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -4,6 +4,7 @@
 
 #include "RecordCodec.h"
 #include "TrafficFixture.h"
+#include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::node {
 
@@ -197,7 +198,8 @@
   record->set_service(TrafficFixture::kService);
   record->set_shard(shard);
   record->set_key("k1");
-  record->set_fingerprint(ComputeFingerprint(TrafficFixture::MakeOrder("k1")));
+  record->set_fingerprint(
+    http::ComputeFingerprint(TrafficFixture::MakeOrder("k1")));
   record->set_retention_left_ms(60'000);
   http::Request request;
   request.body() = put.SerializeAsString();
--- a/modules/node/tests/RequestClassifierTest.cpp
+++ b/modules/node/tests/RequestClassifierTest.cpp
@@ -101,22 +101,4 @@
   REQUIRE(RefusalStatus(large) == 413);
 }
 
-// Guards against replaying a stored answer to a request with a different
-// payload.
-TEST_CASE("The fingerprint covers method, target and body")
-{
-  auto base = MakeRequest("POST", "/deposits/a");
-  base.body() = "1";
-  auto body = base;
-  body.body() = "2";
-  auto target = base;
-  target.target("/deposits/b");
-  auto method = base;
-  method.method_string("PUT");
-  REQUIRE(ComputeFingerprint(base) == ComputeFingerprint(base));
-  REQUIRE(ComputeFingerprint(base) != ComputeFingerprint(body));
-  REQUIRE(ComputeFingerprint(base) != ComputeFingerprint(target));
-  REQUIRE(ComputeFingerprint(base) != ComputeFingerprint(method));
-}
-
 } // namespace rattanloft::node
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::sidecar {
 
@@ -257,6 +258,7 @@
 {
   const HeaderNames& names = m_protocol.Headers();
   const std::string id(FieldValue(aRequest, names.m_requestId));
+  const uint64_t fingerprint = http::ComputeHostFingerprint(aRequest);
   RemovePeerFields(aRequest);
   SetField(
     aRequest, names.m_expectedBackend, m_localBackend.View().backend_id());
@@ -278,9 +280,10 @@
                                 : MakeNotRunResult("caller-left", {});
   }
   LogInfo("backend",
-          "event=exchange-failed id={} service={} holder={} maybe_sent={} "
-          "reason=\"{}\"",
+          "event=exchange-failed id={} fingerprint={:016x} service={} holder={} "
+          "maybe_sent={} reason=\"{}\"",
           id,
+          fingerprint,
           aAttributes.m_service,
           holder,
           error.m_maybeSent,
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::sidecar {
 
@@ -98,6 +99,7 @@
 {
   const HeaderNames& names = m_protocol.Headers();
   aState.m_id = FieldValue(aRequest, names.m_requestId);
+  aState.m_fingerprint = http::ComputeHostFingerprint(aRequest);
   aState.m_arrivedAt = m_clock.Now();
   aState.m_router = m_directory.Router();
   if (aState.m_router == nullptr) {
@@ -406,10 +408,11 @@
 {
   const TimePoint now = m_clock.Now();
   LogInfo("entry",
-          "event=request id={} route={} service={} key={} instance={} hops={} "
-          "arrivals={} outcome={} reason={} status={} ms={} left_ms={} "
+          "event=request id={} fingerprint={:016x} route={} service={} key={} "
+          "instance={} hops={} arrivals={} outcome={} reason={} status={} ms={} left_ms={} "
           "version={} ranges={} directory_age_ms={}",
           aState.m_id,
+          aState.m_fingerprint,
           aState.m_route != nullptr ? aState.m_route->name() : "-",
           aState.m_service,
           aState.m_key ? static_cast<int64_t>(*aState.m_key) : -1,
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -61,6 +61,8 @@
   struct RequestState
   {
     std::string m_id;
+    // Identifies copies of the same work; see http::ComputeHostFingerprint.
+    uint64_t m_fingerprint = 0;
     // Owns the route that m_route points to.
     std::shared_ptr<const fleet::RequestRouter> m_router;
     const wire::RouteSpec* m_route = nullptr;
