Add a failing test for requests that crash every backend server

Callers see: a request that crashes whatever backend server runs it comes again and takes down one server after the other; each crash also fails the requests beside it. The test runs three coordinators and two sidecars as processes with stand-in backend servers that crash and restart.

--- /dev/null
+++ b/tests/fleet_fixture.py
@@ -0,0 +1,298 @@
+"""A fleet of real processes on loopback: three coordinators, sidecars, and
+stand-ins for the platform's backend servers and operators."""
+
+import http.client
+import http.server
+import json
+import os
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+
+BINARY = os.environ["RATTANLOFT_BINARY"]
+HOST = "shop.example"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class StandInBackend:
+    """Answers requests for the keys that it holds, and sends heartbeats."""
+
+    def __init__(self, ip, port, announce, service, backend_id):
+        self.address, self.announce_address = f"{ip}:{port}", announce
+        self.service, self.backend_id = service, backend_id
+        self.born_unix_ms = int(time.time() * 1000)
+        self.sequence, self.state = 0, "ready"
+        # Rows that begin with the first and the last key of a range.
+        self.held_ranges, self.hold_end_s, self.released = [], 0, []
+        # Tuples of attempt id, headers and path.
+        self.executed_requests, self.lock, self.stopped = [], threading.Lock(), False
+        self.down = False
+        # Requests with these paths crash the backend server that runs them.
+        self.harmful_paths, self.crash_count = set(), 0
+        # Requests with these paths take this long.
+        self.slow_paths, self.slow_time_s = set(), 0.3
+        self.ip, self.port = ip, port
+        self.start_server()
+        threading.Thread(target=self.send_heartbeats, daemon=True).start()
+
+    def start_server(self):
+        backend = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def serve(self):
+                length = int(self.headers.get("Content-Length", 0))
+                body = self.rfile.read(length)
+                backend.handle_request(self, body)
+
+            do_GET = do_POST = serve
+
+            def setup(self):
+                super().setup()
+                backend.connections.add(self.connection)
+
+            def finish(self):
+                backend.connections.discard(self.connection)
+                try:
+                    super().finish()
+                except OSError:
+                    pass
+
+            def log_message(self, *_):
+                pass
+
+        self.connections = set()
+        self.server = http.server.ThreadingHTTPServer((self.ip, self.port), Handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.02,),
+                         daemon=True).start()
+
+    def crash(self, down_time_s=0.5):
+        """Ends like a crashed process, and starts again as another lifetime."""
+        with self.lock:
+            if self.down:
+                return
+            self.down = True
+            self.crash_count += 1
+            self.held_ranges = []
+        self.server.shutdown()
+        self.server.server_close()
+        for connection in list(self.connections):
+            connection.shutdown(socket.SHUT_RDWR)
+        threading.Timer(down_time_s, self.start_again).start()
+
+    def start_again(self):
+        if self.stopped:
+            return
+        self.start_server()
+        with self.lock:
+            self.backend_id += "r"
+            self.born_unix_ms = int(time.time() * 1000)
+            self.sequence, self.down = 0, False
+
+    def holds_key(self, key):
+        if key is None:
+            return True
+        with self.lock:
+            return time.time() < self.hold_end_s and any(
+                row[0] <= int(key) <= row[1] for row in self.held_ranges
+            )
+
+    def handle_request(self, handler, body):
+        headers = handler.headers
+        wrong_instance = headers.get("Expected-Instance") not in (None, self.backend_id)
+        if wrong_instance or not self.holds_key(headers.get("Shard-Key")):
+            handler.send_response(421)
+            handler.send_header("Not-Executed", "1")
+            handler.send_header("Content-Length", "0")
+            handler.end_headers()
+            return
+        with self.lock:
+            self.executed_requests.append((headers["Attempt-Id"], dict(headers),
+                                           handler.path))
+        if handler.path in self.harmful_paths:
+            self.crash()
+            return
+        if handler.path in self.slow_paths:
+            time.sleep(self.slow_time_s)
+        text = f"{self.backend_id} {handler.path} ".encode() + body
+        handler.send_response(200)
+        handler.send_header("Attempt-Id", headers["Attempt-Id"])
+        handler.send_header("Response-Signature", "signed")
+        handler.send_header("Content-Length", str(len(text)))
+        handler.end_headers()
+        try:
+            handler.wfile.write(text)
+        except OSError:
+            # The caller has left, or this lifetime has crashed.
+            pass
+
+    def send_heartbeat(self):
+        with self.lock:
+            self.sequence += 1
+            body = {
+                "service": self.service, "address": self.address, "zone": "z",
+                "version": "v1", "slots": 4, "state": self.state,
+                "coldRemainingS": 0, "seq": self.sequence, "born": self.born_unix_ms,
+                "holds": [row[:3] for row in self.held_ranges], "released": [],
+            }
+        sent = time.time()
+        status, text = send_request(
+            self.announce_address, "PUT", f"/v1/instances/{self.backend_id}",
+            json.dumps(body),
+        )
+        grant = json.loads(text or "{}")
+        with self.lock:
+            if status == 200 and "holds" in grant:
+                self.held_ranges = grant["holds"]
+                self.hold_end_s = sent + grant["holdS"]
+        return status
+
+    def send_heartbeats(self):
+        while not self.stopped:
+            try:
+                if not self.down:
+                    self.send_heartbeat()
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.3)
+
+
+def send_request(address, method, path, body=None, headers=None, timeout=3):
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+    finally:
+        connection.close()
+
+
+def wait_for(condition, timeout_s, description):
+    end = time.time() + timeout_s
+    while time.time() < end:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not within {timeout_s} s: {description}")
+
+
+def configuration(base_version, version, prefix="/p/"):
+    route = {
+        "host": HOST, "pathPrefix": prefix, "routeKind": "idempotent",
+        "timeoutS": 2, "targetLatencyS": 1, "priority": 1, "service": "keyed",
+        "attempts": 2,
+    }
+    order = dict(route, pathPrefix="/order/", routeKind="non_idempotent")
+    return json.dumps({
+        "version": f"r{version}",
+        "baseVersion": f"r{base_version}" if base_version else 0,
+        "routes": {"a": route, "b": order},
+        "services": {"keyed": {"healthCheckPath": "/h", "maxConnections": 50,
+                               "sharded": True, "warmupS": 1}},
+        "limits": {},
+    })
+
+
+class FleetTestCase(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = []
+        self.operator_port, self.member_port = free_port(), free_port()
+        self.operators = [f"127.0.0.{n}:{self.operator_port}" for n in (11, 12, 13)]
+        for number in range(3):
+            self.start_coordinator(number, form_group=True)
+        self.backends, self.sidecars = [], []
+        for number in range(2):
+            self.start_site(number)
+
+    def tearDown(self):
+        for backend in self.backends:
+            backend.stopped = True
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for backend in self.backends:
+            backend.server.shutdown()
+            backend.server.server_close()
+        self.folder.cleanup()
+
+    def start(self, *arguments):
+        log = open(os.path.join(self.folder.name, f"{len(self.processes)}.log"), "w")
+        process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log)
+        log.close()
+        self.processes.append(process)
+        return process
+
+    def start_coordinator(self, number, form_group):
+        ip = f"127.0.0.{11 + number}"
+        return self.start(
+            "coordinator", "--zone=z", f"--state_dir={self.folder.name}/c{number}",
+            f"--operator_address={ip}:{self.operator_port}",
+            f"--member_address={ip}:{self.member_port}",
+            "--seed_coordinators=" + ",".join(self.operators),
+            f"--form_group={'true' if form_group else 'false'}", "--tolerated_losses=1")
+
+    def start_site(self, number):
+        ip = f"127.0.0.{21 + number}"
+        ports = {name: free_port()
+                 for name in ("caller", "peer", "ready", "announce", "backend")}
+        site = {name: f"{ip}:{port}" for name, port in ports.items()}
+        site["process"] = self.start(
+            "sidecar", "--zone=z", f"--instance=site-{number}",
+            "--backend_service=keyed",
+            *(f"--{name}_address={site[name]}" for name in ports),
+            f"--coordinators={','.join(self.operators)}",
+            f"--coordinator_port={self.member_port}", "--bounds=retryBudgetSlack=50")
+        self.sidecars.append(site)
+        self.backends.append(StandInBackend(
+            ip, ports["backend"], site["announce"], "keyed", f"i-{number}"))
+
+    def put_configuration(self, body, operator=0):
+        return send_request(self.operators[operator], "PUT", "/v1/config", body)[0]
+
+    def has_metrics(self, coordinator, *lines):
+        address = f"127.0.0.{11 + coordinator}:{self.member_port}"
+        return set(lines) <= set(send_request(address, "GET",
+                                              "/metrics")[1].splitlines())
+
+    def reads_version(self, operator, version):
+        """Whether a coordinator answers a read of the configuration.
+
+        It may refuse while no leader is confirmed, but must not answer with
+        another version.
+        """
+        status, text = send_request(self.operators[operator], "GET", "/v1/config")
+        if status == 503:
+            return False
+        self.assertEqual((status, json.loads(text)["version"]), (200, version))
+        return True
+
+    def send_through_sidecar(self, site, path, key, attempt, method="GET", body=None):
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000",
+                   "Shard-Key": str(key), "Caller-Service": "forged"}
+        return send_request(self.sidecars[site]["caller"], method, path, body, headers)
+
+    def start_service(self):
+        wait_for(lambda: self.put_configuration(configuration(0, 2)) == 200, 10,
+                 "the first configuration is accepted")
+        for site in range(2):
+            wait_for(lambda s=site: send_request(self.sidecars[s]["ready"], "GET",
+                                                 "/v1/ready")[0] == 200,
+                     5, "each sidecar is ready")
+        wait_for(lambda: all(
+            self.send_through_sidecar(0, "/p/x", key, f"w{key}")[0] == 200
+            for key in (0, 40000, 65535)), 10, "all keys have owners")
