Share the exchange of quarantine entries between the two control planes

What a process reports to its leader and what the leader keeps move from NodeAgent and Coordinator into the quarantine module, so that FleetLeader and SyncClient can use the same code.

--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -122,7 +122,7 @@
   }
   StoreReport(node, aRequest, aNow);
   for (const wire::QuarantineEntry& entry : aRequest.quarantine()) {
-    m_quarantineRevision += m_quarantine.Merge(entry, aNow) ? 1 : 0;
+    m_quarantine.Merge(entry, aNow);
   }
   ProposeRegistration(node, aNow, commands);
   ProposeDrainState(node, commands);
@@ -327,7 +327,7 @@
 {
   if (aNode.m_lastRequest.catalogue_revision() != m_state.CatalogueRevision() ||
       aNode.m_lastRequest.route_revision() != m_state.RouteRevision() ||
-      (m_quarantineRevision > 0 && !HasCurrentQuarantine(aNode))) {
+      m_quarantine.HasUpdateFor(aNode.m_lastRequest, m_options.m_term)) {
     return true;
   }
   const wire::Backend* known = AnnouncedBackend(aNode);
@@ -335,18 +335,11 @@
          aNode.m_reportedGoneIncarnation != known->incarnation();
 }
 
-bool
-Coordinator::Impl::HasCurrentQuarantine(const NodeState& aNode) const
-{
-  return aNode.m_lastRequest.quarantine_term() == m_options.m_term &&
-         aNode.m_lastRequest.quarantine_revision() == m_quarantineRevision;
-}
-
 std::vector<wire::QuarantineEntry>
 Coordinator::Impl::Quarantine(TimePoint aNow) const
 {
   std::vector<wire::QuarantineEntry> entries =
-    m_quarantine.ListWireEntries(aNow);
+    m_quarantine.Table().ListWireEntries(aNow);
   std::erase_if(entries, [](const wire::QuarantineEntry& aEntry) {
     return aEntry.state() == wire::QUARANTINE_STATE_CLEARED;
   });
@@ -356,16 +349,7 @@
 bool
 Coordinator::Impl::ClearQuarantine(uint64_t aFingerprint, TimePoint aNow)
 {
-  const quarantine::QuarantineTableEntry* entry =
-    m_quarantine.Find(aFingerprint, aNow);
-  if (!entry) {
-    return false;
-  }
-  const std::string service = entry->m_service;
-  m_quarantine.SetState(
-    aFingerprint, service, wire::QUARANTINE_STATE_CLEARED, aNow);
-  m_quarantineRevision++;
-  return true;
+  return m_quarantine.Clear(aFingerprint, aNow);
 }
 
 wire::SyncReply
@@ -390,13 +374,9 @@
       m_state.RoutesSince(node.m_lastRequest.route_revision());
   }
   reply.set_quarantine_sequence(node.m_lastRequest.sequence());
-  if (!HasCurrentQuarantine(node)) {
-    wire::QuarantineUpdate* update = reply.mutable_quarantine();
-    update->set_term(m_options.m_term);
-    update->set_revision(m_quarantineRevision);
-    for (wire::QuarantineEntry& entry : m_quarantine.ListWireEntries(aNow)) {
-      *update->add_entries() = std::move(entry);
-    }
+  if (!m_quarantine.IsCurrent(node.m_lastRequest, m_options.m_term)) {
+    *reply.mutable_quarantine() =
+      m_quarantine.MakeUpdate(m_options.m_term, aNow);
   }
   const wire::Backend* known = AnnouncedBackend(node);
   if (!known) {
--- a/modules/cluster/src/CoordinatorImpl.h
+++ b/modules/cluster/src/CoordinatorImpl.h
@@ -9,7 +9,7 @@
 #include "ClusterStateImpl.h"
 #include "ServicePlacer.h"
 #include "rattanloft/cluster/Coordinator.h"
-#include "rattanloft/quarantine/QuarantineTable.h"
+#include "rattanloft/quarantine/LeaderList.h"
 
 namespace rattanloft::cluster {
 
@@ -136,8 +136,6 @@
   void CollectReadyReplies(TimePoint aNow, std::vector<ReadyReply>& aReady);
   // Whether there is something to tell the node that it does not know.
   bool HasNewsFor(const NodeState& aNode) const;
-  // Whether the node has the current quarantine list of this leader.
-  bool HasCurrentQuarantine(const NodeState& aNode) const;
 
   CoordinatorOptions m_options;
   const ClusterState& m_state;
@@ -152,8 +150,7 @@
   std::optional<TimePoint> m_deferringLossesSince;
   TimePoint m_nextFailureCheckAt;
   TimePoint m_nextPlacementAt;
-  quarantine::QuarantineTable m_quarantine;
-  uint64_t m_quarantineRevision = 0;
+  quarantine::LeaderList m_quarantine;
 };
 
 } // namespace rattanloft::cluster
--- a/modules/routing/include/rattanloft/routing/NodeAgent.h
+++ b/modules/routing/include/rattanloft/routing/NodeAgent.h
@@ -11,6 +11,7 @@
 #include "control.pb.h"
 #include "rattanloft/base/Shard.h"
 #include "rattanloft/base/Time.h"
+#include "rattanloft/quarantine/QuarantineReport.h"
 #include "rattanloft/routing/Catalogue.h"
 #include "rattanloft/routing/RouteTable.h"
 
@@ -164,14 +165,7 @@
   // Load report for the next request. Sent once, since the leader keeps the
   // last one.
   std::optional<wire::NodeLoad> m_pendingLoad;
-  // Term and revision of the latest quarantine update that was received.
-  uint64_t m_quarantineTerm = 0;
-  uint64_t m_quarantineRevision = 0;
-  // Unconfirmed quarantine entries by fingerprint, with the sequence of the
-  // last request before each was added. Bounded by the quarantine table of the
-  // traffic thread.
-  std::map<uint64_t, std::pair<uint64_t, wire::QuarantineEntry>>
-    m_pendingQuarantine;
+  quarantine::QuarantineReport m_quarantineReport;
   std::shared_ptr<const RoutingView> m_view;
 };
 
--- a/modules/routing/src/NodeAgent.cpp
+++ b/modules/routing/src/NodeAgent.cpp
@@ -213,9 +213,7 @@
 void
 NodeAgent::AddQuarantine(const std::vector<wire::QuarantineEntry>& aEntries)
 {
-  for (const wire::QuarantineEntry& entry : aEntries) {
-    m_pendingQuarantine[entry.fingerprint()] = { m_sequence, entry };
-  }
+  m_quarantineReport.Add(aEntries, m_sequence);
 }
 
 wire::SyncRequest
@@ -252,11 +250,7 @@
     *request.mutable_load() = std::move(*m_pendingLoad);
     m_pendingLoad.reset();
   }
-  request.set_quarantine_term(m_quarantineTerm);
-  request.set_quarantine_revision(m_quarantineRevision);
-  for (const auto& [fingerprint, item] : m_pendingQuarantine) {
-    *request.add_quarantine() = item.second;
-  }
+  m_quarantineReport.FillRequest(request);
   return request;
 }
 
@@ -284,12 +278,9 @@
     EndRegistration(aSentAt, aNow, view);
   }
   if (aReply.has_quarantine()) {
-    m_quarantineTerm = aReply.quarantine().term();
-    m_quarantineRevision = aReply.quarantine().revision();
+    m_quarantineReport.OnUpdate(aReply.quarantine());
   }
-  std::erase_if(m_pendingQuarantine, [&aReply](const auto& aItem) {
-    return aItem.second.first < aReply.quarantine_sequence();
-  });
+  m_quarantineReport.OnConfirmed(aReply.quarantine_sequence());
   // A reply confirms the catalogue only if this node has the revision that the
   // reply calls current.
   if (view.m_catalogue->Revision() >= aReply.catalogue_revision()) {
