Let the run tracker isolate suspects from each other only

The quarantine of the nodes runs a suspect alone: every other request of the backend server waits for it, up to a second. In the new mode a suspect waits only for other suspects, and a crash blocks it if it was the only suspect in flight.

Ruled out: blocking after three crashes without isolation, since the requests beside a crash come back together and meet the harmful one again.

An answer that is a failure clears nobody, since it may only mean that the deadline passed before the crash. The mode of the nodes is as before; tests of both modes pass.

--- a/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -29,6 +29,19 @@
 // that a refused connection or a new incarnation can only be due to that run.
 constexpr Duration kCrashVerdictDelay = Milliseconds(100);
 
+// How a suspect is told from the requests that were in flight beside it.
+enum class IsolationMode
+{
+  // A suspect runs alone at the backend server, and a crash during its run
+  // blocks it. Other requests wait meanwhile.
+  kAlone,
+  // A suspect runs beside other requests, but not beside another suspect, and a
+  // crash blocks it if it is the only suspect in flight. No other request
+  // waits. A harmless request that was in flight at two crashes in a row may be
+  // blocked.
+  kNoOtherSuspect,
+};
+
 // Identifies one attempt to execute a request on the backend server.
 using RunId = uint64_t;
 
@@ -56,6 +69,9 @@
 enum class RunOutcome
 {
   kAnswered,
+  // The backend server answered with a failure, which does not prove that the
+  // request is harmless: it may have ended at its deadline.
+  kFailed,
   // It is certain that the backend server did not run the request.
   kNotRun,
   // The request was sent and ended without an answer.
@@ -63,12 +79,17 @@
 };
 
 // Finds the requests that crash the backend server of this node. The requests
-// in flight at a crash become suspects. A suspect runs alone the next time: an
+// in flight at a crash become suspects. A suspect is isolated the next time: an
 // answer clears it, and another crash blocks it. Does no I/O and reads no
 // clock; owned by the traffic thread.
 class RunTracker
 {
 public:
+  explicit RunTracker(IsolationMode aMode = IsolationMode::kAlone)
+    : m_mode(aMode)
+  {
+  }
+
   // Asks to run a request on the backend server.
   StartResult Start(uint64_t aFingerprint,
                     std::string_view aService,
@@ -100,21 +121,29 @@
   {
     uint64_t m_fingerprint = 0;
     std::string m_service;
-    // The run is a suspect's, and no other request ran beside or after it.
+    // The run started as a suspect's. In kAlone also: no other request ran
+    // beside or after it.
     bool m_isolated = false;
     // Start of the run, or its end once it is in m_unansweredRuns.
     TimePoint m_stateSince;
   };
 
   void OnCrash(TimePoint aNow);
-  // Blocks a suspect that ran alone. Puts any other request under suspicion
+  // Whether the latest crash is due to this run.
+  bool IsBlamed(const Run& aRun) const;
+  // The live entry in flight at a crash if there is exactly one.
+  std::optional<uint64_t> FindOnlySuspect(TimePoint aNow) const;
+  // Blocks a suspect that is to blame. Puts any other request under suspicion
   // unless it is suspected or blocked already.
   void SuspectOrBlock(const Run& aRun, TimePoint aNow);
   void ChangeState(const Run& aRun,
                    wire::QuarantineState aState,
                    TimePoint aNow);
-  bool IsBackendIdle(TimePoint aNow);
+  bool IsBackendIdle(TimePoint aNow) const;
+  bool MayRunIsolated(TimePoint aNow) const;
+  bool IsHeldBack(TimePoint aNow) const;
 
+  IsolationMode m_mode;
   QuarantineTable m_table;
   std::unordered_map<RunId, Run> m_runs;
   RunId m_lastRunId = 0;
@@ -129,6 +158,8 @@
   // detected or there are too many of them.
   std::deque<Run> m_unansweredRuns;
   std::optional<TimePoint> m_crashedAt;
+  // FindOnlySuspect() at that time. Used in kNoOtherSuspect only.
+  std::optional<uint64_t> m_onlySuspect;
   // The backend server crashed and has announced no new incarnation since.
   bool m_backendDown = false;
   // Fingerprints that this node itself has put under suspicion.
--- a/modules/quarantine/src/RunTracker.cpp
+++ b/modules/quarantine/src/RunTracker.cpp
@@ -26,20 +26,19 @@
     return { StartKind::kBlocked, 0, entry->m_expiresAt - aNow };
   }
   const bool isolated = entry != nullptr;
-  if (isolated && (m_backendDown || !IsBackendIdle(aNow))) {
+  if (isolated && (m_backendDown || !MayRunIsolated(aNow))) {
     return { StartKind::kWaitAlone, 0, {} };
   }
-  const bool heldBack =
-    m_waitingSuspects > 0 && !m_backendDown && aNow >= m_nextIsolationAt;
-  if (!isolated &&
-      (m_isolatedRunActive || heldBack || aNow < m_verdictPendingUntil)) {
+  if (!isolated && IsHeldBack(aNow)) {
     return { StartKind::kWait, 0, {} };
   }
-  m_isolatedRunActive = isolated;
-  // From now on a crash may be due to this run, so it no longer proves that an
-  // earlier isolated run caused it.
-  for (Run& unanswered : m_unansweredRuns) {
-    unanswered.m_isolated = false;
+  m_isolatedRunActive = m_isolatedRunActive || isolated;
+  if (m_mode == IsolationMode::kAlone) {
+    // From now on a crash may be due to this run, so it no longer proves that
+    // an earlier isolated run caused it.
+    for (Run& unanswered : m_unansweredRuns) {
+      unanswered.m_isolated = false;
+    }
   }
   m_runs.emplace(++m_lastRunId,
                  Run{ aFingerprint, std::string(aService), isolated, aNow });
@@ -55,9 +54,34 @@
   }
 }
 
+// Whether a request that is not suspected has to wait for a suspect.
+bool
+RunTracker::IsHeldBack(TimePoint aNow) const
+{
+  if (m_mode != IsolationMode::kAlone) {
+    return false;
+  }
+  const bool suspectWaits =
+    m_waitingSuspects > 0 && !m_backendDown && aNow >= m_nextIsolationAt;
+  return m_isolatedRunActive || suspectWaits || aNow < m_verdictPendingUntil;
+}
+
+bool
+RunTracker::MayRunIsolated(TimePoint aNow) const
+{
+  if (m_mode == IsolationMode::kAlone) {
+    return IsBackendIdle(aNow);
+  }
+  return !m_isolatedRunActive &&
+         std::ranges::none_of(m_unansweredRuns, [&](const Run& aRun) {
+           return aRun.m_isolated &&
+                  aNow - aRun.m_stateSince < kAbandonedRunDuration;
+         });
+}
+
 // Whether no request runs and none that was abandoned can still be running.
 bool
-RunTracker::IsBackendIdle(TimePoint aNow)
+RunTracker::IsBackendIdle(TimePoint aNow) const
 {
   return m_runs.empty() &&
          (m_unansweredRuns.empty() ||
@@ -75,7 +99,8 @@
     m_isolatedRunActive = false;
     m_nextIsolationAt = aNow + kIsolationPause;
   }
-  if (aOutcome == RunOutcome::kAnswered && run.m_isolated) {
+  if (aOutcome == RunOutcome::kAnswered &&
+      (run.m_isolated || m_mode == IsolationMode::kNoOtherSuspect)) {
     const QuarantineTableEntry* entry = m_table.Find(run.m_fingerprint, aNow);
     if (entry && entry->m_state == wire::QUARANTINE_STATE_SUSPECT) {
       ChangeState(run, wire::QUARANTINE_STATE_CLEARED, aNow);
@@ -84,7 +109,8 @@
   // A run that started this long after the crash was answered. A new
   // incarnation would have announced itself by then, so the old process is
   // still running.
-  if (aOutcome == RunOutcome::kAnswered && m_backendDown &&
+  if ((aOutcome == RunOutcome::kAnswered || aOutcome == RunOutcome::kFailed) &&
+      m_backendDown &&
       run.m_stateSince - *m_crashedAt >= kAbandonedRunDuration) {
     m_backendDown = false;
   }
@@ -129,6 +155,7 @@
 void
 RunTracker::OnCrash(TimePoint aNow)
 {
+  m_onlySuspect = FindOnlySuspect(aNow);
   for (const Run& run : std::exchange(m_unansweredRuns, {})) {
     if (aNow - run.m_stateSince < kCrashAttributionWindow) {
       SuspectOrBlock(run, aNow);
@@ -138,11 +165,38 @@
   m_verdictPendingUntil = aNow;
 }
 
+std::optional<uint64_t>
+RunTracker::FindOnlySuspect(TimePoint aNow) const
+{
+  std::set<uint64_t> suspects;
+  const auto addIfLive = [&](uint64_t aFingerprint) {
+    if (m_table.Find(aFingerprint, aNow) != nullptr) {
+      suspects.insert(aFingerprint);
+    }
+  };
+  for (const auto& [id, run] : m_runs) {
+    addIfLive(run.m_fingerprint);
+  }
+  for (const Run& run : m_unansweredRuns) {
+    if (aNow - run.m_stateSince < kCrashAttributionWindow) {
+      addIfLive(run.m_fingerprint);
+    }
+  }
+  return suspects.size() == 1 ? std::optional(*suspects.begin()) : std::nullopt;
+}
+
+bool
+RunTracker::IsBlamed(const Run& aRun) const
+{
+  return m_mode == IsolationMode::kAlone ? aRun.m_isolated
+                                         : m_onlySuspect == aRun.m_fingerprint;
+}
+
 void
 RunTracker::SuspectOrBlock(const Run& aRun, TimePoint aNow)
 {
   const QuarantineTableEntry* entry = m_table.Find(aRun.m_fingerprint, aNow);
-  if (entry && aRun.m_isolated) {
+  if (entry && IsBlamed(aRun)) {
     ChangeState(aRun, wire::QUARANTINE_STATE_BLOCKED, aNow);
     return;
   }
@@ -176,10 +230,10 @@
   LogWarning("route",
              "request {}, service={} fingerprint={:016x}",
              aState == wire::QUARANTINE_STATE_BLOCKED
-               ? "blocked because it ran alone at a crash"
+               ? "blocked because it was the only suspect at a crash"
              : aState == wire::QUARANTINE_STATE_SUSPECT
                ? "suspected because it was in flight at a crash"
-               : "cleared because it ran alone and was answered",
+               : "cleared because it was answered",
              aRun.m_service,
              aRun.m_fingerprint);
 }
--- a/modules/quarantine/tests/RunTrackerTest.cpp
+++ b/modules/quarantine/tests/RunTrackerTest.cpp
@@ -16,6 +16,11 @@
 class RunTrackerFixture
 {
 public:
+  explicit RunTrackerFixture(IsolationMode aMode = IsolationMode::kAlone)
+    : m_runs(aMode)
+  {
+  }
+
   StartResult Start(uint64_t aFingerprint)
   {
     return m_runs.Start(aFingerprint, "shop", m_now);
@@ -49,6 +54,113 @@
   TimePoint m_now{ 100'000 };
 };
 
+// Simulates three nodes with a backend server each, and a leader that passes
+// entries on with a delay. The requests below aHarmfulCount crash the backend
+// server that runs them; now and then another run ends without an answer.
+void
+SimulateRuns(IsolationMode aMode, uint64_t aHarmfulCount)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto chance = [&](uint64_t aOneIn) { return random() % aOneIn == 0; };
+    constexpr size_t kNodes = 3;
+    struct SimulatedNode
+    {
+      RunTracker m_runs;
+      // By run: its fingerprint, and whether it started as a suspect.
+      std::map<RunId, std::pair<uint64_t, bool>> m_runningRequests;
+      TimePoint m_downUntil;
+      TimePoint m_probeAt;
+      bool m_down = false;
+    };
+    std::vector<SimulatedNode> nodes;
+    for (size_t i = 0; i < kNodes; ++i) {
+      nodes.push_back({ RunTracker(aMode), {}, {}, {} });
+    }
+    QuarantineTable leader;
+    std::map<uint64_t, int> crashes;
+    TimePoint now{ 100'000 };
+    const TimePoint end = now + Seconds(500);
+    while (now < end) {
+      now = now + Milliseconds(5);
+      for (SimulatedNode& node : nodes) {
+        if (node.m_down && now >= node.m_downUntil) {
+          node.m_down = false;
+          node.m_runs.OnNewIncarnation(now);
+        }
+        if (node.m_down && now >= node.m_probeAt) {
+          node.m_runs.OnConnectionRefused(now);
+        }
+        if (chance(10)) {
+          for (const auto& entry : node.m_runs.TakeChanges(now)) {
+            leader.Merge(entry, now);
+          }
+          for (const auto& entry : leader.ListWireEntries(now)) {
+            node.m_runs.Merge(entry, now);
+          }
+        }
+        const uint64_t wanted = random() % 60;
+        const bool suspect = node.m_runs.Entries().Find(wanted, now) != nullptr;
+        const StartResult result = node.m_runs.Start(wanted, "shop", now);
+        if (aMode == IsolationMode::kAlone && wanted >= aHarmfulCount) {
+          REQUIRE(result.m_kind != StartKind::kBlocked);
+        }
+        if (result.m_kind == StartKind::kStarted) {
+          if (node.m_down) {
+            node.m_runs.End(result.m_run, RunOutcome::kNotRun, now);
+          } else {
+            node.m_runningRequests[result.m_run] = { wanted, suspect };
+          }
+        }
+        bool crashed = false;
+        for (auto it = node.m_runningRequests.begin();
+             it != node.m_runningRequests.end();) {
+          const auto [fingerprint, isolated] = it->second;
+          if (fingerprint < aHarmfulCount) {
+            crashed |= chance(3);
+            crashes[fingerprint] += crashed ? 1 : 0;
+            if (crashed) {
+              break;
+            }
+            ++it;
+          } else if (chance(4)) {
+            const bool answered = !chance(100);
+            node.m_runs.End(it->first,
+                            answered ? RunOutcome::kAnswered
+                                     : RunOutcome::kNoAnswer,
+                            now);
+            if (answered && isolated) {
+              REQUIRE(node.m_runs.Entries().Find(fingerprint, now) == nullptr);
+            }
+            it = node.m_runningRequests.erase(it);
+          } else {
+            ++it;
+          }
+        }
+        if (crashed) {
+          for (const auto& [run, started] : node.m_runningRequests) {
+            node.m_runs.End(run, RunOutcome::kNoAnswer, now);
+          }
+          node.m_runningRequests.clear();
+          node.m_down = true;
+          node.m_downUntil =
+            now + Milliseconds(static_cast<int64_t>(random() % 1500));
+          // The node opens a new connection to check the backend server.
+          node.m_probeAt = now + Milliseconds(20);
+        }
+      }
+    }
+    // The first crash makes the request a suspect. It may crash the backend
+    // server of each node once more, since its run may begin there before the
+    // node has learned of the suspicion.
+    for (const auto& [fingerprint, crashCount] : crashes) {
+      CAPTURE(fingerprint, crashCount);
+      REQUIRE(crashCount <= static_cast<int>(kNodes) + 1);
+    }
+  }
+}
+
 } // namespace
 
 // Guards against a request that goes on to crash every backend server that runs
@@ -157,110 +269,82 @@
   REQUIRE(test.m_runs.TakeChanges(test.m_now).empty());
 }
 
-// Simulates three nodes with a backend server each, and a leader that passes
-// entries on with a delay. Requests 0 to 2 crash the backend server that runs
-// them; now and then another run ends without an answer. Guards against
-// blocking a harmless request, keeping it a suspect after an answered isolated
-// run, and against a harmful request that goes on crashing backend servers.
+// Guards against blocking a harmless request, keeping it a suspect after an
+// answered isolated run, and against a harmful request that goes on crashing
+// backend servers.
 TEST_CASE("Random runs block only harmful requests")
 {
-  for (uint64_t seed = 1; seed <= 20; seed++) {
-    CAPTURE(seed);
-    std::mt19937_64 random(seed);
-    const auto chance = [&](uint64_t aOneIn) { return random() % aOneIn == 0; };
-    constexpr size_t kNodes = 3;
-    constexpr uint64_t kHarmfulCount = 3;
-    struct SimulatedNode
-    {
-      RunTracker m_runs;
-      // By run: its fingerprint, and whether it started as a suspect.
-      std::map<RunId, std::pair<uint64_t, bool>> m_runningRequests;
-      TimePoint m_downUntil;
-      TimePoint m_probeAt;
-      bool m_down = false;
-    };
-    std::vector<SimulatedNode> nodes(kNodes);
-    QuarantineTable leader;
-    std::map<uint64_t, int> crashes;
-    TimePoint now{ 100'000 };
-    const TimePoint end = now + Seconds(500);
-    while (now < end) {
-      now = now + Milliseconds(5);
-      for (SimulatedNode& node : nodes) {
-        if (node.m_down && now >= node.m_downUntil) {
-          node.m_down = false;
-          node.m_runs.OnNewIncarnation(now);
-        }
-        if (node.m_down && now >= node.m_probeAt) {
-          node.m_runs.OnConnectionRefused(now);
-        }
-        if (chance(10)) {
-          for (const auto& entry : node.m_runs.TakeChanges(now)) {
-            leader.Merge(entry, now);
-          }
-          for (const auto& entry : leader.ListWireEntries(now)) {
-            node.m_runs.Merge(entry, now);
-          }
-        }
-        const uint64_t wanted = random() % 60;
-        const bool suspect = node.m_runs.Entries().Find(wanted, now) != nullptr;
-        const StartResult result = node.m_runs.Start(wanted, "shop", now);
-        if (wanted >= kHarmfulCount) {
-          REQUIRE(result.m_kind != StartKind::kBlocked);
-        }
-        if (result.m_kind == StartKind::kStarted) {
-          if (node.m_down) {
-            node.m_runs.End(result.m_run, RunOutcome::kNotRun, now);
-          } else {
-            node.m_runningRequests[result.m_run] = { wanted, suspect };
-          }
-        }
-        bool crashed = false;
-        for (auto it = node.m_runningRequests.begin();
-             it != node.m_runningRequests.end();) {
-          const auto [fingerprint, isolated] = it->second;
-          if (fingerprint < kHarmfulCount) {
-            crashed |= chance(3);
-            crashes[fingerprint] += crashed ? 1 : 0;
-            if (crashed) {
-              break;
-            }
-            ++it;
-          } else if (chance(4)) {
-            const bool answered = !chance(100);
-            node.m_runs.End(it->first,
-                            answered ? RunOutcome::kAnswered
-                                     : RunOutcome::kNoAnswer,
-                            now);
-            if (answered && isolated) {
-              REQUIRE(node.m_runs.Entries().Find(fingerprint, now) == nullptr);
-            }
-            it = node.m_runningRequests.erase(it);
-          } else {
-            ++it;
-          }
-        }
-        if (crashed) {
-          for (const auto& [run, started] : node.m_runningRequests) {
-            node.m_runs.End(run, RunOutcome::kNoAnswer, now);
-          }
-          node.m_runningRequests.clear();
-          node.m_down = true;
-          node.m_downUntil =
-            now + Milliseconds(static_cast<int64_t>(random() % 1500));
-          // The node opens a new connection to check the backend server.
-          node.m_probeAt = now + Milliseconds(20);
-        }
-      }
-    }
-    // The first crash makes the request a suspect. It may crash the backend
-    // server of each node once more, since its run may begin there before the
-    // node has learned of the suspicion.
-    for (const auto& [fingerprint, crashCount] : crashes) {
-      CAPTURE(fingerprint, crashCount);
-      REQUIRE(crashCount <= static_cast<int>(kNodes) + 1);
-    }
-  }
+  SimulateRuns(IsolationMode::kAlone, 3);
+}
+
+// Guards against a harmful request that goes on crashing backend servers while
+// others run beside it.
+TEST_CASE("Random runs beside each other block a harmful request")
+{
+  SimulateRuns(IsolationMode::kNoOtherSuspect, 1);
+}
+
+// Guards against suspects that keep all other requests from a backend server,
+// and against blaming a harmless suspect for the crash by another one.
+TEST_CASE("A crash blocks the only suspect in flight beside other requests")
+{
+  RunTrackerFixture test(IsolationMode::kNoOtherSuspect);
+  const RunId harmful = test.MustStart(kHarmfulFingerprint);
+  const RunId harmless = test.MustStart(kHarmlessFingerprint);
+  test.Crash({ harmful, harmless });
+  const RunId suspect = test.MustStart(kHarmfulFingerprint);
+  const RunId beside = test.MustStart(50);
+  REQUIRE(test.Start(kHarmlessFingerprint).m_kind == StartKind::kWaitAlone);
+  test.Crash({ beside, suspect });
+  REQUIRE(test.Start(kHarmfulFingerprint).m_kind == StartKind::kBlocked);
+  REQUIRE(test.IsSuspect(50));
+  test.m_runs.End(
+    test.MustStart(kHarmlessFingerprint), RunOutcome::kAnswered, test.m_now);
+  REQUIRE_FALSE(test.IsSuspect(kHarmlessFingerprint));
+}
+
+// Guards against blaming one of two suspects, one of which came under suspicion
+// elsewhere while it ran.
+TEST_CASE("A crash with two suspects in flight blocks neither")
+{
+  RunTrackerFixture test(IsolationMode::kNoOtherSuspect);
+  test.Crash({ test.MustStart(kHarmlessFingerprint) });
+  const RunId harmful = test.MustStart(kHarmfulFingerprint);
+  const RunId harmless = test.MustStart(kHarmlessFingerprint);
+  QuarantineTable other;
+  other.SetState(
+    kHarmfulFingerprint, "shop", wire::QUARANTINE_STATE_SUSPECT, test.m_now);
+  test.m_runs.Merge(other.MakeWireEntry(kHarmfulFingerprint, test.m_now),
+                    test.m_now);
+  test.Crash({ harmless, harmful });
+  REQUIRE(test.IsSuspect(kHarmfulFingerprint));
+  REQUIRE(test.IsSuspect(kHarmlessFingerprint));
+}
+
+// Guards against clearing a harmful request whose deadline passed before it
+// crashed the backend server.
+TEST_CASE("A failure of the backend server clears no suspect")
+{
+  RunTrackerFixture test(IsolationMode::kNoOtherSuspect);
+  test.Crash({ test.MustStart(kHarmfulFingerprint) });
+  test.m_runs.End(
+    test.MustStart(kHarmfulFingerprint), RunOutcome::kFailed, test.m_now);
+  REQUIRE(test.IsSuspect(kHarmfulFingerprint));
+}
+
+// Guards against a second suspect that is blamed for the crash by the first,
+// which still runs after its caller has left.
+TEST_CASE("A suspect waits for an abandoned suspect beside other requests")
+{
+  RunTrackerFixture test(IsolationMode::kNoOtherSuspect);
+  const RunId harmful = test.MustStart(kHarmfulFingerprint);
+  const RunId harmless = test.MustStart(kHarmlessFingerprint);
+  test.Crash({ harmful, harmless });
+  test.m_runs.End(
+    test.MustStart(kHarmfulFingerprint), RunOutcome::kNoAnswer, test.m_now);
+  REQUIRE(test.Start(kHarmlessFingerprint).m_kind == StartKind::kWaitAlone);
+  test.AdvanceTime(kAbandonedRunDuration);
+  REQUIRE(test.Start(kHarmlessFingerprint).m_kind == StartKind::kStarted);
 }
 
 } // namespace rattanloft::quarantine
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -409,7 +409,8 @@
   const TimePoint now = m_clock.Now();
   LogInfo("entry",
           "event=request id={} fingerprint={:016x} route={} service={} key={} "
-          "instance={} hops={} arrivals={} outcome={} reason={} status={} ms={} left_ms={} "
+          "instance={} hops={} arrivals={} outcome={} reason={} status={} "
+          "ms={} left_ms={} "
           "version={} ranges={} directory_age_ms={}",
           aState.m_id,
           aState.m_fingerprint,
