Keep new suspects when old ones fill the quarantine

A suspect whose request never comes back stays for 10 min. A node named at most 64 of them at a time, and a table of 256 refused further ones, so after six crashes with 12 requests in flight each, a request that crashes everything was not recognised.

A full table now displaces the suspect that expires first, as it did for a block, and the bound of 64 counts for one crash. The test that a full table refuses suspects is replaced: the bound of the table is checked as before, which suspect gives way is checked too, and a second test checks that no suspect displaces a block. The new tests failed before: "A full table displaces its oldest suspect" and "A crash makes suspects after many earlier crashes".

--- a/modules/quarantine/include/rattanloft/quarantine/QuarantineTable.h
+++ b/modules/quarantine/include/rattanloft/quarantine/QuarantineTable.h
@@ -36,8 +36,8 @@
 // clock. Each node has a table on its traffic thread, and the leader has one in
 // its Coordinator. The tables exchange entries and keep the entry with the
 // highest version, so the order of messages does not matter. A table holds at
-// most kMaxLiveEntries live entries: a further suspect is refused, and a
-// further block displaces the suspect that would expire first.
+// most kMaxLiveEntries live entries: a further one displaces the suspect that
+// would expire first, and is refused if all are blocked.
 class QuarantineTable
 {
 public:
--- a/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -14,7 +14,7 @@
 
 namespace rattanloft::quarantine {
 
-// Requests that one node may have under suspicion by its own observation.
+// Requests that one node puts under suspicion at one crash.
 constexpr size_t kMaxLocalSuspects = 64;
 // A run that ended without an answer less than this long before a crash was
 // detected may have caused the crash.
@@ -162,8 +162,8 @@
   std::optional<uint64_t> m_onlySuspect;
   // The backend server crashed and has announced no new incarnation since.
   bool m_backendDown = false;
-  // Fingerprints that this node itself has put under suspicion.
-  std::set<uint64_t> m_localSuspects;
+  // Number of requests that the latest crash has put under suspicion.
+  size_t m_suspectsOfCrash = 0;
   // Fingerprints for TakeChanges.
   std::set<uint64_t> m_changedFingerprints;
 };
--- a/modules/quarantine/src/QuarantineTable.cpp
+++ b/modules/quarantine/src/QuarantineTable.cpp
@@ -86,8 +86,7 @@
         displaced = it;
       }
     }
-    if (aEntry.m_state != wire::QUARANTINE_STATE_BLOCKED ||
-        displaced == m_entries.end()) {
+    if (displaced == m_entries.end()) {
       return false;
     }
     m_entries.erase(displaced);
--- a/modules/quarantine/src/RunTracker.cpp
+++ b/modules/quarantine/src/RunTracker.cpp
@@ -156,6 +156,7 @@
 RunTracker::OnCrash(TimePoint aNow)
 {
   m_onlySuspect = FindOnlySuspect(aNow);
+  m_suspectsOfCrash = 0;
   for (const Run& run : std::exchange(m_unansweredRuns, {})) {
     if (aNow - run.m_stateSince < kCrashAttributionWindow) {
       SuspectOrBlock(run, aNow);
@@ -203,18 +204,14 @@
   if (entry) {
     return;
   }
-  std::erase_if(m_localSuspects, [&](uint64_t aFingerprint) {
-    const QuarantineTableEntry* suspect = m_table.Find(aFingerprint, aNow);
-    return !suspect || suspect->m_state != wire::QUARANTINE_STATE_SUSPECT;
-  });
-  if (m_localSuspects.size() >= kMaxLocalSuspects) {
+  if (m_suspectsOfCrash >= kMaxLocalSuspects) {
     LogWarning("route",
-               "this node has the maximum number of suspected requests; "
+               "the crash has the maximum number of suspected requests; "
                "a further one is not recorded, fingerprint={:016x}",
                aRun.m_fingerprint);
     return;
   }
-  m_localSuspects.insert(aRun.m_fingerprint);
+  ++m_suspectsOfCrash;
   ChangeState(aRun, wire::QUARANTINE_STATE_SUSPECT, aNow);
 }
 
