Quarantine requests that crash backend servers in the sidecars

Cause: the sidecars treated each copy of the request as a new one. The quarantine of the cluster recognises such requests, but nothing connected it to the sidecars, as docs/platform.md listed under Open. Class: a protection that one of two request paths lacks.

Change: each sidecar tracks the runs on its backend server, finds crashes by a refused connection or a new lifetime, and exchanges suspects and blocks through the syncs with the leader. The sidecar beside the backend server refuses a blocked request on both of its entries, from peers and from its own callers; the sidecar that the caller asked refuses it without a hop. The check for a crash moves from the node to the http module, so that both use it. Sidecars of the previous release neither report nor get entries.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -12,6 +12,7 @@
 #include "rattanloft/fleet/EndpointList.h"
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/fleet/RangePlacer.h"
+#include "rattanloft/quarantine/LeaderList.h"
 
 namespace rattanloft::fleet {
 
@@ -138,6 +139,7 @@
   void MarkEarlierLifetimesEnded(const std::string& aInstance,
                                  const wire::BackendView& aBackend);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  bool NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
   void AddChangedRanges(uint64_t aKnownIndex,
                         wire::FleetSyncReply& aReply) const;
@@ -162,6 +164,7 @@
   std::map<std::string, ServiceState> m_services;
   EndpointList m_endpoints;
   ConfigurationHistory m_configurationHistory;
+  quarantine::LeaderList m_quarantine;
 };
 
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -117,6 +117,9 @@
     }
   }
   RecordLoads(aRequest, aNow);
+  for (const wire::QuarantineEntry& entry : aRequest.quarantine()) {
+    m_quarantine.Merge(entry, aNow);
+  }
   sidecar.m_lastRequest = aRequest;
   sidecar.m_lastHeardAt = aNow;
   m_endpoints.Set(MakeEndpoint(aRequest));
@@ -504,6 +507,13 @@
          m_latestTime - m_leadershipStart >= kEndpointListDelay;
 }
 
+bool
+FleetLeader::NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const
+{
+  return aRequest.accepts_quarantine() &&
+         m_quarantine.HasUpdateFor(aRequest, m_term);
+}
+
 bool
 FleetLeader::HasUpdates(const wire::FleetSyncRequest& aRequest) const
 {
@@ -511,7 +521,7 @@
       aRequest.configuration_version() <
         m_state.CurrentChange().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
-      NeedsEndpoints(aRequest)) {
+      NeedsEndpoints(aRequest) || NeedsQuarantine(aRequest)) {
     return true;
   }
   const auto holder = m_holders.find(aRequest.backend().holder());
@@ -587,6 +597,12 @@
   if (NeedsEndpoints(aRequest)) {
     AddEndpoints(aRequest, reply);
   }
+  // The term tells a sidecar that this leader lacks the entries that were
+  // reported to the former one, so it is sent even if the list is empty.
+  if (aRequest.accepts_quarantine() &&
+      !m_quarantine.IsCurrent(aRequest, m_term)) {
+    *reply.mutable_quarantine() = m_quarantine.MakeUpdate(m_term, aNow);
+  }
   const std::string& name = aRequest.backend().holder();
   const auto found = m_holders.find(name);
   if (found == m_holders.end() || found->second.m_ended) {
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -293,4 +293,35 @@
   CHECK(fixture.SendSync(request).configuration().version() == 2);
 }
 
+// Guards against a harmful request that crashes the backend servers of sidecars
+// that have not seen it, and against held syncs of sidecars of the previous
+// release that are answered again and again.
+TEST_CASE("a sync carries the quarantine entries of other sidecars")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest reporter = fixture.MakeRequest("n1");
+  reporter.set_accepts_quarantine(true);
+  wire::QuarantineEntry& entry = *reporter.add_quarantine();
+  entry.set_fingerprint(7);
+  entry.set_state(wire::QUARANTINE_STATE_SUSPECT);
+  entry.set_version(1);
+  entry.set_left_ms(1000);
+  fixture.SendSync(reporter);
+  wire::FleetSyncRequest other = fixture.MakeRequest("n2");
+  CHECK_FALSE(fixture.SendSync(other).has_quarantine());
+  other.set_accepts_quarantine(true);
+  const wire::FleetSyncReply reply = fixture.SendSync(other);
+  REQUIRE(reply.quarantine().entries_size() == 1);
+  CHECK(reply.quarantine().entries(0).fingerprint() == 7);
+  other.set_quarantine_term(reply.quarantine().term());
+  other.set_quarantine_revision(reply.quarantine().revision());
+  CHECK_FALSE(fixture.SendSync(other).has_quarantine());
+  // The next leader has no entries, and says so.
+  fixture.ElectLeader();
+  const wire::FleetSyncReply next = fixture.SendSync(other);
+  REQUIRE(next.has_quarantine());
+  CHECK(next.quarantine().term() == reply.quarantine().term() + 1);
+  CHECK(next.quarantine().entries().empty());
+}
+
 } // namespace rattanloft::fleet
--- a/modules/node/src/QuarantineGate.cpp
+++ b/modules/node/src/QuarantineGate.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "AsyncCondition.h"
 
 namespace rattanloft::node {
@@ -18,12 +15,6 @@
 // A waiting request checks again at this interval, because the quarantine rules
 // also depend on the time and not only on the end of runs.
 constexpr Duration kStartPollInterval = Milliseconds(20);
-// Delay between a broken connection and the probe. A process that crashes
-// closes its connections before its listener, so an earlier probe could still
-// connect.
-constexpr Duration kCrashCheckDelay = Milliseconds(20);
-// Timeout of the probe after a broken connection.
-constexpr Duration kCrashCheckTimeout = Milliseconds(500);
 // Retry-After of requests that waited in vain to run.
 constexpr Duration kDefaultRetryAfter = Seconds(1);
 
@@ -37,6 +28,9 @@
 
 QuarantineGate::QuarantineGate(TrafficContext& aContext)
   : m_context(aContext)
+  , m_probe(aContext.m_ioContext, [this] {
+    m_context.m_runTracker.OnConnectionRefused(m_context.m_clock.Now());
+  })
 {
 }
 
@@ -114,34 +108,13 @@
   m_context.m_runEnded.NotifyAll();
 }
 
-boost::asio::awaitable<void>
-QuarantineGate::CheckForCrash()
-{
-  co_await Sleep(m_context.m_ioContext, kCrashCheckDelay);
-  http::Request request;
-  request.version(11);
-  request.method(boost::beast::http::verb::get);
-  request.target("/rattanloft/health");
-  request.prepare_payload();
-  const std::string address = m_context.m_backendAddress;
-  const auto reply = co_await m_context.m_backendClient->Exchange(
-    address, std::move(request), kCrashCheckTimeout);
-  m_crashCheckRunning = false;
-  if (!reply && reply.error().m_code == http::HttpErrorCode::kConnectFailed) {
-    m_context.m_runTracker.OnConnectionRefused(m_context.m_clock.Now());
-  }
-}
-
 void
 QuarantineGate::OnExchangeError(http::HttpErrorCode aError)
 {
-  if (aError == http::HttpErrorCode::kConnectFailed) {
-    m_context.m_runTracker.OnConnectionRefused(m_context.m_clock.Now());
-  } else if (aError == http::HttpErrorCode::kConnectionBroken &&
-             !std::exchange(m_crashCheckRunning, true)) {
-    boost::asio::co_spawn(
-      m_context.m_ioContext, CheckForCrash(), boost::asio::detached);
-  }
+  m_probe.OnExchangeError(aError,
+                          *m_context.m_backendClient,
+                          m_context.m_backendAddress,
+                          "/rattanloft/health");
 }
 
 } // namespace rattanloft::node
--- a/modules/node/src/QuarantineGate.h
+++ b/modules/node/src/QuarantineGate.h
@@ -9,6 +9,7 @@
 #include "Outcome.h"
 #include "TrafficContext.h"
 #include "rattanloft/base/Time.h"
+#include "rattanloft/http/ListenerProbe.h"
 #include "rattanloft/http/Types.h"
 
 namespace rattanloft::node {
@@ -37,12 +38,8 @@
   void OnExchangeError(http::HttpErrorCode aError);
 
 private:
-  // Probes the backend server to tell a crash from a connection that broke for
-  // another reason.
-  boost::asio::awaitable<void> CheckForCrash();
-
   TrafficContext& m_context;
-  bool m_crashCheckRunning = false;
+  http::ListenerProbe m_probe;
 };
 
 } // namespace rattanloft::node
--- a/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -110,6 +110,8 @@
   // Takes over an entry of the leader if it is newer than the one here. Returns
   // whether the table has changed.
   bool Merge(const wire::QuarantineEntry& aEntry, TimePoint aNow);
+  // Whether TakeChanges() would return any entry.
+  bool HasChanges() const { return !m_changedFingerprints.empty(); }
   // Entries that this tracker itself has changed since the last call.
   std::vector<wire::QuarantineEntry> TakeChanges(TimePoint aNow);
   // All entries, for a new leader.
--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -22,6 +22,7 @@
 AttemptPolicy::MayContinue(const AttemptResult& aResult, TimePoint aNow) const
 {
   if (aResult.m_outcome == AttemptOutcome::kAnswered ||
+      aResult.m_kind == ResultKind::kQuarantined ||
       aNow >= m_limits.m_deadline) {
     return false;
   }
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -22,19 +22,6 @@
 // at the moment.
 constexpr Duration kNotServingRetryDelay = Milliseconds(200);
 
-AttemptResult
-MakeNotRunResult(std::string_view aReason,
-                 Duration aRetryAfter,
-                 bool aReachedBackend = false)
-{
-  AttemptResult result;
-  result.m_outcome = AttemptOutcome::kNotRun;
-  result.m_reason = aReason;
-  result.m_retryAfter = aRetryAfter;
-  result.m_reachedBackend = aReachedBackend;
-  return result;
-}
-
 AttemptResult
 MakeUnknownResult(std::string_view aReason)
 {
@@ -78,6 +65,7 @@
                                http::Client& aBackendClient,
                                LocalBackend& aLocalBackend,
                                WorkQueue& aWorkQueue,
+                               BackendQuarantine& aQuarantine,
                                std::string aBackendAddress)
   : m_context(aContext)
   , m_clock(aClock)
@@ -85,6 +73,7 @@
   , m_backendClient(aBackendClient)
   , m_localBackend(aLocalBackend)
   , m_workQueue(aWorkQueue)
+  , m_quarantine(aQuarantine)
   , m_backendAddress(std::move(aBackendAddress))
 {
 }
@@ -213,16 +202,19 @@
                            std::shared_ptr<http::CancelToken> aCancel)
 {
   const TimePoint arrivedAt = m_clock.Now();
+  const uint64_t fingerprint = http::ComputeHostFingerprint(aRequest);
+  const std::string id(FieldValue(aRequest, m_protocol.Headers().m_requestId));
   std::optional<AttemptResult> refusal = RefuseIfNotServable(aAttributes);
+  if (!refusal) {
+    refusal = m_quarantine.RefuseIfBlocked(fingerprint);
+  }
   if (refusal) {
     co_return std::move(*refusal);
   }
   std::optional<AttemptResult> notStarted =
     co_await AcquireSlot(aAttributes, aCancel);
   if (notStarted) {
-    LogRefusal(FieldValue(aRequest, m_protocol.Headers().m_requestId),
-               aAttributes,
-               *notStarted);
+    LogRefusal(id, aAttributes, *notStarted);
     co_return std::move(*notStarted);
   }
   const TimePoint startedAt = m_clock.Now();
@@ -242,8 +234,19 @@
   if (timeLeft <= Milliseconds(0) || (aCancel && aCancel->IsCancelled())) {
     co_return MakeNotRunResult("deadline", {});
   }
-  AttemptResult result = co_await SendToBackend(
-    std::move(aRequest), aAttributes, timeLeft, std::move(aCancel));
+  const auto run = m_quarantine.Start(fingerprint, aAttributes.m_service);
+  if (!run) {
+    LogRefusal(id, aAttributes, run.error());
+    co_return run.error();
+  }
+  quarantine::RunOutcome runOutcome = quarantine::RunOutcome::kNoAnswer;
+  const FinishGuard endRunGuard([&] { m_quarantine.End(*run, runOutcome); });
+  AttemptResult result = co_await SendToBackend(std::move(aRequest),
+                                                aAttributes,
+                                                fingerprint,
+                                                timeLeft,
+                                                std::move(aCancel));
+  runOutcome = ToRunOutcome(result);
   if (result.m_outcome == AttemptOutcome::kAnswered) {
     serviceTime = std::max(m_clock.Now() - startedAt, Milliseconds(1));
   }
@@ -253,12 +256,12 @@
 asio::awaitable<AttemptResult>
 BackendHandler::SendToBackend(http::Request aRequest,
                               const RequestAttributes& aAttributes,
+                              uint64_t aFingerprint,
                               Duration aTimeLeft,
                               std::shared_ptr<http::CancelToken> aCancel)
 {
   const HeaderNames& names = m_protocol.Headers();
   const std::string id(FieldValue(aRequest, names.m_requestId));
-  const uint64_t fingerprint = http::ComputeHostFingerprint(aRequest);
   RemovePeerFields(aRequest);
   SetField(
     aRequest, names.m_expectedBackend, m_localBackend.View().backend_id());
@@ -279,15 +282,17 @@
     co_return error.m_maybeSent ? MakeUnknownResult("caller-left")
                                 : MakeNotRunResult("caller-left", {});
   }
-  LogInfo("backend",
-          "event=exchange-failed id={} fingerprint={:016x} service={} holder={} "
-          "maybe_sent={} reason=\"{}\"",
-          id,
-          fingerprint,
-          aAttributes.m_service,
-          holder,
-          error.m_maybeSent,
-          error.m_message);
+  LogInfo(
+    "backend",
+    "event=exchange-failed id={} fingerprint={:016x} service={} holder={} "
+    "maybe_sent={} reason=\"{}\"",
+    id,
+    aFingerprint,
+    aAttributes.m_service,
+    holder,
+    error.m_maybeSent,
+    error.m_message);
+  m_quarantine.OnExchangeError(error.m_code);
   if (!error.m_maybeSent) {
     if (error.m_code == http::HttpErrorCode::kConnectFailed) {
       m_localBackend.OnContactResult(false, now);
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "BackendQuarantine.h"
 #include "LocalBackend.h"
 #include "PeerHeaders.h"
 #include "WorkQueue.h"
@@ -52,6 +53,7 @@
                  http::Client& aBackendClient,
                  LocalBackend& aLocalBackend,
                  WorkQueue& aWorkQueue,
+                 BackendQuarantine& aQuarantine,
                  std::string aBackendAddress);
 
   // aCancel is cancelled when the caller goes away; it may be null.
@@ -84,6 +86,7 @@
   boost::asio::awaitable<AttemptResult> SendToBackend(
     http::Request aRequest,
     const RequestAttributes& aAttributes,
+    uint64_t aFingerprint,
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
   AttemptResult ClassifyResponse(http::Response aResponse,
@@ -102,6 +105,7 @@
   http::Client& m_backendClient;
   LocalBackend& m_localBackend;
   WorkQueue& m_workQueue;
+  BackendQuarantine& m_quarantine;
   std::string m_backendAddress;
   WorkId m_nextWorkId = 1;
   std::map<WorkId, std::shared_ptr<Waiter>> m_waiters;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -53,6 +53,7 @@
                            const FleetDirectory& aDirectory,
                            EndpointSelector& aEndpointSelector,
                            BackendHandler& aLocalHandler,
+                           const BackendQuarantine& aQuarantine,
                            LoadCounter& aLoadCounter)
   : m_context(aContext)
   , m_clock(aClock)
@@ -62,6 +63,7 @@
   , m_directory(aDirectory)
   , m_endpointSelector(aEndpointSelector)
   , m_localHandler(aLocalHandler)
+  , m_quarantine(aQuarantine)
   , m_loadCounter(aLoadCounter)
 {
 }
@@ -120,6 +122,12 @@
     }
     return MakeRefusal(status::not_found, "no-route", {});
   }
+  const std::optional<AttemptResult> blocked =
+    m_quarantine.RefuseIfBlocked(aState.m_fingerprint);
+  if (blocked) {
+    return MakeRefusal(
+      status::service_unavailable, blocked->m_reason, blocked->m_retryAfter);
+  }
   const int64_t requestedMs =
     ParseNumberField(aRequest, names.m_deadlineMs).value_or(kDefaultDeadlineMs);
   const int64_t allowedMs =
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -49,6 +49,7 @@
                const FleetDirectory& aDirectory,
                EndpointSelector& aEndpointSelector,
                BackendHandler& aLocalHandler,
+               const BackendQuarantine& aQuarantine,
                LoadCounter& aLoadCounter);
 
   boost::asio::awaitable<http::Response> Serve(
@@ -125,6 +126,7 @@
   const FleetDirectory& m_directory;
   EndpointSelector& m_endpointSelector;
   BackendHandler& m_localHandler;
+  const BackendQuarantine& m_quarantine;
   LoadCounter& m_loadCounter;
   fleet::TargetPicker m_targetPicker;
   std::map<std::string, FleetRetryBudget> m_retryBudgets;
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -55,7 +55,8 @@
 {
   for (const ResultKind kind : { ResultKind::kOther,
                                  ResultKind::kOwnerMoved,
-                                 ResultKind::kOverloaded }) {
+                                 ResultKind::kOverloaded,
+                                 ResultKind::kQuarantined }) {
     if (aName == ResultKindName(kind)) {
       return kind;
     }
@@ -75,6 +76,8 @@
       return "owner-moved";
     case ResultKind::kOverloaded:
       return "overloaded";
+    case ResultKind::kQuarantined:
+      return "quarantined";
   }
   return "other";
 }
@@ -128,6 +131,19 @@
   }
 }
 
+AttemptResult
+MakeNotRunResult(std::string_view aReason,
+                 Duration aRetryAfter,
+                 bool aReachedBackend)
+{
+  AttemptResult result;
+  result.m_outcome = AttemptOutcome::kNotRun;
+  result.m_reason = aReason;
+  result.m_retryAfter = aRetryAfter;
+  result.m_reachedBackend = aReachedBackend;
+  return result;
+}
+
 http::Response
 EncodeAttemptResult(AttemptResult aResult, const ReportedLoad& aLoad)
 {
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -61,6 +61,8 @@
   kOwnerMoved,
   // No slot of the backend server is free in time.
   kOverloaded,
+  // No backend server runs the request, because it crashes them.
+  kQuarantined,
 };
 
 std::string_view
@@ -80,6 +82,12 @@
   bool m_reachedBackend = false;
 };
 
+// The request was certainly not run.
+AttemptResult
+MakeNotRunResult(std::string_view aReason,
+                 Duration aRetryAfter,
+                 bool aReachedBackend = false);
+
 // Converts between the result of an attempt and the response that a sidecar
 // sends to its peer. A response without an outcome field decodes as kUnknown.
 // The kind of a response without a kind field follows from the reason.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -83,12 +83,18 @@
     , m_backendClient(MakeBackendClient())
     , m_controlClient(
         http::Client::Make(m_context, SyncClient::MakeClientOptions()))
+    , m_quarantine(m_context,
+                   m_clock,
+                   *m_backendClient,
+                   m_options.m_backendAddress,
+                   [this] { return HealthCheckTarget(); })
     , m_localHandler(m_context,
                      m_clock,
                      m_protocol,
                      *m_backendClient,
                      m_localBackend,
                      m_workQueue,
+                     m_quarantine,
                      m_options.m_backendAddress)
     , m_syncClient(m_context,
                    m_clock,
@@ -97,7 +103,8 @@
                    m_localBackend,
                    m_directory,
                    m_workQueue,
-                   m_loadCounter)
+                   m_loadCounter,
+                   m_quarantine)
     , m_entryHandler(m_context,
                      m_clock,
                      m_options,
@@ -106,6 +113,7 @@
                      m_directory,
                      m_endpointSelector,
                      m_localHandler,
+                     m_quarantine,
                      m_loadCounter)
   {
     m_syncClient.SetReplyCallback([this] { OnReplyApplied(); });
@@ -326,8 +334,12 @@
       response.result(status::bad_request);
       co_return response;
     }
+    const std::string holderBefore = m_localBackend.View().holder();
     const bool isAccepted =
       m_localBackend.OnHeartbeat(*heartbeat, m_clock.Now());
+    if (m_localBackend.View().holder() != holderBefore) {
+      m_quarantine.OnNewLifetime();
+    }
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
     m_syncClient.SyncIfChanged();
     HeartbeatResponse heartbeatResponse;
@@ -365,18 +377,31 @@
     }
   }
 
+  // Returns nullptr if no configuration is known or it lacks the service.
+  const wire::ServiceSpec* FindOwnService() const
+  {
+    const auto& router = m_directory.Router();
+    return router == nullptr
+             ? nullptr
+             : router->FindService(m_localBackend.View().service());
+  }
+
   // Returns nullopt until a configuration is known.
   std::optional<bool> IsServiceKeyed() const
   {
-    const auto& router = m_directory.Router();
-    if (router == nullptr) {
+    if (m_directory.Router() == nullptr) {
       return std::nullopt;
     }
-    const wire::ServiceSpec* const service =
-      router->FindService(m_localBackend.View().service());
+    const wire::ServiceSpec* const service = FindOwnService();
     return service != nullptr && service->keyed();
   }
 
+  std::string HealthCheckTarget() const
+  {
+    const wire::ServiceSpec* const service = FindOwnService();
+    return service == nullptr ? "/" : service->health_check_path();
+  }
+
   asio::awaitable<http::Response> ServeMetrics()
   {
     const EntryCounters& counters = m_entryHandler.Counters();
@@ -468,6 +493,7 @@
   std::unique_ptr<http::Client> m_peerClient;
   std::unique_ptr<http::Client> m_backendClient;
   std::unique_ptr<http::Client> m_controlClient;
+  BackendQuarantine m_quarantine;
   BackendHandler m_localHandler;
   SyncClient m_syncClient;
   EntryHandler m_entryHandler;
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -81,7 +81,8 @@
                        LocalBackend& aLocalBackend,
                        FleetDirectory& aDirectory,
                        const WorkQueue& aWorkQueue,
-                       LoadCounter& aLoadCounter)
+                       LoadCounter& aLoadCounter,
+                       BackendQuarantine& aQuarantine)
   : m_context(aContext)
   , m_clock(aClock)
   , m_options(aOptions)
@@ -90,6 +91,7 @@
   , m_directory(aDirectory)
   , m_workQueue(aWorkQueue)
   , m_loadCounter(aLoadCounter)
+  , m_quarantine(aQuarantine)
   , m_wakeTimer(aContext)
   , m_session(RandomId())
   , m_coordinatorAddresses(aOptions.m_coordinators)
@@ -112,7 +114,8 @@
 SyncClient::SyncIfChanged()
 {
   if (m_localBackend.ReportRevision() == m_reportedRevision &&
-      m_stopping == m_reportedStopping) {
+      m_stopping == m_reportedStopping &&
+      !m_quarantine.HasUnreportedChanges()) {
     return;
   }
   // Stops waiting for the call that the leader holds; the loop starts the next
@@ -220,6 +223,7 @@
   request.set_service_time_ms(
     static_cast<uint32_t>(m_workQueue.MeanServiceTime().m_ms));
   m_loadCounter.MoveCountsTo(request);
+  m_quarantine.FillRequest(request);
   return request;
 }
 
@@ -313,6 +317,7 @@
   m_directory.ApplyReply(aReply, aSentAt);
   m_localBackend.OnSyncReply(aReply, aSentAt);
   m_localBackend.OnHandoversDelivered(aRequest);
+  m_quarantine.OnLeaderReply(aReply);
   if (m_onReplyApplied) {
     m_onReplyApplied();
   }
--- a/modules/sidecar/src/SyncClient.h
+++ b/modules/sidecar/src/SyncClient.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "BackendQuarantine.h"
 #include "FleetDirectory.h"
 #include "LocalBackend.h"
 #include "WorkQueue.h"
@@ -52,7 +53,8 @@
              LocalBackend& aLocalBackend,
              FleetDirectory& aDirectory,
              const WorkQueue& aWorkQueue,
-             LoadCounter& aLoadCounter);
+             LoadCounter& aLoadCounter,
+             BackendQuarantine& aQuarantine);
 
   // Starts the sync loop, which runs until the io_context stops.
   void Start();
@@ -94,6 +96,7 @@
   FleetDirectory& m_directory;
   const WorkQueue& m_workQueue;
   LoadCounter& m_loadCounter;
+  BackendQuarantine& m_quarantine;
   std::function<void()> m_onReplyApplied;
   boost::asio::steady_timer m_wakeTimer;
   // Random, identifies this process to the leader.
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -204,4 +204,16 @@
                         AllowRetry) == NextStep::kFinish);
 }
 
+// Guards against a harmful request that waits for its owner until its deadline.
+TEST_CASE("a quarantined request is not sent again")
+{
+  const bool keyed = GENERATE(true, false);
+  AttemptPolicy policy(keyed ? MakeKeyedLimits() : MakeUnkeyedLimits(true));
+  CHECK(
+    policy.OnResult(
+      MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kQuarantined),
+      kStart,
+      AllowRetry) == NextStep::kFinish);
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/BackendHandlerTest.cpp
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -78,9 +78,14 @@
   std::unique_ptr<http::Client> m_client = http::Client::Make(m_context, {});
   LocalBackend m_localBackend{ "n1", "10.0.0.1:80", Seconds(2), m_clock.Now() };
   WorkQueue m_workQueue;
+  BackendQuarantine m_quarantine{ m_context,
+                                  m_clock,
+                                  *m_client,
+                                  "10.0.0.1:80",
+                                  [] { return "/h"; } };
   BackendHandler m_handler{ m_context,    m_clock,        m_protocol,
                             *m_client,    m_localBackend, m_workQueue,
-                            "10.0.0.1:80" };
+                            m_quarantine, "10.0.0.1:80" };
 };
 
 } // namespace
--- a/modules/sidecar/tests/PeerHeadersTest.cpp
+++ b/modules/sidecar/tests/PeerHeadersTest.cpp
@@ -32,7 +32,8 @@
 {
   for (const ResultKind kind : { ResultKind::kOther,
                                  ResultKind::kOwnerMoved,
-                                 ResultKind::kOverloaded }) {
+                                 ResultKind::kOverloaded,
+                                 ResultKind::kQuarantined }) {
     http::Response response = EncodeRefusal("any-reason", kind);
     CHECK(response["Rattanloft-Reason"] == "any-reason");
     const AttemptResult result = DecodeAttemptResult(std::move(response));
--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -171,7 +171,8 @@
                    m_localBackend,
                    m_directory,
                    m_workQueue,
-                   m_loadCounter)
+                   m_loadCounter,
+                   m_quarantine)
   {
     m_link.ReplaceConfiguration(1);
     m_syncClient.SetCoordinators({ kLeaderAddress, kFollowerAddress });
@@ -222,6 +223,11 @@
   FleetDirectory m_directory;
   WorkQueue m_workQueue;
   LoadCounter m_loadCounter;
+  BackendQuarantine m_quarantine{ m_context,
+                                  m_clock,
+                                  m_link,
+                                  "10.0.0.3:80",
+                                  [] { return "/h"; } };
   SyncClient m_syncClient;
 };
 
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -72,6 +72,8 @@
 
         self.connections = set()
         self.server = http.server.ThreadingHTTPServer((self.ip, self.port), Handler)
+        # A connection that breaks in a crash is no error of the stand-in.
+        self.server.handle_error = lambda *_: None
         threading.Thread(target=self.server.serve_forever, args=(0.02,),
                          daemon=True).start()
 
