--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -32,6 +32,10 @@
         self.sequence, self.state = 0, "ready"
         # Rows that begin with the first and the last key of a range.
         self.held_ranges, self.hold_end_s, self.released = [], 0, []
+        # Fields that every answer carries.
+        self.answer_headers = {}
+        # When each request arrived, whether it ran or not.
+        self.arrival_times = []
         # Tuples of attempt id, headers and path.
         self.executed_requests, self.lock, self.stopped = [], threading.Lock(), False
         self.down = False
@@ -110,6 +114,8 @@
 
     def handle_request(self, handler, body):
         headers = handler.headers
+        with self.lock:
+            self.arrival_times.append(time.time())
         wrong_instance = headers.get("Expected-Instance") not in (None, self.backend_id)
         if wrong_instance or not self.holds_key(headers.get("Shard-Key")):
             handler.send_response(421)
@@ -129,6 +135,8 @@
         handler.send_response(200)
         handler.send_header("Attempt-Id", headers["Attempt-Id"])
         handler.send_header("Response-Signature", "signed")
+        for name, value in self.answer_headers.items():
+            handler.send_header(name, value)
         handler.send_header("Content-Length", str(len(text)))
         handler.end_headers()
         try:
