Keep the request limit that a backend server names

Cause: the field was not known to the adapter, so admission followed the slots alone. Class: a statement of a backend server that nothing reads.

Ruled out: counting per entry sidecar, as all requests for a backend server pass through the sidecar beside it.

Change: the admission queue starts requests at most at the named rate, with a burst of one second; the token bucket is the one of the node's rate limiter, moved to base.

--- a/modules/node/src/RateLimiter.h
+++ b/modules/node/src/RateLimiter.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
 
 #include "rattanloft/base/Time.h"
+#include "rattanloft/base/TokenBucket.h"
 
 namespace rattanloft::node {
 
@@ -23,34 +23,18 @@
     if (aRequestsPerSecond == 0) {
       return true;
     }
-    const auto [position, isNew] = m_buckets.try_emplace(aEntryName);
-    Bucket& bucket = position->second;
-    const double limit = aRequestsPerSecond;
-    if (isNew) {
-      bucket = { limit, aNow };
+    TokenBucket& bucket =
+      m_buckets.try_emplace(aEntryName, aRequestsPerSecond, aNow).first->second;
+    if (bucket.Rate() != aRequestsPerSecond) {
+      bucket.SetRate(aRequestsPerSecond, aNow);
     }
-    const double seconds =
-      static_cast<double>((aNow - bucket.m_refilledAt).m_ms) / 1000;
-    bucket.m_tokens = std::min(limit, bucket.m_tokens + seconds * limit);
-    bucket.m_refilledAt = aNow;
-    if (bucket.m_tokens < 1) {
-      return false;
-    }
-    bucket.m_tokens -= 1;
-    return true;
+    return bucket.TryTake(aNow);
   }
 
 private:
-  struct Bucket
-  {
-    // Tokens left at m_refilledAt, at most one second of the rate.
-    double m_tokens = 0;
-    TimePoint m_refilledAt;
-  };
-
   // Buckets by name of the catalogue entry. Bounded by the catalogue, because
   // requests of unknown entries are refused before.
-  std::unordered_map<std::string, Bucket> m_buckets;
+  std::unordered_map<std::string, TokenBucket> m_buckets;
 };
 
 } // namespace rattanloft::node
--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -29,6 +29,9 @@
   std::string m_signature;
   // Present on responses of a backend server that did not run the request.
   std::string m_notRun;
+  // Requests a second, from all callers, that the backend server takes for as
+  // long as its responses carry the field.
+  std::string m_requestLimit;
 };
 
 // A range of keys that a backend server holds.
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Fingerprint.h"
@@ -275,6 +276,9 @@
   const TimePoint now = m_clock.Now();
   if (response) {
     m_localBackend.OnContactResult(true, now);
+    if (holder == m_localBackend.View().holder()) {
+      ApplyRequestLimit(*response);
+    }
     co_return ClassifyResponse(std::move(*response), id);
   }
   const http::HttpError& error = response.error();
@@ -304,6 +308,30 @@
                                 : "backend-broke-off");
 }
 
+// Adopts the limit that the backend server states in its responses, or removes
+// it if it states none any more.
+void
+BackendHandler::ApplyRequestLimit(const http::Response& aResponse)
+{
+  const std::optional<double> limit =
+    ParseDecimalField(aResponse, m_protocol.Headers().m_requestLimit);
+  const bool hadLimit = m_workQueue.RateLimit().has_value();
+  m_workQueue.SetRateLimit(limit, m_clock.Now());
+  if (hadLimit != limit.has_value()) {
+    LogInfo("backend",
+            "event=request-limit holder={} per_second={}",
+            m_localBackend.View().holder(),
+            limit ? fmt::format("{:.1f}", *limit) : "none");
+  }
+}
+
+void
+BackendHandler::OnNewLifetime()
+{
+  m_workQueue.SetRateLimit(std::nullopt, m_clock.Now());
+  m_quarantine.OnNewLifetime();
+}
+
 // Passes a response on only if it is certainly the response of the backend
 // server to this request.
 AttemptResult
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -64,6 +64,8 @@
   // Adopts the slot count of the backend server, and starts or refuses waiting
   // requests. Must be called every 25 ms while requests wait.
   void Tick();
+  // Must be called when another lifetime of the backend server runs.
+  void OnNewLifetime();
   ReportedLoad CurrentLoad() const;
 
 private:
@@ -89,6 +91,7 @@
     uint64_t aFingerprint,
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
+  void ApplyRequestLimit(const http::Response& aResponse);
   AttemptResult ClassifyResponse(http::Response aResponse,
                                  const std::string& aRequestId);
   // Returns the refusal if the backend server may not serve the request now.
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -123,6 +124,23 @@
   return ParseNumber(FieldValue(aFields, aName));
 }
 
+std::optional<double>
+ParseDecimalField(const beast::http::fields& aFields, std::string_view aName)
+{
+  if (aFields.count(ToBeastView(aName)) != 1) {
+    return std::nullopt;
+  }
+  const std::string_view text = FieldValue(aFields, aName);
+  double number = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      !std::isfinite(number) || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 void
 RemovePeerFields(beast::http::fields& aFields)
 {
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -114,5 +114,10 @@
 std::optional<int64_t>
 ParseNumberField(const boost::beast::http::fields& aFields,
                  std::string_view aName);
+// Returns nullopt unless the field is present exactly once and is a finite
+// number that is not negative.
+std::optional<double>
+ParseDecimalField(const boost::beast::http::fields& aFields,
+                  std::string_view aName);
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -338,7 +338,7 @@
     const bool isAccepted =
       m_localBackend.OnHeartbeat(*heartbeat, m_clock.Now());
     if (m_localBackend.View().holder() != holderBefore) {
-      m_quarantine.OnNewLifetime();
+      m_localHandler.OnNewLifetime();
     }
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
     m_syncClient.SyncIfChanged();
--- a/modules/sidecar/src/WorkQueue.cpp
+++ b/modules/sidecar/src/WorkQueue.cpp
@@ -15,6 +15,9 @@
 constexpr double kMinAssumedServiceMs = 20;
 constexpr Duration kMinRetryAfter = Milliseconds(50);
 constexpr Duration kMaxRetryAfter = Milliseconds(400);
+// A backend server that takes no requests at all could not state another limit,
+// so it still gets one now and then.
+constexpr double kMinRateLimit = 0.5;
 constexpr size_t kMaxWaitingItems = 512;
 constexpr size_t kMaxTrackedKinds = 256;
 // Most items take less than the mean service time multiplied by this factor.
@@ -71,10 +74,48 @@
     static_cast<int64_t>(itemsAhead * TypicalServiceMs() / m_slots));
 }
 
+void
+WorkQueue::SetRateLimit(std::optional<double> aItemsPerSecond, TimePoint aNow)
+{
+  if (!aItemsPerSecond) {
+    m_rateLimit.reset();
+    return;
+  }
+  const double rate = std::max(*aItemsPerSecond, kMinRateLimit);
+  if (!m_rateLimit) {
+    m_rateLimit.emplace(rate, aNow);
+  } else if (rate != m_rateLimit->Rate()) {
+    m_rateLimit->SetRate(rate, aNow);
+  }
+}
+
+std::optional<double>
+WorkQueue::RateLimit() const
+{
+  return m_rateLimit ? std::optional(m_rateLimit->Rate()) : std::nullopt;
+}
+
+bool
+WorkQueue::TryTakeToken(TimePoint aNow)
+{
+  return !m_rateLimit || m_rateLimit->TryTake(aNow);
+}
+
+Duration
+WorkQueue::RateLimitWait(uint32_t aRank, TimePoint aNow) const
+{
+  if (!m_rateLimit) {
+    return {};
+  }
+  return m_rateLimit->TimeUntil(static_cast<double>(WaitingUpToRank(aRank) + 1),
+                                aNow);
+}
+
 SubmitResult
 WorkQueue::Submit(const WorkItem& aItem, TimePoint aNow)
 {
-  if (m_runningCount < m_slots && WaitingUpToRank(aItem.m_rank) == 0) {
+  if (m_runningCount < m_slots && WaitingUpToRank(aItem.m_rank) == 0 &&
+      TryTakeToken(aNow)) {
     ++m_runningCount;
     return { WorkDecision::kStart, {} };
   }
@@ -84,7 +125,8 @@
     m_assumedServiceMs =
       std::max(m_assumedServiceMs, kAssumedTargetShare * timeLeftMs);
   }
-  const Duration expectedWait = ExpectedWait(aItem.m_rank);
+  const Duration expectedWait =
+    std::max(ExpectedWait(aItem.m_rank), RateLimitWait(aItem.m_rank, aNow));
   if (!CanFinishInTime(aItem, expectedWait, aNow) ||
       WaitingCount() >= kMaxWaitingItems) {
     return { WorkDecision::kRefuse,
@@ -143,6 +185,9 @@
       // An item that is already too late starts only if no other item waits.
       const bool mayStart =
         CanFinishInTime(items.front(), {}, aNow) || WaitingCount() == 1;
+      if (mayStart && !TryTakeToken(aNow)) {
+        break;
+      }
       dequeued.push_back({ items.front().m_id, mayStart });
       items.pop_front();
       m_runningCount += mayStart ? 1 : 0;
--- a/modules/sidecar/src/WorkQueue.h
+++ b/modules/sidecar/src/WorkQueue.h
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "rattanloft/base/Time.h"
+#include "rattanloft/base/TokenBucket.h"
 
 namespace rattanloft::sidecar {
 
@@ -70,6 +72,9 @@
   // Number of items that may run concurrently.
   void SetSlots(uint32_t aSlots) { m_slots = aSlots; }
   uint32_t Slots() const { return m_slots; }
+  // Limits the items that start in a second; nullopt for no limit.
+  void SetRateLimit(std::optional<double> aItemsPerSecond, TimePoint aNow);
+  std::optional<double> RateLimit() const;
   uint32_t RunningCount() const { return m_runningCount; }
   size_t WaitingCount() const;
   // Moving average over all kinds; zero until the first measurement.
@@ -84,6 +89,10 @@
   Duration MeanServiceTime(const std::string& aKind) const;
 
 private:
+  // Takes a token of the rate limit; false if there is none.
+  bool TryTakeToken(TimePoint aNow);
+  // Time until the rate limit allows a new item of this rank to start.
+  Duration RateLimitWait(uint32_t aRank, TimePoint aNow) const;
   // Number of waiting items of this rank or a lower one.
   size_t WaitingUpToRank(uint32_t aRank) const;
   bool CanFinishInTime(const WorkItem& aItem,
@@ -93,6 +102,7 @@
 
   uint32_t m_slots = 1;
   uint32_t m_runningCount = 0;
+  std::optional<TokenBucket> m_rateLimit;
   double m_meanServiceMs = 0;
   // Used until the first service time is measured.
   double m_assumedServiceMs = 0;
--- a/modules/sidecar/tests/WorkQueueTest.cpp
+++ b/modules/sidecar/tests/WorkQueueTest.cpp
@@ -151,4 +151,37 @@
   CHECK(static_cast<double>(late) < 0.05 * possibleCount);
 }
 
+// Guards against a backend server that gets more requests than the limit that
+// it names, and against requests that wait for it in vain.
+TEST_CASE("items start at most at the rate limit")
+{
+  WorkQueue queue;
+  queue.SetSlots(12);
+  TimePoint now{ 0 };
+  queue.SetRateLimit(10, now);
+  int started = 0;
+  int refused = 0;
+  for (WorkId id = 1; now < TimePoint{ 4000 }; ++id) {
+    now = now + Milliseconds(10);
+    const SubmitResult result =
+      queue.Submit(MakeItem(id, 1, now.m_ms + 300, now.m_ms + 900), now);
+    started += result.m_decision == WorkDecision::kStart ? 1 : 0;
+    refused += result.m_decision == WorkDecision::kRefuse ? 1 : 0;
+    if (result.m_decision == WorkDecision::kRefuse) {
+      CHECK(result.m_retryAfter > Duration{});
+    }
+    for (const WorkQueue::DequeuedWork& item : queue.Dequeue(now)) {
+      started += item.m_mayStart ? 1 : 0;
+    }
+    while (queue.RunningCount() > 0) {
+      queue.Finish("k", Milliseconds(20));
+    }
+  }
+  CHECK(started <= 50);
+  CHECK(started >= 40);
+  CHECK(refused > 300);
+  queue.SetRateLimit(std::nullopt, now);
+  CHECK(queue.RateLimit() == std::nullopt);
+}
+
 } // namespace rattanloft::sidecar
