Drain a backend server that announces its end in its answers

Callers see: requests reach a backend server that leaves and are lost with it (DRAIN), if it says so in its answers before, or without, a heartbeat.

Cause: the field was not known to the adapter; only heartbeats and deregistrations started a drain. Class: a statement of a backend server that nothing reads.

Change: the sidecar beside the backend server starts the drain with the first answer that states it, whichever entry the request came through, and tells the leader with the next sync. A later heartbeat does not end it; another lifetime does.

--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -32,6 +32,8 @@
   // Requests a second, from all callers, that the backend server takes for as
   // long as its responses carry the field.
   std::string m_requestLimit;
+  // "1" in the responses of a backend server that is about to stop.
+  std::string m_leaving;
 };
 
 // A range of keys that a backend server holds.
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -277,7 +277,7 @@
   if (response) {
     m_localBackend.OnContactResult(true, now);
     if (holder == m_localBackend.View().holder()) {
-      ApplyRequestLimit(*response);
+      ApplyAnnouncements(*response);
     }
     co_return ClassifyResponse(std::move(*response), id);
   }
@@ -308,11 +308,14 @@
                                 : "backend-broke-off");
 }
 
-// Adopts the limit that the backend server states in its responses, or removes
-// it if it states none any more.
+// Adopts what the backend server states about itself in a response: that it is
+// about to stop, and its request limit, or that it has none any more.
 void
-BackendHandler::ApplyRequestLimit(const http::Response& aResponse)
+BackendHandler::ApplyAnnouncements(const http::Response& aResponse)
 {
+  if (FieldValue(aResponse, m_protocol.Headers().m_leaving) == "1") {
+    m_localBackend.OnLeavingAnnounced(m_clock.Now());
+  }
   const std::optional<double> limit =
     ParseDecimalField(aResponse, m_protocol.Headers().m_requestLimit);
   const bool hadLimit = m_workQueue.RateLimit().has_value();
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -91,7 +91,7 @@
     uint64_t aFingerprint,
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
-  void ApplyRequestLimit(const http::Response& aResponse);
+  void ApplyAnnouncements(const http::Response& aResponse);
   AttemptResult ClassifyResponse(http::Response aResponse,
                                  const std::string& aRequestId);
   // Returns the refusal if the backend server may not serve the request now.
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -234,6 +234,12 @@
   ++m_reportRevision;
 }
 
+void
+LocalBackend::OnLeavingAnnounced(TimePoint aNow)
+{
+  StartDrain(wire::BACKEND_PHASE_DRAINING, aNow);
+}
+
 void
 LocalBackend::OnDeregistration(std::string_view aBackendId,
                                int64_t aStartedAtUnixMs,
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -47,6 +47,8 @@
   uint64_t HeartbeatSequence() const { return m_heartbeatSequence; }
   // The backend server shuts down. aStartedAtUnixMs is the start of its
   // lifetime, or 0 if the call did not give it.
+  // A response of the current lifetime says that it is about to stop.
+  void OnLeavingAnnounced(TimePoint aNow);
   void OnDeregistration(std::string_view aBackendId,
                         int64_t aStartedAtUnixMs,
                         TimePoint aNow);
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -273,4 +273,21 @@
   CHECK(MakeReport(backend, kStart).handovers_size() == 0);
 }
 
+// Guards against new work for a backend server that states its end only in its
+// responses, also if a later heartbeat does not state it.
+TEST_CASE("a backend server that announces its end in a response drains")
+{
+  LocalBackend backend = MakeLocalBackend();
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
+  CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kServe);
+  backend.OnLeavingAnnounced(kStart);
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(2), kStart));
+  CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kDraining);
+  CHECK(MakeReport(backend, kStart).backend().phase() ==
+        wire::BACKEND_PHASE_DRAINING);
+  // The next lifetime serves.
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(1, 600, "i-2"), kStart));
+  CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kServe);
+}
+
 } // namespace rattanloft::sidecar
