Place keys by the limits that backend servers name

Callers see: with four of five backend servers limited to about half of their load, 9 to 12 % of the lookups are refused for lack of tokens, although the fifth server and the less limited ones have room.

Cause: placement took the capacity from slots and service times only, so a limited server kept its keys.

Change: the sync carries the limit, and the leader takes the lower of the two.

The new test failed before: a server with a tenth of the capacity of the others got 21,846 of 65,536 keys.

--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -161,9 +161,9 @@
 }
 
 // Returns the backend servers of the service that can take keys. Their
-// capacities follow from the measured time per request; a server without a
-// measurement is assumed to take the mean of the others, or 1000 ms if there is
-// none.
+// capacities follow from the measured time per request and the limit that the
+// server names; a server without a measurement is assumed to take the mean of
+// the others, or 1000 ms if there is none.
 std::vector<HolderCandidate>
 FleetLeader::ListCandidates(const std::string& aService, TimePoint aNow) const
 {
@@ -187,9 +187,11 @@
     const double serviceTimeMs = sidecar.m_lastRequest.service_time_ms() > 0
                                    ? sidecar.m_lastRequest.service_time_ms()
                                    : defaultServiceTimeMs;
-    candidates.push_back(
-      { backend.holder(),
-        std::max(1U, backend.slots()) * 1000.0 / serviceTimeMs });
+    double capacity = std::max(1U, backend.slots()) * 1000.0 / serviceTimeMs;
+    if (sidecar.m_lastRequest.request_limit() > 0) {
+      capacity = std::min(capacity, sidecar.m_lastRequest.request_limit());
+    }
+    candidates.push_back({ backend.holder(), capacity });
   }
   return candidates;
 }
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -1,8 +1,11 @@
 #include "rattanloft/fleet/FleetLeader.h"
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -324,4 +327,28 @@
   CHECK(next.quarantine().entries().empty());
 }
 
+// Guards against keys that stay unserved at a backend server that takes few
+// requests, while others have room.
+TEST_CASE("a backend server that names a low limit gets few keys")
+{
+  LeaderFixture fixture;
+  const std::vector<std::string> instances = { "n1", "n2", "n3" };
+  for (int round = 0; round < 8; ++round) {
+    for (const std::string& instance : instances) {
+      wire::FleetSyncRequest request = fixture.MakeRequest(instance);
+      request.set_service_time_ms(100);
+      request.set_request_limit(instance == "n1" ? 4 : 0);
+      fixture.SendSync(request);
+    }
+    fixture.RunFor(Milliseconds(500));
+  }
+  std::map<std::string, uint32_t> keyCounts;
+  for (const wire::OwnedRange& range :
+       fixture.m_state.RangesByService().at("s").ranges()) {
+    keyCounts[range.holder()] += range.last() - range.first() + 1;
+  }
+  CHECK(keyCounts["n2/b@1"] > 0);
+  CHECK(keyCounts["n1/b@1"] < keyCounts["n2/b@1"] / 4);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -222,6 +222,7 @@
   m_reportedRevision = m_localBackend.ReportRevision();
   request.set_service_time_ms(
     static_cast<uint32_t>(m_workQueue.MeanServiceTime().m_ms));
+  request.set_request_limit(m_workQueue.RateLimit().value_or(0));
   m_loadCounter.MoveCountsTo(request);
   m_quarantine.FillRequest(request);
   return request;
