--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -363,8 +363,9 @@
                            std::shared_ptr<http::CancelToken> aCancelToken)
 {
   const ClassifiedRequest& request = aRun->m_classified;
-  const uint64_t fingerprint =
-    m_context.m_quarantineEnabled ? http::ComputeFingerprint(aRun->m_request) : 0;
+  const uint64_t fingerprint = m_context.m_quarantineEnabled
+                                 ? http::ComputeFingerprint(aRun->m_request)
+                                 : 0;
   const auto notBlocked = m_quarantineGate.CheckBlocked(fingerprint);
   if (!notBlocked) {
     co_return MakeRefusalResponse(notBlocked.error());
--- a/modules/quarantine/src/LeaderList.cpp
+++ b/modules/quarantine/src/LeaderList.cpp
@@ -13,8 +13,7 @@
     return false;
   }
   const std::string service = entry->m_service;
-  m_table.SetState(
-    aFingerprint, service, wire::QUARANTINE_STATE_CLEARED, aNow);
+  m_table.SetState(aFingerprint, service, wire::QUARANTINE_STATE_CLEARED, aNow);
   ++m_revision;
   return true;
 }
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -209,11 +209,10 @@
 {
   const bool keyed = GENERATE(true, false);
   AttemptPolicy policy(keyed ? MakeKeyedLimits() : MakeUnkeyedLimits(true));
-  CHECK(
-    policy.OnResult(
-      MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kQuarantined),
-      kStart,
-      AllowRetry) == NextStep::kFinish);
+  CHECK(policy.OnResult(
+          MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kQuarantined),
+          kStart,
+          AllowRetry) == NextStep::kFinish);
 }
 
 } // namespace rattanloft::sidecar
