Send only changed quarantine entries to and from a leader

A crash changes about 12 entries, and the leader sent its whole list of up to 512 to every sidecar for it; a new leader was sent the whole list by every sidecar. At 30 B an entry and 70 sidecars that is 1 MB at a time, more than a second of the 5.4 Mbit/s links of the grown installations (computed, not measured).

The list keeps the revision of each entry and sends what changed since the revision that the request names; nodes merge updates by entry already. A sidecar reports to a new leader only the entries that it has set itself. Entries whose sidecar has restarted stay known to the sidecars that had them.

--- a/modules/cluster/src/Coordinator.cpp
+++ b/modules/cluster/src/Coordinator.cpp
@@ -376,7 +376,7 @@
   reply.set_quarantine_sequence(node.m_lastRequest.sequence());
   if (!m_quarantine.IsCurrent(node.m_lastRequest, m_options.m_term)) {
     *reply.mutable_quarantine() =
-      m_quarantine.MakeUpdate(m_options.m_term, aNow);
+      m_quarantine.MakeUpdate(node.m_lastRequest, m_options.m_term, aNow);
   }
   const wire::Backend* known = AnnouncedBackend(node);
   if (!known) {
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -603,7 +603,8 @@
   // reported to the former one, so it is sent even if the list is empty.
   if (aRequest.accepts_quarantine() &&
       !m_quarantine.IsCurrent(aRequest, m_term)) {
-    *reply.mutable_quarantine() = m_quarantine.MakeUpdate(m_term, aNow);
+    *reply.mutable_quarantine() =
+      m_quarantine.MakeUpdate(aRequest, m_term, aNow);
   }
   const std::string& name = aRequest.backend().holder();
   const auto found = m_holders.find(name);
--- a/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -116,6 +116,8 @@
   std::vector<wire::QuarantineEntry> TakeChanges(TimePoint aNow);
   // All entries, for a new leader.
   std::vector<wire::QuarantineEntry> ListWireEntries(TimePoint aNow) const;
+  // Entries whose state this tracker itself has set.
+  std::vector<wire::QuarantineEntry> ListOwnWireEntries(TimePoint aNow);
   const QuarantineTable& Entries() const { return m_table; }
 
 private:
@@ -166,6 +168,8 @@
   bool m_backendDown = false;
   // Number of requests that the latest crash has put under suspicion.
   size_t m_suspectsOfCrash = 0;
+  // Fingerprints for ListOwnWireEntries. May hold dropped entries too.
+  std::set<uint64_t> m_ownFingerprints;
   // Fingerprints for TakeChanges.
   std::set<uint64_t> m_changedFingerprints;
 };
--- a/modules/quarantine/src/RunTracker.cpp
+++ b/modules/quarantine/src/RunTracker.cpp
@@ -224,6 +224,10 @@
     return;
   }
   m_changedFingerprints.insert(aRun.m_fingerprint);
+  m_ownFingerprints.insert(aRun.m_fingerprint);
+  if (m_ownFingerprints.size() > 2 * kMaxLiveEntries) {
+    ListOwnWireEntries(aNow);
+  }
   LogWarning("route",
              "request {}, service={} fingerprint={:016x}",
              aState == wire::QUARANTINE_STATE_BLOCKED
@@ -251,6 +255,21 @@
   return changes;
 }
 
+std::vector<wire::QuarantineEntry>
+RunTracker::ListOwnWireEntries(TimePoint aNow)
+{
+  std::vector<wire::QuarantineEntry> entries;
+  std::erase_if(m_ownFingerprints, [&](uint64_t aFingerprint) {
+    wire::QuarantineEntry entry = m_table.MakeWireEntry(aFingerprint, aNow);
+    if (entry.version() == 0) {
+      return true;
+    }
+    entries.push_back(std::move(entry));
+    return false;
+  });
+  return entries;
+}
+
 std::vector<wire::QuarantineEntry>
 RunTracker::ListWireEntries(TimePoint aNow) const
 {
--- a/modules/sidecar/src/BackendQuarantine.cpp
+++ b/modules/sidecar/src/BackendQuarantine.cpp
@@ -102,9 +102,11 @@
   for (const wire::QuarantineEntry& entry : aReply.quarantine().entries()) {
     m_runs.Merge(entry, now);
   }
-  // A new leader does not have the entries of its predecessor.
+  // A new leader does not have the entries of its predecessor. Each sidecar
+  // reports only its own, since the entries of all would fill the leader's
+  // link.
   if (aReply.quarantine().term() != m_report.Term()) {
-    m_report.Add(m_runs.ListWireEntries(now), m_lastSequence);
+    m_report.Add(m_runs.ListOwnWireEntries(now), m_lastSequence);
   }
   m_report.OnUpdate(aReply.quarantine());
 }
--- a/modules/sidecar/tests/BackendQuarantineTest.cpp
+++ b/modules/sidecar/tests/BackendQuarantineTest.cpp
@@ -79,4 +79,28 @@
   CHECK(fixture.MakeRequest().quarantine_size() == 1);
 }
 
+// Guards against a new leader that gets the entries of all sidecars from each
+// of them.
+TEST_CASE("a new leader is sent the entries of this sidecar only")
+{
+  QuarantineFixture fixture;
+  fixture.RunAndCrash();
+  fixture.MakeRequest();
+  quarantine::QuarantineTable others;
+  wire::FleetSyncReply reply;
+  reply.set_sequence(fixture.m_sequence);
+  reply.mutable_quarantine()->set_term(4);
+  for (uint64_t i = 100; i < 150; ++i) {
+    others.SetState(
+      i, "s", wire::QUARANTINE_STATE_BLOCKED, fixture.m_clock.Now());
+    *reply.mutable_quarantine()->add_entries() =
+      others.MakeWireEntry(i, fixture.m_clock.Now());
+  }
+  fixture.m_quarantine.OnLeaderReply(reply);
+  CHECK(fixture.m_quarantine.RefuseIfBlocked(120));
+  const wire::FleetSyncRequest request = fixture.MakeRequest();
+  REQUIRE(request.quarantine_size() == 1);
+  CHECK(request.quarantine(0).fingerprint() == kHarmful);
+}
+
 } // namespace rattanloft::sidecar
