Count quarantine entries and the request limit, and report unreadable limits

An on-call engineer sees the state of both new mechanisms in the metrics of a sidecar. A limit that cannot be read is logged and leaves the former one in force; before, it ended the limit in silence. Sidecar and quarantine tests pass, the parser has its own.

--- a/modules/quarantine/include/rattanloft/quarantine/LeaderList.h
+++ b/modules/quarantine/include/rattanloft/quarantine/LeaderList.h
@@ -11,8 +11,8 @@
 namespace rattanloft::quarantine {
 
 // The quarantine list of a leader: merges what the processes report, and has a
-// revision, so that each process is sent only what it does not know.
-// Lost with the leadership; the processes then report all of their entries.
+// revision, so that each process is sent only what it does not know. Lost with
+// the leadership; the processes then report their entries to the next leader.
 // Does no I/O and reads no clock.
 class LeaderList
 {
--- a/modules/quarantine/include/rattanloft/quarantine/QuarantineReport.h
+++ b/modules/quarantine/include/rattanloft/quarantine/QuarantineReport.h
@@ -19,7 +19,6 @@
   // the entries yet.
   void Add(std::span<const wire::QuarantineEntry> aEntries,
            uint64_t aLastSequence);
-  bool HasEntries() const { return !m_pendingEntries.empty(); }
   uint64_t Term() const { return m_term; }
 
   // Sets the quarantine fields of a SyncRequest or FleetSyncRequest.
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -316,8 +316,16 @@
   if (FieldValue(aResponse, m_protocol.Headers().m_leaving) == "1") {
     m_localBackend.OnLeavingAnnounced(m_clock.Now());
   }
-  const std::optional<double> limit =
-    ParseDecimalField(aResponse, m_protocol.Headers().m_requestLimit);
+  const std::string& limitName = m_protocol.Headers().m_requestLimit;
+  const std::optional<double> limit = ParseDecimalField(aResponse, limitName);
+  const std::string_view limitText = FieldValue(aResponse, limitName);
+  if (!limit && !limitText.empty()) {
+    LogWarning("backend",
+               "event=request-limit-unreadable holder={} bytes={}",
+               m_localBackend.View().holder(),
+               limitText.size());
+    return;
+  }
   const bool hadLimit = m_workQueue.RateLimit().has_value();
   m_workQueue.SetRateLimit(limit, m_clock.Now());
   if (hadLimit != limit.has_value()) {
--- a/modules/sidecar/src/BackendQuarantine.h
+++ b/modules/sidecar/src/BackendQuarantine.h
@@ -47,6 +47,11 @@
   // Another lifetime of the backend server runs.
   void OnNewLifetime();
 
+  // Suspected and blocked requests.
+  size_t CountLiveEntries() const
+  {
+    return m_runs.Entries().CountLiveEntries();
+  }
   // Whether there are changes that no sync request carries yet.
   bool HasUnreportedChanges() const { return m_runs.HasChanges(); }
   // Adds what the leader has not confirmed. The sequence must be set.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -413,7 +413,8 @@
       "rattanloft_unknown {}\nrattanloft_retries {}\n"
       "rattanloft_backend_running {}\nrattanloft_backend_waiting {}\n"
       "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
-      "rattanloft_directory_age_ms {}\n",
+      "rattanloft_directory_age_ms {}\nrattanloft_quarantine_entries {}\n"
+      "rattanloft_backend_request_limit {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -423,7 +424,9 @@
       load.m_waitingRequests,
       load.m_serviceTimeMs,
       m_directory.Router() ? m_directory.Router()->Version() : 0,
-      m_directory.TimeSinceLastReply(m_clock.Now()).m_ms);
+      m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
+      m_quarantine.CountLiveEntries(),
+      m_workQueue.RateLimit().value_or(0));
     co_return response;
   }
 
--- a/modules/sidecar/tests/PeerHeadersTest.cpp
+++ b/modules/sidecar/tests/PeerHeadersTest.cpp
@@ -92,4 +92,24 @@
   CHECK(response.begin() == response.end());
 }
 
+// Guards against a request limit that is misread.
+TEST_CASE("only a single decimal number is read as one")
+{
+  boost::beast::http::fields fields;
+  CHECK_FALSE(ParseDecimalField(fields, "Limit"));
+  const std::pair<const char*, std::optional<double>> cases[] = {
+    { "22.5", 22.5 },        { "10", 10.0 },         { "0", 0.0 },
+    { "-1", std::nullopt },  { "", std::nullopt },   { "5/s", std::nullopt },
+    { "nan", std::nullopt }, { "inf", std::nullopt }
+  };
+  for (const auto& [text, number] : cases) {
+    CAPTURE(text);
+    fields.set("Limit", text);
+    CHECK(ParseDecimalField(fields, "Limit") == number);
+  }
+  fields.set("Limit", "5");
+  fields.insert("Limit", "6");
+  CHECK_FALSE(ParseDecimalField(fields, "Limit"));
+}
+
 } // namespace rattanloft::sidecar
