--- a/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
+++ b/modules/quarantine/include/rattanloft/quarantine/RunTracker.h
@@ -15,7 +15,7 @@
 namespace rattanloft::quarantine {
 
 // Requests that one node puts under suspicion at one crash.
-constexpr size_t kMaxLocalSuspects = 64;
+constexpr size_t kMaxSuspectsPerCrash = 64;
 // A run that ended without an answer less than this long before a crash was
 // detected may have caused the crash.
 constexpr Duration kCrashAttributionWindow = Seconds(2);
--- a/modules/quarantine/src/RunTracker.cpp
+++ b/modules/quarantine/src/RunTracker.cpp
@@ -204,7 +204,7 @@
   if (entry) {
     return;
   }
-  if (m_suspectsOfCrash >= kMaxLocalSuspects) {
+  if (m_suspectsOfCrash >= kMaxSuspectsPerCrash) {
     LogWarning("route",
                "the crash has the maximum number of suspected requests; "
                "a further one is not recorded, fingerprint={:016x}",
--- a/modules/quarantine/tests/RunTrackerTest.cpp
+++ b/modules/quarantine/tests/RunTrackerTest.cpp
@@ -264,8 +264,8 @@
     test.m_runs.End(run, RunOutcome::kNoAnswer, test.m_now);
   }
   test.m_runs.OnConnectionRefused(test.m_now);
-  REQUIRE(test.m_runs.Entries().CountLiveEntries() == kMaxLocalSuspects);
-  REQUIRE(test.m_runs.TakeChanges(test.m_now).size() == kMaxLocalSuspects);
+  REQUIRE(test.m_runs.Entries().CountLiveEntries() == kMaxSuspectsPerCrash);
+  REQUIRE(test.m_runs.TakeChanges(test.m_now).size() == kMaxSuspectsPerCrash);
   REQUIRE(test.m_runs.TakeChanges(test.m_now).empty());
 }
 
@@ -276,7 +276,7 @@
   RunTrackerFixture test;
   for (uint64_t i = 0; i < 10; i++) {
     std::vector<RunId> runs;
-    for (uint64_t k = 0; k < kMaxLocalSuspects; k++) {
+    for (uint64_t k = 0; k < kMaxSuspectsPerCrash; k++) {
       runs.push_back(test.MustStart(1000 * (i + 1) + k));
     }
     for (const RunId run : runs) {
