End a chunked request at the read timeout however fast it is sent

A client that keeps the socket full therefore evaded the timeout. Beside load the client of the test was always ahead of the server.

Ruled out: the lingering close and the write of the 408, which have limits of their own.

Change: the session reads and parses by itself, as it does for the header, and checks the timeout after each read. New test: a sender on a thread of its own.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -11,8 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/write.hpp>
 #include <poll.h>
 #include <sys/socket.h>
@@ -228,7 +227,7 @@
 ServerSession::ReadRequest()
 {
   EnterState(State::kReadingRequest, m_serverState->m_options.m_readTimeout);
-  beast::http::request_parser<beast::http::string_body> parser;
+  RequestParser parser;
   parser.body_limit(m_serverState->m_options.m_maxBodyBytes);
   beast::error_code error = co_await ReadHeader<true>(
     m_socket, m_buffer, parser, m_serverState->m_options.m_maxHeaderBytes);
@@ -241,13 +240,7 @@
     headerError = FindHeaderError(head);
     if (headerError.empty() && !parser.is_done() && !m_timedOut) {
       co_await ContinueIfExpected(head);
-      parser.eager(true);
-      // A read that finds input at once is never cancelled by CheckDeadline().
-      while (!error && !parser.is_done() && !m_timedOut) {
-        auto [bodyError, bodyCount] = co_await beast::http::async_read_some(
-          m_socket, m_buffer, parser, kUseAwaitableTuple);
-        error = bodyError;
-      }
+      error = co_await ReadBody(parser);
       // The parser adds trailer fields to the header, after the header has been
       // checked.
       if (!error && CountFields(parser.get()) != headerFieldCount) {
@@ -274,6 +267,43 @@
   co_return parser.release();
 }
 
+// Reads up to the end of the request, an error or the read timeout. Checks the
+// timeout after each read: one that finds input at once is never cancelled by
+// CheckDeadline(), and an operation of Beast that parses goes on reading while
+// the input ends within the header of a chunk.
+asio::awaitable<beast::error_code>
+ServerSession::ReadBody(RequestParser& aParser)
+{
+  constexpr size_t kMaxReadBytes = 64 * 1024;
+  aParser.eager(true);
+  while (!aParser.is_done() && !m_timedOut) {
+    bool needsInput = m_buffer.size() == 0;
+    if (!needsInput) {
+      beast::error_code error;
+      const size_t usedBytes = aParser.put(m_buffer.data(), error);
+      m_buffer.consume(usedBytes);
+      if (error && error != beast::http::error::need_more) {
+        co_return error;
+      }
+      needsInput = error.failed() || usedBytes == 0;
+    }
+    if (!needsInput || aParser.is_done()) {
+      continue;
+    }
+    const size_t readSize = beast::read_size(m_buffer, kMaxReadBytes);
+    if (readSize == 0) {
+      co_return beast::http::error::buffer_overflow;
+    }
+    auto [readError, byteCount] = co_await m_socket.async_read_some(
+      m_buffer.prepare(readSize), kUseAwaitableTuple);
+    m_buffer.commit(byteCount);
+    if (readError) {
+      co_return readError;
+    }
+  }
+  co_return beast::error_code();
+}
+
 asio::awaitable<void>
 ServerSession::ContinueIfExpected(const Request& aRequest)
 {
--- a/modules/http/src/ServerSession.h
+++ b/modules/http/src/ServerSession.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/http/Server.h"
@@ -70,6 +72,9 @@
   void Close();
 
 private:
+  using RequestParser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
   enum class State
   {
     // Waits for the first byte of a request.
@@ -86,6 +91,8 @@
   // Returns nothing if no valid request arrived. The request was refused or the
   // connection closed then.
   boost::asio::awaitable<std::optional<Request>> ReadRequest();
+  boost::asio::awaitable<boost::beast::error_code> ReadBody(
+    RequestParser& aParser);
   boost::asio::awaitable<void> ContinueIfExpected(const Request& aRequest);
   // Returns whether the connection stays open for another request.
   boost::asio::awaitable<bool> ServeRequest(Request aRequest);
--- a/modules/http/tests/EndlessRequestTest.cpp
+++ b/modules/http/tests/EndlessRequestTest.cpp
@@ -1,3 +1,5 @@
+#include <sys/socket.h>
+
 #include "TestPeer.h"
 
 namespace rattanloft::http {
@@ -175,4 +177,41 @@
   CheckRefusedAndClosed(outcome, "408");
 }
 
+// Guards against a read timeout that a client evades by sending from a thread
+// of its own, so that every read finds input and ends within a chunk header.
+TEST_CASE("Chunks that are always at hand end at the timeout")
+{
+  ServerOptions options = MakeOptions();
+  options.m_maxBodyBytes = 64 * 1024 * 1024;
+  options.m_readTimeout = Milliseconds(300);
+  asio::io_context context;
+  const auto server = Server::Make(
+    context,
+    options,
+    [](Request, std::shared_ptr<CancelToken>) -> asio::awaitable<Response> {
+      co_return Response();
+    });
+  REQUIRE(server);
+  RawClient client(context, (*server)->Port());
+  client.m_socket.non_blocking(false);
+  const std::string chunk = "1;" + std::string(3000, 'x') + "\r\nx\r\n";
+  const int socket = client.m_socket.native_handle();
+  std::thread sender([&] {
+    boost::system::error_code error;
+    asio::write(client.m_socket, asio::buffer(kChunkedHead), error);
+    const std::string text = Repeat(chunk, 64 * 1024);
+    while (!error) {
+      asio::write(client.m_socket, asio::buffer(text), error);
+    }
+    asio::post(context, [&] { context.stop(); });
+  });
+  // Lets the sender fill the buffers of the sockets first.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  context.run_for(std::chrono::seconds(5));
+  const bool ended = context.stopped();
+  shutdown(socket, SHUT_RDWR);
+  sender.join();
+  CHECK(ended);
+}
+
 } // namespace rattanloft::http
