Assign key ranges by calls to the backend server where its service asks for it

Change: CallDelivery, without I/O, turns plan, heartbeats and answers into grants, renewals and releases, and keeps what the backend server may hold, in doubt or not. RangeCaller sends the calls. The leader does not transfer a range that a later lifetime may have got, and assigns a refused range anew under a higher fence. The adapter decodes the way, the two calls and their answers. A refusal names awaits-grant or awaits-release, and the trace of a request shows the range calls for its key.

Ruled out: binding grants to a connection of the lifetime (costs up to a heartbeat after each lost connection), and a new fence for each renewal (a log entry each).

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -93,6 +93,8 @@
     std::string m_serializedPlan;
     // Handover tokens of the ranges that it has released, oldest first.
     std::vector<wire::HandedOver> m_handovers;
+    // Planned ranges that the backend server refused in the latest report.
+    std::vector<wire::RefusedRange> m_refusedRanges;
   };
   // A transfer that waits until its range is released.
   struct PendingTransfer
@@ -124,6 +126,8 @@
   std::vector<HolderCandidate> ListCandidates(const std::string& aService,
                                               TimePoint aNow) const;
   bool HaveHoldersReported(TimePoint aNow) const;
+  std::vector<RangeTransfer> ListRefusedRanges(
+    const std::string& aService) const;
   void StartTransfers(const std::string& aServiceName,
                       ServiceState& aService,
                       TimePoint aNow);
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -107,6 +107,8 @@
     MarkEarlierLifetimesEnded(aRequest.instance(), backend);
     Holder& holder = m_holders[backend.holder()];
     holder.m_instance = aRequest.instance();
+    holder.m_refusedRanges.assign(aRequest.refused_ranges().begin(),
+                                  aRequest.refused_ranges().end());
     for (const wire::HandedOver& handover : aRequest.handovers()) {
       holder.m_handovers.push_back(handover);
     }
@@ -137,6 +139,7 @@
     if (name != aBackend.holder() && parsed &&
         parsed->m_instance == aInstance &&
         parsed->m_startedAtUnixMs < aBackend.started_at_unix_ms()) {
+      holder.m_instance = aInstance;
       holder.m_ended = true;
     }
   }
@@ -211,16 +214,19 @@
            m_leadershipStart + m_timings.m_leaseDuration + kLeaseClockMargin;
   }
   const Holder& holder = found->second;
-  if (holder.m_ended || aNow >= holder.m_leaseEnd) {
+  if (aNow >= holder.m_leaseEnd) {
     return true;
   }
   const auto sidecar = m_sidecars.find(holder.m_instance);
   if (sidecar == m_sidecars.end()) {
-    return false;
+    return holder.m_ended;
   }
   const wire::FleetSyncRequest& last = sidecar->second.m_lastRequest;
-  if (last.backend().holder() != aHolder || !last.holds_known() ||
-      last.plan_term() != m_term || last.plan() < holder.m_planNumber) {
+  // A later lifetime may hold ranges whose grants were meant for the one that
+  // has ended, and its sidecar reports them.
+  if (!holder.m_ended &&
+      (last.backend().holder() != aHolder || !last.holds_known() ||
+       last.plan_term() != m_term || last.plan() < holder.m_planNumber)) {
     return false;
   }
   return std::ranges::none_of(
@@ -288,6 +294,36 @@
   return true;
 }
 
+// Returns the ranges of the service that their holder has refused since their
+// fencing token is too low, as transfers to the same holder: they get a new
+// token.
+std::vector<RangeTransfer>
+FleetLeader::ListRefusedRanges(const std::string& aService) const
+{
+  std::vector<RangeTransfer> transfers;
+  const auto service = m_state.RangesByService().find(aService);
+  if (service == m_state.RangesByService().end()) {
+    return transfers;
+  }
+  for (const wire::OwnedRange& range : service->second.ranges()) {
+    const auto holder = m_holders.find(range.holder());
+    if (holder == m_holders.end()) {
+      continue;
+    }
+    for (const wire::RefusedRange& refused : holder->second.m_refusedRanges) {
+      if (refused.fence() == range.fence() &&
+          Overlaps(
+            range.first(), range.last(), refused.first(), refused.last())) {
+        transfers.push_back({ std::max(range.first(), refused.first()),
+                              std::min(range.last(), refused.last()),
+                              range.holder(),
+                              range.holder() });
+      }
+    }
+  }
+  return transfers;
+}
+
 void
 FleetLeader::StartTransfers(const std::string& aServiceName,
                             ServiceState& aService,
@@ -337,8 +373,11 @@
                                                  aPending.m_transfer.m_last);
                                });
   };
-  for (RangeTransfer& transfer : PlanTransfers(
-         ranges, candidates, aService.m_keyLoad, mayRebalance, aNow)) {
+  std::vector<RangeTransfer> transfers = ListRefusedRanges(aServiceName);
+  std::ranges::move(
+    PlanTransfers(ranges, candidates, aService.m_keyLoad, mayRebalance, aNow),
+    std::back_inserter(transfers));
+  for (RangeTransfer& transfer : transfers) {
     if (isMoving(transfer)) {
       continue;
     }
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -351,4 +351,63 @@
   CHECK(keyCounts["n1/b@1"] < keyCounts["n2/b@1"] / 4);
 }
 
+// Guards against two owners of a key: a grant that was meant for the lifetime
+// before may have reached the one that runs now.
+TEST_CASE("ranges that a later lifetime may hold are not transferred")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  fixture.SendSync(fixture.MakeRequest("n1"));
+  wire::FleetSyncRequest later = fixture.MakeRequest("n1");
+  later.mutable_backend()->set_started_at_unix_ms(2);
+  later.mutable_backend()->set_holder("n1/b@2");
+  later.mutable_backend()->set_phase(wire::BACKEND_PHASE_DRAINING);
+  wire::KeyRange& held = *later.add_possible_holds();
+  held.set_first(0);
+  held.set_last(kLastKey);
+  CHECK(fixture.RunUntilTakeover(later) >= Milliseconds(3000));
+}
+
+TEST_CASE("ranges of a lifetime that has ended are transferred at once")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  fixture.SendSync(fixture.MakeRequest("n1"));
+  wire::FleetSyncRequest later = fixture.MakeRequest("n1");
+  later.mutable_backend()->set_started_at_unix_ms(2);
+  later.mutable_backend()->set_holder("n1/b@2");
+  later.mutable_backend()->set_phase(wire::BACKEND_PHASE_DRAINING);
+  CHECK(fixture.RunUntilTakeover(later) < Milliseconds(1000));
+}
+
+// Guards against keys that are never served again because their owner refuses
+// the fencing token of their assignment.
+TEST_CASE("a range that its holder refuses gets a higher fencing token")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  const uint64_t fence = fixture.m_index;
+  wire::FleetSyncRequest request = fixture.MakeRequest("n1");
+  wire::RefusedRange& refused = *request.add_refused_ranges();
+  refused.set_first(100);
+  refused.set_last(199);
+  refused.set_fence(fence);
+  for (int i = 0; i < 30; ++i) {
+    const wire::FleetSyncReply reply = fixture.SendSync(request);
+    request.set_plan_term(reply.term());
+    request.set_plan(reply.plan());
+    request.set_holds_known(true);
+    fixture.RunFor(Milliseconds(100));
+  }
+  int raisedCount = 0;
+  for (const wire::OwnedRange& range :
+       fixture.m_state.RangesByService().at("s").ranges()) {
+    CHECK(range.holder() == "n1/b@1");
+    const bool isRefused = range.first() >= 100 && range.last() <= 199;
+    CHECK((range.fence() > fence) == isRefused);
+    raisedCount += isRefused ? 1 : 0;
+  }
+  CHECK(raisedCount == 1);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -24,6 +24,9 @@
   Duration m_idleTimeout = Seconds(30);
   // A connection that has been open for this long is not used again.
   Duration m_maxConnectionAge = Seconds(300);
+  // A request that could not be written within this time, which a suspension of
+  // the machine is part of, is not sent; 0 for no limit.
+  Duration m_maxSendDelay;
   // Limits of a response; a larger one is a kConnectionBroken error. The header
   // limit also applies to the header of each chunk and to the trailer fields.
   uint32_t m_maxHeaderBytes = 64 * 1024;
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -83,6 +83,7 @@
     , m_timeoutTimer(m_pool->IoContext())
     , m_deadline(asio::steady_timer::clock_type::now() +
                  std::chrono::milliseconds(aTimeout.m_ms))
+    , m_startedAt(m_pool->BootTimeClock().Now())
   {
   }
 
@@ -100,6 +101,7 @@
   using Clock = asio::steady_timer::clock_type;
 
   void ArmTimer(Clock::time_point aExpiry, HttpErrorCode aErrorCode);
+  bool IsTooLateToSend() const;
   // Ends the exchange with the given error.
   void Abort(HttpErrorCode aErrorCode);
   asio::awaitable<std::optional<HttpError>> AcquireConnection(
@@ -122,6 +124,7 @@
   std::shared_ptr<CancelToken> m_cancelToken;
   asio::steady_timer m_timeoutTimer;
   Clock::time_point m_deadline;
+  TimePoint m_startedAt;
   std::optional<HttpErrorCode> m_abortReason;
   std::shared_ptr<ConnectionWaiter> m_waiter;
   bool m_holdsPoolSlot = false;
@@ -224,6 +227,14 @@
   return error;
 }
 
+bool
+ClientExchange::IsTooLateToSend() const
+{
+  const Duration maxDelay = m_pool->Options().m_maxSendDelay;
+  return maxDelay > Duration{} &&
+         m_pool->BootTimeClock().Now() - m_startedAt > maxDelay;
+}
+
 asio::awaitable<std::optional<HttpError>>
 ClientExchange::AcquireConnection(tcp::endpoint aEndpoint)
 {
@@ -309,7 +320,7 @@
     co_return tl::unexpected(std::move(*acquireError));
   }
   // The connection and the expiry of the timer may be found in the same poll.
-  if (Clock::now() >= m_deadline) {
+  if (Clock::now() >= m_deadline || IsTooLateToSend()) {
     m_connectionReusable = true;
     co_return tl::unexpected(
       MakeError(HttpErrorCode::kTimeout, false, "send to", "timed out"));
--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -9,6 +9,7 @@
 
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
+#include "rattanloft/http/Types.h"
 
 namespace rattanloft::sidecar {
 
@@ -29,6 +30,9 @@
   std::string m_signature;
   // Present on responses of a backend server that did not run the request.
   std::string m_notRun;
+  // Id of the backend server, on responses to requests that are addressed to
+  // another one.
+  std::string m_respondingBackend;
   // Requests a second, from all callers, that the backend server takes for as
   // long as its responses carry the field.
   std::string m_requestLimit;
@@ -82,6 +86,49 @@
   Duration m_grantDuration;
 };
 
+enum class RangeCallKind
+{
+  // Assigns the range for a time, or renews the assignment.
+  kGrant,
+  // Takes the range back. The backend server starts no further request for it
+  // and answers once those that run have ended.
+  kRelease,
+};
+
+// A call of the sidecar that assigns a key range to the backend server or takes
+// it back.
+struct RangeCall
+{
+  RangeCallKind m_kind = RangeCallKind::kGrant;
+  // Both ends are inclusive.
+  uint32_t m_first = 0;
+  uint32_t m_last = 0;
+  uint64_t m_fence = 0;
+  // Only for grants: their validity, counted from the arrival of the call, and
+  // the handover token of the previous holder, or an empty text.
+  Duration m_grantDuration;
+  std::string m_handover;
+};
+
+enum class RangeCallOutcome
+{
+  kDone,
+  // The backend server has seen a higher fencing token for one of the keys.
+  kHigherFenceSeen,
+  // The call had no effect and will have none.
+  kNotApplied,
+  // The call may have taken effect, or may do so later.
+  kUnknown,
+};
+
+struct RangeCallResult
+{
+  RangeCallOutcome m_outcome = RangeCallOutcome::kUnknown;
+  // Token with which the next holder of a released range starts warm; empty if
+  // there is none.
+  std::string m_handover;
+};
+
 // Kinds of calls that a backend server makes to its sidecar.
 enum class BackendCallKind
 {
@@ -117,6 +164,11 @@
   // Returns the start of the lifetime, in Unix milliseconds, from the body of a
   // deregistration; 0 if the body does not give it.
   virtual int64_t ParseLifetimeStartUnixMs(std::string_view aBody) const = 0;
+  virtual http::Request FormatRangeCall(const RangeCall& aCall) const = 0;
+  // A response that the protocol does not define has the outcome kUnknown, and
+  // an unusable handover token counts as none.
+  virtual RangeCallResult ParseRangeCallResponse(
+    const http::Response& aResponse) const = 0;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -99,7 +99,7 @@
   if (verdict != ServeVerdict::kServe) {
     AttemptResult result =
       MakeNotRunResult(ServeVerdictName(verdict), kNotServingRetryDelay);
-    if (verdict == ServeVerdict::kNotOwner) {
+    if (IsOwnershipVerdict(verdict)) {
       result.m_kind = ResultKind::kOwnerMoved;
     }
     return result;
@@ -278,6 +278,10 @@
     m_localBackend.OnContactResult(true, now);
     if (holder == m_localBackend.View().holder()) {
       ApplyAnnouncements(*response);
+      if (response->result() == status::misdirected_request) {
+        m_localBackend.OnMisdirected(
+          FieldValue(*response, names.m_respondingBackend), aAttributes.m_key);
+      }
     }
     co_return ClassifyResponse(std::move(*response), id);
   }
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "GrantBounds.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/fleet/HolderName.h"
@@ -10,19 +11,6 @@
 
 namespace {
 
-// Longest validity of the grants in one response, which each heartbeat renews.
-// Long enough to survive the loss of two heartbeats in a row, which come about
-// every 0.9 s. Bounds the time for which the keys of a crashed backend server
-// have no owner.
-constexpr Duration kMaxGrantDuration = Milliseconds(3000);
-// Grants with a shorter validity than this are of no use and not sent.
-constexpr Duration kMinGrantDuration = Milliseconds(300);
-// The clock of a backend server may run up to 2% slow; the bounds allow for
-// slightly more.
-constexpr int64_t kSlowClockPercent = 3;
-// Allows for the granularity of the clocks and for the time until the response
-// is written.
-constexpr Duration kGrantDurationMargin = Milliseconds(60);
 // Longest time for which a grant of an earlier process of this sidecar can
 // still be in force, including the drift of the backend server's clock.
 constexpr Duration kMaxEarlierGrantDuration = Milliseconds(3200);
@@ -60,12 +48,24 @@
       return "draining";
     case ServeVerdict::kNotOwner:
       return "not-owner";
+    case ServeVerdict::kAwaitsGrant:
+      return "awaits-grant";
+    case ServeVerdict::kAwaitsRelease:
+      return "awaits-release";
     case ServeVerdict::kUnreachable:
       return "unreachable";
   }
   return "unknown";
 }
 
+bool
+IsOwnershipVerdict(ServeVerdict aVerdict)
+{
+  return aVerdict == ServeVerdict::kNotOwner ||
+         aVerdict == ServeVerdict::kAwaitsGrant ||
+         aVerdict == ServeVerdict::kAwaitsRelease;
+}
+
 LocalBackend::LocalBackend(std::string aInstance,
                            std::string aBackendAddress,
                            Duration aDrainTimeout,
@@ -78,7 +78,9 @@
 }
 
 void
-LocalBackend::StartLifetime(const Heartbeat& aHeartbeat, std::string aHolder)
+LocalBackend::StartLifetime(const Heartbeat& aHeartbeat,
+                            std::string aHolder,
+                            TimePoint aNow)
 {
   m_view.Clear();
   m_view.set_holder(std::move(aHolder));
@@ -97,9 +99,76 @@
   m_pendingHandovers.clear();
   m_reachable = true;
   m_failingSince = {};
+  m_callDelivery.OnNewLifetime(aNow);
+  ++m_reportRevision;
+}
+
+void
+LocalBackend::SetRangeDelivery(std::optional<wire::RangeDelivery> aDelivery)
+{
+  if (aDelivery == m_delivery) {
+    return;
+  }
+  if (aDelivery) {
+    LogInfo("backend",
+            "event=range-delivery holder={} way={}",
+            m_view.holder(),
+            wire::RangeDelivery_Name(*aDelivery));
+  }
+  m_delivery = aDelivery;
+  m_callDelivery.SetPlan(RangesToCallFor());
   ++m_reportRevision;
 }
 
+bool
+LocalBackend::DeliversInHeartbeats() const
+{
+  return m_delivery == wire::RANGE_DELIVERY_HEARTBEAT_RESPONSE;
+}
+
+std::span<const wire::OwnedRange>
+LocalBackend::RangesToCallFor() const
+{
+  return m_delivery == wire::RANGE_DELIVERY_CALL
+           ? std::span<const wire::OwnedRange>(m_plannedRanges)
+           : std::span<const wire::OwnedRange>();
+}
+
+std::vector<OutgoingRangeCall>
+LocalBackend::TakeRangeCalls(TimePoint aNow)
+{
+  GrantConditions conditions;
+  conditions.m_leaseEnd = m_leaseEnd;
+  conditions.m_lastHeartbeatAt = m_lastHeartbeatAt;
+  conditions.m_mayGrant =
+    m_view.phase() != wire::BACKEND_PHASE_GONE && !m_mayHaveEnded;
+  return m_callDelivery.TakeCalls(conditions, aNow);
+}
+
+void
+LocalBackend::OnRangeCallEnded(RangeCallId aId,
+                               const RangeCallResult& aResult,
+                               TimePoint aNow)
+{
+  const std::optional<wire::HandedOver> handedOver =
+    m_callDelivery.OnCallEnded(aId, aResult, aNow);
+  if (handedOver && m_pendingHandovers.size() < kMaxPendingHandovers) {
+    m_pendingHandovers.push_back(*handedOver);
+  }
+}
+
+void
+LocalBackend::OnMisdirected(std::string_view aRespondingBackend,
+                            std::optional<uint32_t> aKey)
+{
+  if (!aRespondingBackend.empty() &&
+      aRespondingBackend != m_view.backend_id()) {
+    m_mayHaveEnded = true;
+  } else if (aKey) {
+    m_callDelivery.OnNotHeld(*aKey);
+  }
+}
+
 bool
 LocalBackend::OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
 {
@@ -116,7 +185,7 @@
             m_view.holder(),
             aHeartbeat.m_service,
             aHeartbeat.m_slots);
-    StartLifetime(aHeartbeat, std::move(holder));
+    StartLifetime(aHeartbeat, std::move(holder), aNow);
   } else if (aHeartbeat.m_sequence <= m_heartbeatSequence) {
     return false;
   }
@@ -128,6 +197,7 @@
   m_view.set_service(aHeartbeat.m_service);
   m_view.set_slots(aHeartbeat.m_slots);
   m_reachable = true;
+  m_mayHaveEnded = false;
   m_failingSince = {};
   m_view.set_reachable(true);
   if (aHeartbeat.m_draining) {
@@ -151,11 +221,8 @@
 LocalBackend::MakeHeartbeatResponse(TimePoint aNow)
 {
   HeartbeatResponse response;
-  const Duration leaseLeft = m_leaseEnd - aNow;
-  const Duration longestSafe{ leaseLeft.m_ms * (100 - kSlowClockPercent) / 100 -
-                              kGrantDurationMargin.m_ms };
-  const Duration grantDuration = std::min(kMaxGrantDuration, longestSafe);
-  if (grantDuration < kMinGrantDuration) {
+  const Duration grantDuration = LongestGrantWithin(m_leaseEnd - aNow);
+  if (grantDuration < kMinGrantDuration || !DeliversInHeartbeats()) {
     return response;
   }
   response.m_hasGrants = true;
@@ -169,8 +236,7 @@
   }
   response.m_grantDuration = grantDuration;
   m_offeredRanges = m_plannedRanges;
-  m_offerEnd =
-    aNow + Duration{ grantDuration.m_ms * (100 + kSlowClockPercent) / 100 };
+  m_offerEnd = aNow + OnSlowClock(grantDuration);
   m_lastPossibleHoldEnd = std::max(m_lastPossibleHoldEnd, m_offerEnd);
   return response;
 }
@@ -207,6 +273,9 @@
 bool
 LocalBackend::ShouldWaitForRanges(std::optional<bool> aKeyed) const
 {
+  if (m_delivery && !DeliversInHeartbeats()) {
+    return false;
+  }
   const bool knowsPlan = m_planTerm > 0;
   if (knowsPlan && MustRelease()) {
     return false;
@@ -275,6 +344,7 @@
             m_planTerm,
             m_planNumber,
             m_plannedRanges.size());
+    m_callDelivery.SetPlan(RangesToCallFor());
     ++m_reportRevision;
   }
   m_expectsRanges = aReply.expects_ranges();
@@ -306,6 +376,7 @@
     }
     return;
   }
+  m_mayHaveEnded = true;
   if (m_failingSince == TimePoint{}) {
     m_failingSince = aNow;
   }
@@ -340,15 +411,30 @@
     return ServeVerdict::kUnreachable;
   }
   if (aKeyed && aKey) {
-    const bool isOffered =
-      aNow < m_offerEnd && ContainsKey(m_offeredRanges, *aKey);
-    if (!isOffered) {
-      return ServeVerdict::kNotOwner;
-    }
+    return CheckOwnership(*aKey, aNow);
   }
   return ServeVerdict::kServe;
 }
 
+ServeVerdict
+LocalBackend::CheckOwnership(uint32_t aKey, TimePoint aNow) const
+{
+  if (aNow < m_offerEnd && ContainsKey(m_offeredRanges, aKey)) {
+    return ServeVerdict::kServe;
+  }
+  switch (m_callDelivery.FindKeyState(aKey, aNow)) {
+    case KeyState::kHeld:
+      return ServeVerdict::kServe;
+    case KeyState::kAwaitsGrant:
+      return ServeVerdict::kAwaitsGrant;
+    case KeyState::kAwaitsRelease:
+      return ServeVerdict::kAwaitsRelease;
+    case KeyState::kNone:
+      break;
+  }
+  return ServeVerdict::kNotOwner;
+}
+
 Duration
 LocalBackend::ColdRemaining(TimePoint aNow) const
 {
@@ -367,10 +453,12 @@
   }
   aRequest.set_plan_term(m_planTerm);
   aRequest.set_plan(m_planNumber);
-  // Until the first heartbeat, a grant of an earlier process of this sidecar
-  // may still be in force.
-  aRequest.set_holds_known(m_heartbeatSequence > 0 ||
+  // A grant of an earlier process of this sidecar may still be in force. Only
+  // heartbeats of a backend server that gets its ranges in answers tell.
+  const bool reportsHolds = m_heartbeatSequence > 0 && DeliversInHeartbeats();
+  aRequest.set_holds_known(reportsHolds ||
                            aNow - m_createdAt > kMaxEarlierGrantDuration);
+  m_callDelivery.FillReport(aRequest, aNow);
   const bool allExpired = aNow > m_lastPossibleHoldEnd &&
                           aNow - m_createdAt > kMaxEarlierGrantDuration;
   if (!allExpired) {
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
+#include "CallDelivery.h"
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
 #include "rattanloft/sidecar/BackendProtocol.h"
@@ -19,9 +21,17 @@
   kDraining,
   // The backend server has no valid grant for the key.
   kNotOwner,
+  // The key is planned for the backend server, which has no valid grant yet.
+  kAwaitsGrant,
+  // The key leaves the backend server, which may still hold it.
+  kAwaitsRelease,
   kUnreachable,
 };
 
+// Whether the verdict says that the key has another owner, or will have one.
+bool
+IsOwnershipVerdict(ServeVerdict aVerdict);
+
 // Name of the verdict in log lines and as the reason of a refusal.
 std::string_view
 ServeVerdictName(ServeVerdict aVerdict);
@@ -45,10 +55,25 @@
   bool OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow);
   // Sequence number of the newest heartbeat. Older heartbeats get no grants.
   uint64_t HeartbeatSequence() const { return m_heartbeatSequence; }
-  // The backend server shuts down. aStartedAtUnixMs is the start of its
-  // lifetime, or 0 if the call did not give it.
+  // Sets how the service of the current lifetime gets its ranges. Must be
+  // called after each new lifetime and configuration; empty while it is not
+  // known, which delivers nothing. Ranges that were delivered in another way
+  // count as held until that has ended.
+  void SetRangeDelivery(std::optional<wire::RangeDelivery> aDelivery);
+  // Returns the range calls to send now; see CallDelivery::TakeCalls().
+  std::vector<OutgoingRangeCall> TakeRangeCalls(TimePoint aNow);
+  void OnRangeCallEnded(RangeCallId aId,
+                        const RangeCallResult& aResult,
+                        TimePoint aNow);
+  // The backend server refused a request that was addressed to the current
+  // lifetime: because it is another one, whose id it then gives, or because it
+  // does not hold the key.
+  void OnMisdirected(std::string_view aRespondingBackend,
+                     std::optional<uint32_t> aKey);
   // A response of the current lifetime says that it is about to stop.
   void OnLeavingAnnounced(TimePoint aNow);
+  // The backend server shuts down. aStartedAtUnixMs is the start of its
+  // lifetime, or 0 if the call did not give it.
   void OnDeregistration(std::string_view aBackendId,
                         int64_t aStartedAtUnixMs,
                         TimePoint aNow);
@@ -83,14 +108,23 @@
   // that it returns count as offered from then on.
   HeartbeatResponse MakeHeartbeatResponse(TimePoint aNow);
   // Increases with every change that should be reported to the leader at once.
-  uint64_t ReportRevision() const { return m_reportRevision; }
+  uint64_t ReportRevision() const
+  {
+    return m_reportRevision + m_callDelivery.Revision();
+  }
   const wire::BackendView& View() const { return m_view; }
   Duration ColdRemaining(TimePoint aNow) const;
 
 private:
-  void StartLifetime(const Heartbeat& aHeartbeat, std::string aHolder);
+  void StartLifetime(const Heartbeat& aHeartbeat,
+                     std::string aHolder,
+                     TimePoint aNow);
+  bool DeliversInHeartbeats() const;
+  // The planned ranges if they are delivered by calls, otherwise none.
+  std::span<const wire::OwnedRange> RangesToCallFor() const;
   bool IsReportedHeld(const wire::OwnedRange& aRange) const;
   bool MustRelease() const;
+  ServeVerdict CheckOwnership(uint32_t aKey, TimePoint aNow) const;
   void StartDrain(wire::BackendPhase aPhase, TimePoint aNow);
 
   std::string m_instance;
@@ -122,7 +156,12 @@
   TimePoint m_offerEnd;
   bool m_reachable = true;
   TimePoint m_failingSince;
+  // A connection has failed since the last heartbeat, so that the next process
+  // to listen at the address may be another lifetime.
+  bool m_mayHaveEnded = false;
   std::vector<wire::HandedOver> m_pendingHandovers;
+  std::optional<wire::RangeDelivery> m_delivery;
+  CallDelivery m_callDelivery;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -17,6 +17,7 @@
 #include "EntryHandler.h"
 #include "FleetDirectory.h"
 #include "LocalBackend.h"
+#include "RangeCaller.h"
 #include "SyncClient.h"
 #include "WorkQueue.h"
 #include "rattanloft/base/Clock.h"
@@ -115,6 +116,12 @@
                      m_localHandler,
                      m_quarantine,
                      m_loadCounter)
+    , m_rangeCaller(m_context,
+                    m_clock,
+                    m_protocol,
+                    m_localBackend,
+                    m_options.m_backendAddress,
+                    [this] { OnRangesChanged(); })
   {
     m_syncClient.SetReplyCallback([this] { OnReplyApplied(); });
   }
@@ -240,15 +247,25 @@
     m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
       if (!aError) {
         m_localHandler.Tick();
-        m_syncClient.SyncIfChanged();
+        OnRangesChanged();
         ScheduleTick();
       }
     });
   }
 
-  // Passes new endpoints on to the selector.
+  // Sends the range calls that are due and reports what has changed.
+  void OnRangesChanged()
+  {
+    m_rangeCaller.SendDueCalls();
+    m_syncClient.SyncIfChanged();
+  }
+
+  // Passes new endpoints on to the selector, and a new plan to the backend
+  // server.
   void OnReplyApplied()
   {
+    m_localBackend.SetRangeDelivery(FindRangeDelivery());
+    m_rangeCaller.SendDueCalls();
     if (m_endpointsRevision != m_directory.EndpointsRevision() ||
         m_endpointsTerm != m_directory.EndpointsTerm()) {
       m_endpointsRevision = m_directory.EndpointsRevision();
@@ -339,9 +356,11 @@
       m_localBackend.OnHeartbeat(*heartbeat, m_clock.Now());
     if (m_localBackend.View().holder() != holderBefore) {
       m_localHandler.OnNewLifetime();
+      m_rangeCaller.OnNewLifetime();
     }
+    m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
-    m_syncClient.SyncIfChanged();
+    OnRangesChanged();
     HeartbeatResponse heartbeatResponse;
     if (isAccepted) {
       co_await WaitForRanges();
@@ -396,6 +415,14 @@
     return service != nullptr && service->keyed();
   }
 
+  // Returns nullopt until a configuration with the service is known.
+  std::optional<wire::RangeDelivery> FindRangeDelivery() const
+  {
+    const wire::ServiceSpec* const service = FindOwnService();
+    return service == nullptr ? std::nullopt
+                              : std::optional(service->range_delivery());
+  }
+
   std::string HealthCheckTarget() const
   {
     const wire::ServiceSpec* const service = FindOwnService();
@@ -500,6 +527,7 @@
   BackendHandler m_localHandler;
   SyncClient m_syncClient;
   EntryHandler m_entryHandler;
+  RangeCaller m_rangeCaller;
   std::unique_ptr<http::Server> m_callerServer;
   std::unique_ptr<http::Server> m_peerServer;
   std::unique_ptr<http::Server> m_readyServer;
--- a/modules/sidecar/tests/BackendHandlerTest.cpp
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -36,6 +36,15 @@
   {
     return 0;
   }
+  http::Request FormatRangeCall(const RangeCall& /*aCall*/) const override
+  {
+    return {};
+  }
+  RangeCallResult ParseRangeCallResponse(
+    const http::Response& /*aResponse*/) const override
+  {
+    return {};
+  }
 
 private:
   HeaderNames m_headers;
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -26,7 +26,9 @@
 LocalBackend
 MakeLocalBackend()
 {
-  return LocalBackend("n1", "10.0.0.1:80", Seconds(2), kStart);
+  LocalBackend backend("n1", "10.0.0.1:80", Seconds(2), kStart);
+  backend.SetRangeDelivery(wire::RANGE_DELIVERY_HEARTBEAT_RESPONSE);
+  return backend;
 }
 
 wire::FleetSyncReply
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -29,6 +29,11 @@
 // Longest time for which a sidecar holds the response to a heartbeat.
 constexpr int64_t kMaxHeartbeatHoldMs = 850;
 constexpr int64_t kContactIntervalMs = 200;
+// Longest time for which a backend server leaves a call unanswered before it
+// takes effect.
+constexpr int64_t kMaxLateCallMs = 4000;
+// A backend server needs at least this time to start again.
+constexpr int64_t kMinRestartMs = 2000;
 
 // A range of keys that a simulated backend server holds.
 struct HeldRow
@@ -40,6 +45,15 @@
   int64_t m_busyUntilMs = 0;
   // False once the range was given up.
   bool m_granted = true;
+  int64_t m_holdEndMs = 0;
+};
+
+// A range of keys and a fencing token that a simulated backend server has seen.
+struct SeenFence
+{
+  uint32_t m_first;
+  uint32_t m_last;
+  uint64_t m_fence;
 };
 
 struct Backend
@@ -55,8 +69,9 @@
   // Until then the backend server holds its keys, but sends and answers
   // nothing.
   int64_t m_silentUntilMs = 0;
-  int64_t m_holdEndMs = 0;
   std::vector<HeldRow> m_heldRows;
+  // Only with delivery by calls.
+  std::vector<SeenFence> m_seenFences;
 };
 
 struct SentHeartbeat
@@ -87,8 +102,9 @@
 class FleetSimulation
 {
 public:
-  explicit FleetSimulation(unsigned aSeed)
+  FleetSimulation(unsigned aSeed, wire::RangeDelivery aDelivery)
     : m_random(aSeed)
+    , m_delivery(aDelivery)
   {
     wire::FleetCommand command;
     wire::Configuration& configuration =
@@ -96,6 +112,7 @@
     configuration.set_version(1);
     configuration.add_services()->set_name("s");
     configuration.mutable_services(0)->set_keyed(true);
+    configuration.mutable_services(0)->set_range_delivery(aDelivery);
     m_state.Apply(++m_appliedIndex, command.SerializeAsString());
     m_nodes.resize(4);
     for (size_t i = 0; i < m_nodes.size(); ++i) {
@@ -175,6 +192,7 @@
   {
     aNode.m_localBackend =
       std::make_unique<LocalBackend>(aNode.m_name, "b", Seconds(2), Now());
+    aNode.m_localBackend->SetRangeDelivery(m_delivery);
     aNode.m_session = ++m_lastId;
     aNode.m_sequence = 0;
     aNode.m_reportedRevision = 0;
@@ -209,8 +227,8 @@
   {
     std::erase_if(aBackend.m_heldRows, [&](const HeldRow& aRow) {
       return aRow.m_granted
-               ? m_nowMs >= aBackend.m_holdEndMs
-               : m_nowMs >= std::min(aRow.m_busyUntilMs, aBackend.m_holdEndMs);
+               ? m_nowMs >= aRow.m_holdEndMs
+               : m_nowMs >= std::min(aRow.m_busyUntilMs, aRow.m_holdEndMs);
     });
   }
 
@@ -240,12 +258,16 @@
     heartbeat.m_slots = 4;
     heartbeat.m_sequence = ++backend.m_sequence;
     heartbeat.m_startedAtUnixMs = startedAtUnixMs;
-    heartbeat.m_heldRanges = HeldRanges(backend);
+    if (!UsesCalls()) {
+      heartbeat.m_heldRanges = HeldRanges(backend);
+    }
     backend.m_pendingHeartbeat = heartbeat.m_sequence;
     const int64_t sentMs = m_nowMs;
     const SentHeartbeat sent{ heartbeat, sentMs, m_nodes[aNode].m_session };
-    Schedule(RandomDelayMs(),
-             [this, aNode, sent] { ReceiveHeartbeat(aNode, sent); });
+    const int64_t delayMs = UsesCalls()
+                              ? std::min(RandomDelayMs(), kHeartbeatTimeoutMs)
+                              : RandomDelayMs();
+    Schedule(delayMs, [this, aNode, sent] { ReceiveHeartbeat(aNode, sent); });
     Schedule(RealMs(backend, kHeartbeatTimeoutMs),
              [this, aNode, sentMs, startedAtUnixMs, heartbeat] {
                EndHeartbeat(
@@ -295,6 +317,7 @@
       return;
     }
     const bool isAccepted = node.m_localBackend->OnHeartbeat(heartbeat, Now());
+    SendRangeCalls(aNode);
     SyncIfChanged(aNode);
     node.m_heldHeartbeat = aSent;
     node.m_holdEndMs = m_nowMs + (isAccepted ? kMaxHeartbeatHoldMs : 0);
@@ -373,9 +396,12 @@
       if (m_nowMs < holdEndMs) {
         RequireIncreasingFence(range, aNode, aStartedAtUnixMs);
       }
-      newRows.push_back({ range.first(), range.last(), range.fence() });
+      HeldRow row{ range.first(), range.last(), range.fence() };
+      row.m_holdEndMs = holdEndMs;
+      newRows.push_back(row);
     }
     for (HeldRow row : backend.m_heldRows) {
+      row.m_holdEndMs = holdEndMs;
       if (!row.m_granted) {
         newRows.push_back(row);
         continue;
@@ -392,10 +418,174 @@
       }
     }
     backend.m_heldRows = std::move(newRows);
-    backend.m_holdEndMs = holdEndMs;
     ++m_grantCount;
   }
 
+  bool UsesCalls() const { return m_delivery == wire::RANGE_DELIVERY_CALL; }
+
+  // Sends the range calls of a sidecar that are due.
+  void SendRangeCalls(size_t aNode)
+  {
+    Node& node = m_nodes[aNode];
+    if (!UsesCalls() || m_nowMs < node.m_frozenUntilMs) {
+      return;
+    }
+    for (const OutgoingRangeCall& call :
+         node.m_localBackend->TakeRangeCalls(Now())) {
+      const int64_t delayMs =
+        std::min(RandomDelayMs(), call.m_timeout.m_ms - 1);
+      const uint64_t session = node.m_session;
+      Schedule(delayMs, [this, aNode, call, session] {
+        ReceiveRangeCall(aNode, call, session);
+      });
+      Schedule(call.m_timeout.m_ms, [this, aNode, call, session] {
+        EndRangeCall(aNode, call, session, {});
+      });
+    }
+  }
+
+  void EndRangeCall(size_t aNode,
+                    const OutgoingRangeCall& aCall,
+                    uint64_t aSession,
+                    const RangeCallResult& aResult)
+  {
+    Node& node = m_nodes[aNode];
+    if (node.m_session != aSession) {
+      return;
+    }
+    if (m_nowMs < node.m_frozenUntilMs) {
+      Schedule(node.m_frozenUntilMs - m_nowMs,
+               [this, aNode, aCall, aSession, aResult] {
+                 EndRangeCall(aNode, aCall, aSession, aResult);
+               });
+      return;
+    }
+    node.m_localBackend->OnRangeCallEnded(aCall.m_id, aResult, Now());
+    SendRangeCalls(aNode);
+    SyncIfChanged(aNode);
+  }
+
+  // The call arrives at whichever lifetime listens at the address.
+  void ReceiveRangeCall(size_t aNode,
+                        const OutgoingRangeCall& aCall,
+                        uint64_t aSession)
+  {
+    Node& node = m_nodes[aNode];
+    Backend& backend = node.m_backend;
+    RangeCallResult result;
+    if (!backend.m_running) {
+      result.m_outcome = RangeCallOutcome::kNotApplied;
+      node.m_localBackend->OnContactResult(false, Now());
+      EndRangeCall(aNode, aCall, aSession, result);
+      return;
+    }
+    if (m_nowMs < backend.m_silentUntilMs || node.m_session != aSession) {
+      // The connection is closed before the call is read.
+      return;
+    }
+    const int64_t arrivedMs = m_nowMs;
+    const int64_t startedAtUnixMs = backend.m_startedAtUnixMs;
+    if (m_random() % 15 == 0) {
+      const int64_t lateMs = static_cast<int64_t>(m_random() % kMaxLateCallMs);
+      Schedule(lateMs, [this, aNode, aCall, arrivedMs, startedAtUnixMs] {
+        if (m_nodes[aNode].m_backend.m_startedAtUnixMs == startedAtUnixMs) {
+          ApplyRangeCall(aNode, aCall.m_call, arrivedMs);
+        }
+      });
+      return;
+    }
+    result.m_outcome = ApplyRangeCall(aNode, aCall.m_call, arrivedMs);
+    int64_t answerMs = RandomDelayMs();
+    if (aCall.m_call.m_kind == RangeCallKind::kRelease) {
+      result.m_handover = "t";
+      for (const HeldRow& row : backend.m_heldRows) {
+        if (!row.m_granted) {
+          answerMs = std::max(
+            answerMs, std::min(row.m_busyUntilMs, row.m_holdEndMs) - m_nowMs);
+        }
+      }
+    }
+    Schedule(answerMs, [this, aNode, aCall, aSession, startedAtUnixMs, result] {
+      const Backend& current = m_nodes[aNode].m_backend;
+      if (current.m_running && current.m_startedAtUnixMs == startedAtUnixMs) {
+        EndRangeCall(aNode, aCall, aSession, result);
+      }
+    });
+  }
+
+  // Removes the keys of the call from the granted rows and returns those rows.
+  std::vector<HeldRow> TakeGrantedRows(Backend& aBackend,
+                                       const RangeCall& aCall)
+  {
+    std::vector<HeldRow> taken;
+    std::vector<HeldRow> kept;
+    for (const HeldRow& row : aBackend.m_heldRows) {
+      const uint32_t first = std::max(row.m_first, aCall.m_first);
+      const uint32_t last = std::min(row.m_last, aCall.m_last);
+      if (!row.m_granted || first > last) {
+        kept.push_back(row);
+        continue;
+      }
+      HeldRow part = row;
+      if (row.m_first < first) {
+        part.m_last = first - 1;
+        kept.push_back(part);
+      }
+      if (last < row.m_last) {
+        part.m_first = last + 1;
+        part.m_last = row.m_last;
+        kept.push_back(part);
+      }
+      part.m_first = first;
+      part.m_last = last;
+      taken.push_back(part);
+    }
+    aBackend.m_heldRows = std::move(kept);
+    return taken;
+  }
+
+  RangeCallOutcome ApplyRangeCall(size_t aNode,
+                                  const RangeCall& aCall,
+                                  int64_t aArrivedMs)
+  {
+    Backend& backend = m_nodes[aNode].m_backend;
+    DropExpiredRows(backend);
+    if (aCall.m_kind == RangeCallKind::kRelease) {
+      for (HeldRow row : TakeGrantedRows(backend, aCall)) {
+        row.m_granted = false;
+        row.m_busyUntilMs = m_nowMs + static_cast<int64_t>(m_random() % 300);
+        backend.m_heldRows.push_back(row);
+      }
+      return RangeCallOutcome::kDone;
+    }
+    const bool seenHigher =
+      std::ranges::any_of(backend.m_seenFences, [&](const SeenFence& aSeen) {
+        return aSeen.m_fence > aCall.m_fence && aSeen.m_first <= aCall.m_last &&
+               aCall.m_first <= aSeen.m_last;
+      });
+    if (seenHigher) {
+      return RangeCallOutcome::kHigherFenceSeen;
+    }
+    const int64_t holdEndMs =
+      aArrivedMs + RealMs(backend, aCall.m_grantDuration.m_ms);
+    if (holdEndMs <= m_nowMs) {
+      return RangeCallOutcome::kDone;
+    }
+    TakeGrantedRows(backend, aCall);
+    backend.m_seenFences.push_back(
+      { aCall.m_first, aCall.m_last, aCall.m_fence });
+    wire::OwnedRange range;
+    range.set_first(aCall.m_first);
+    range.set_last(aCall.m_last);
+    range.set_fence(aCall.m_fence);
+    RequireIncreasingFence(range, aNode, backend.m_startedAtUnixMs);
+    HeldRow row{ aCall.m_first, aCall.m_last, aCall.m_fence };
+    row.m_holdEndMs = holdEndMs;
+    backend.m_heldRows.push_back(row);
+    ++m_grantCount;
+    return RangeCallOutcome::kDone;
+  }
+
   // A new owner of a key must get a higher fencing token than the one before.
   void RequireIncreasingFence(const wire::OwnedRange& aRange,
                               size_t aNode,
@@ -476,6 +666,7 @@
         if (node.m_session == aSession &&
             m_nowMs >= node.m_partitionedUntilMs) {
           node.m_localBackend->OnSyncReply(reply, aSentAt);
+          SendRangeCalls(aNode);
           SyncIfChanged(aNode);
           AnswerHeartbeat(aNode);
         }
@@ -486,6 +677,9 @@
   void RunPlanner()
   {
     ProposeAssignments();
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      SendRangeCalls(i);
+    }
     Schedule(100, [this] { RunPlanner(); });
   }
 
@@ -549,7 +743,11 @@
         StartSidecar(node);
         break;
       case 1:
-        StartBackend(node);
+        if (UsesCalls()) {
+          RestartBackend(node, kMinRestartMs);
+        } else {
+          StartBackend(node);
+        }
         break;
       case 2:
         node.m_frozenUntilMs = m_nowMs + faultMs;
@@ -561,8 +759,7 @@
         ElectLeader();
         break;
       case 5:
-        node.m_backend.m_running = false;
-        Schedule(faultMs, [this, &node] { StartBackend(node); });
+        RestartBackend(node, UsesCalls() ? kMinRestartMs + faultMs : faultMs);
         break;
       case 6:
         // Long enough for the grants to expire.
@@ -579,6 +776,16 @@
              [this] { InjectFault(); });
   }
 
+  void RestartBackend(Node& aNode, int64_t aDownMs)
+  {
+    aNode.m_backend.m_running = false;
+    Schedule(aDownMs, [this, &aNode] {
+      if (!aNode.m_backend.m_running) {
+        StartBackend(aNode);
+      }
+    });
+  }
+
   void CheckExclusiveOwnership()
   {
     std::vector<std::pair<uint32_t, uint32_t>> heldSpans;
@@ -605,6 +812,7 @@
   }
 
   std::mt19937 m_random;
+  wire::RangeDelivery m_delivery;
   int64_t m_nowMs = 0;
   uint64_t m_order = 0;
   uint64_t m_stepCount = 0;
@@ -627,12 +835,14 @@
 TEST_CASE("no two backend servers hold the same key at the same time")
 {
   const unsigned seed = GENERATE(range(1U, 7U));
-  CAPTURE(seed);
+  const wire::RangeDelivery delivery = GENERATE(
+    wire::RANGE_DELIVERY_HEARTBEAT_RESPONSE, wire::RANGE_DELIVERY_CALL);
+  CAPTURE(seed, wire::RangeDelivery_Name(delivery));
   SetLogLevel(LogLevel::kError);
   const char* const stepsText = std::getenv("RATTANLOFT_STEPS");
   const uint64_t steps =
     stepsText == nullptr ? 10'000 : std::strtoull(stepsText, nullptr, 10);
-  FleetSimulation simulation(seed);
+  FleetSimulation simulation(seed, delivery);
   int64_t endMs = 0;
   do {
     endMs += 300'000;
--- a/modules/trace/src/RequestTrace.cpp
+++ b/modules/trace/src/RequestTrace.cpp
@@ -69,7 +69,7 @@
       !FindField(aLine, "id").empty()) {
     return false;
   }
-  if (aLine.m_component == "placement") {
+  if (aLine.m_component == "placement" || aLine.m_component == "ranges") {
     return FindField(aLine, "service") == m_service &&
            RangeContainsKey(aLine, m_key);
   }
--- a/modules/trace/tests/RequestTraceTest.cpp
+++ b/modules/trace/tests/RequestTraceTest.cpp
@@ -72,6 +72,41 @@
           "ms=600" });
 }
 
+// Guards against a trace that does not show why the holder of a key may not
+// serve it.
+TEST_CASE("a refused request is shown with the range calls for its key")
+{
+  const std::vector<LogLine> lines = {
+    MakeLogLine(900,
+                "n1",
+                "entry",
+                "event=request id=ab service=s key=70 instance=n2 "
+                "reason=awaits-grant ms=600"),
+    MakeLogLine(700,
+                "n2",
+                "ranges",
+                "event=grant service=s first=0 last=99 outcome=unknown"),
+    MakeLogLine(710,
+                "n2",
+                "ranges",
+                "event=grant service=s first=100 last=199 outcome=unknown"),
+    MakeLogLine(720,
+                "n3",
+                "ranges",
+                "event=release service=s first=50 last=99 outcome=done"),
+    MakeLogLine(730,
+                "n3",
+                "ranges",
+                "event=release service=t first=50 last=99 outcome=done"),
+  };
+  CHECK(TraceTexts(lines, "ab") ==
+        std::vector<std::string>{
+          "event=grant service=s first=0 last=99 outcome=unknown",
+          "event=release service=s first=50 last=99 outcome=done",
+          "*event=request id=ab service=s key=70 instance=n2 "
+          "reason=awaits-grant ms=600" });
+}
+
 // Guards against context lines that are shown without any line of the request.
 TEST_CASE("the trace of a request that no line names is empty")
 {
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -32,6 +32,12 @@
         self.sequence, self.state = 0, "ready"
         # Rows that begin with the first and the last key of a range.
         self.held_ranges, self.hold_end_s, self.released = [], 0, []
+        # Rows of ranges that were granted by calls: first key, last key, fencing
+        # token, end of the hold, handover token.
+        self.granted_rows = []
+        # Each call as its path and its body. While late_call_s is above 0, calls
+        # are not answered and take effect after this time.
+        self.range_calls, self.late_call_s = [], 0
         # Fields that every answer carries.
         self.answer_headers = {}
         # When each request arrived, whether it ran or not.
@@ -88,7 +94,7 @@
                 return
             self.down = True
             self.crash_count += 1
-            self.held_ranges = []
+            self.held_ranges, self.granted_rows = [], []
         self.server.shutdown()
         self.server.server_close()
         for connection in list(self.connections):
@@ -108,12 +114,58 @@
         if key is None:
             return True
         with self.lock:
+            if any(row[0] <= int(key) <= row[1] and time.time() < row[3]
+                   for row in self.granted_rows):
+                return True
             return time.time() < self.hold_end_s and any(
                 row[0] <= int(key) <= row[1] for row in self.held_ranges
             )
 
+    def handle_range_call(self, handler, body):
+        call, arrived_s = json.loads(body), time.time()
+        with self.lock:
+            self.range_calls.append((handler.path, call))
+            late_s, lifetime = self.late_call_s, self.born_unix_ms
+        if late_s:
+            time.sleep(late_s)
+            with self.lock:
+                if lifetime == self.born_unix_ms:
+                    self.apply_range_call(handler.path, call, arrived_s)
+            handler.close_connection = True
+            return
+        with self.lock:
+            status = self.apply_range_call(handler.path, call, arrived_s)
+        handler.send_response(status)
+        if handler.path == "/v1/release":
+            handler.send_header("Handover", f"{call['startRev']}-{call['fence']}")
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
+    def apply_range_call(self, path, call, arrived_s):
+        """Returns the status of the answer."""
+        first, last = call["startRev"], call["targetVersion"]
+        rows = []
+        for row in self.granted_rows:
+            if row[1] < first or last < row[0]:
+                rows.append(row)
+                continue
+            if path == "/v1/grant" and row[2] > call["fence"]:
+                return 409
+            if row[0] < first:
+                rows.append((row[0], first - 1, *row[2:]))
+            if last < row[1]:
+                rows.append((last + 1, row[1], *row[2:]))
+        if path == "/v1/grant":
+            rows.append((first, last, call["fence"], arrived_s + call["holdS"],
+                         call.get("handover", "")))
+        self.granted_rows = rows
+        return 200
+
     def handle_request(self, handler, body):
         headers = handler.headers
+        if handler.path in ("/v1/grant", "/v1/release"):
+            self.handle_range_call(handler, body)
+            return
         with self.lock:
             self.arrival_times.append(time.time())
         wrong_instance = headers.get("Expected-Instance") not in (None, self.backend_id)
@@ -199,7 +251,7 @@
     raise AssertionError(f"not within {timeout_s} s: {description}")
 
 
-def configuration(base_version, version, prefix="/p/"):
+def configuration(base_version, version, prefix="/p/", grants="heartbeat"):
     route = {
         "host": HOST, "pathPrefix": prefix, "routeKind": "idempotent",
         "timeoutS": 2, "targetLatencyS": 1, "priority": 1, "service": "keyed",
@@ -211,7 +263,8 @@
         "baseVersion": f"r{base_version}" if base_version else 0,
         "routes": {"a": route, "b": order},
         "services": {"keyed": {"healthCheckPath": "/h", "maxConnections": 50,
-                               "sharded": True, "warmupS": 1}},
+                               "sharded": True, "warmupS": 1,
+                               "grants": grants}},
         "limits": {},
     })
 
@@ -261,16 +314,23 @@
         ports = {name: free_port()
                  for name in ("caller", "peer", "ready", "announce", "backend")}
         site = {name: f"{ip}:{port}" for name, port in ports.items()}
-        site["process"] = self.start(
+        site["arguments"] = [
             "sidecar", "--zone=z", f"--instance=site-{number}",
             "--backend_service=keyed",
             *(f"--{name}_address={site[name]}" for name in ports),
             f"--coordinators={','.join(self.operators)}",
-            f"--coordinator_port={self.member_port}", "--bounds=retryBudgetSlack=50")
+            f"--coordinator_port={self.member_port}", "--bounds=retryBudgetSlack=50"]
+        site["process"] = self.start(*site["arguments"])
         self.sidecars.append(site)
         self.backends.append(StandInBackend(
             ip, ports["backend"], site["announce"], "keyed", f"i-{number}"))
 
+    def restart_sidecar(self, number):
+        site = self.sidecars[number]
+        site["process"].kill()
+        site["process"].wait()
+        site["process"] = self.start(*site["arguments"])
+
     def put_configuration(self, body, operator=0):
         return send_request(self.operators[operator], "PUT", "/v1/config", body)[0]
 
@@ -296,8 +356,9 @@
                    "Shard-Key": str(key), "Caller-Service": "forged"}
         return send_request(self.sidecars[site]["caller"], method, path, body, headers)
 
-    def start_service(self):
-        wait_for(lambda: self.put_configuration(configuration(0, 2)) == 200, 10,
+    def start_service(self, grants="heartbeat"):
+        first = configuration(0, 2, grants=grants)
+        wait_for(lambda: self.put_configuration(first) == 200, 10,
                  "the first configuration is accepted")
         for site in range(2):
             wait_for(lambda s=site: send_request(self.sidecars[s]["ready"], "GET",
