Refuse at the entry what the owner of a hot key refuses anyway

Cause: every entry sent each of these requests to the owner, about 770 a second, where a sidecar with a tenth of a core answers some 300 refusals a second. The owner fell behind, and entries waited up to the deadline and answered 502 or 504 for requests that no backend server had seen, which callers may not repeat.

Ruled out: the admission queue, which decides at once; the retries, since keyed requests are not repeated after a refusal for load.

Change: OverloadThrottle, client-side throttling for each owner and route: an entry refuses with the probability that leaves the owner about twice what it accepts. The refusal is 503, not-run, with a time to come back.

--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "rattanloft/base/Log.h"
+#include "rattanloft/base/Random.h"
 #include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::sidecar {
@@ -38,6 +39,8 @@
 constexpr Duration kNoConfigurationRetryDelay = Milliseconds(300);
 constexpr Duration kNoBackendRetryDelay = Milliseconds(200);
 constexpr Duration kStalledOwnerRetryDelay = Milliseconds(400);
+constexpr Duration kThrottledRetryDelay = Milliseconds(400);
+constexpr std::string_view kPeerUnreachableReason = "peer-unreachable";
 // Requests with at most this target latency get the lowest rank and start
 // first. They are typically nested calls of a running request; refusing them
 // wastes the work of that request.
@@ -65,6 +68,7 @@
   , m_localHandler(aLocalHandler)
   , m_quarantine(aQuarantine)
   , m_loadCounter(aLoadCounter)
+  , m_overloadThrottle(RandomId())
 {
 }
 
@@ -258,9 +262,17 @@
       last.m_retryAfter = kStalledOwnerRetryDelay;
       break;
     }
+    const std::string target = aState.m_instance + '|' + aState.m_route->name();
+    if (aState.m_keyed && !m_overloadThrottle.MaySend(target, m_clock.Now())) {
+      last = MakeNotRunResult("owner-overloaded", kThrottledRetryDelay);
+      break;
+    }
     aState.m_triedInstances.insert(aState.m_instance);
     AttemptResult result = co_await SendToInstance(aRequest, aState, aCancel);
     last = std::move(result);
+    if (aState.m_keyed) {
+      RecordAcceptance(target, last);
+    }
     step = policy.OnResult(
       last, m_clock.Now(), [&] { return TryTakeRetry(aState.m_service); });
   }
@@ -272,6 +284,19 @@
   co_return last;
 }
 
+// Refusals for other reasons than load, such as a move of the key, and failures
+// of the backend server say nothing about the load.
+void
+EntryHandler::RecordAcceptance(const std::string& aTarget,
+                               const AttemptResult& aResult)
+{
+  const bool isAccepted = aResult.m_outcome == AttemptOutcome::kAnswered;
+  if (isAccepted || aResult.m_kind == ResultKind::kOverloaded ||
+      aResult.m_reason == kPeerUnreachableReason) {
+    m_overloadThrottle.OnResult(aTarget, isAccepted, m_clock.Now());
+  }
+}
+
 RequestAttributes
 EntryHandler::MakeAttributes(const RequestState& aState) const
 {
@@ -361,7 +386,7 @@
   }
   const http::HttpError& error = response.error();
   AttemptResult result;
-  result.m_reason = "peer-unreachable";
+  result.m_reason = kPeerUnreachableReason;
   result.m_retryAfter = kNoBackendRetryDelay;
   result.m_reachedBackend = error.m_maybeSent;
   result.m_outcome =
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -14,6 +14,7 @@
 #include "EndpointSelector.h"
 #include "FleetDirectory.h"
 #include "FleetRetryBudget.h"
+#include "OverloadThrottle.h"
 #include "PeerHeaders.h"
 #include "SyncClient.h"
 #include "rattanloft/base/Clock.h"
@@ -102,6 +103,8 @@
     const std::string& aAddress,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
+  void RecordAcceptance(const std::string& aTarget,
+                        const AttemptResult& aResult);
   static AttemptPolicy MakeAttemptPolicy(const RequestState& aState);
   // Takes one retry from the budget of the service; returns false if the budget
   // is used up.
@@ -130,6 +133,7 @@
   LoadCounter& m_loadCounter;
   fleet::TargetPicker m_targetPicker;
   std::map<std::string, FleetRetryBudget> m_retryBudgets;
+  OverloadThrottle m_overloadThrottle;
   EntryCounters m_counters;
 };
 
