Answer the requests that a planned stop would cut off

A sidecar that was told to stop had read requests 2.3 s later, of a route whose callers wait for 8 s. They waited for peers without a processor share when the grace period ended, and their connections were closed without an answer.

Change: 300 ms before requests would be cut off, the stop ends all waits for a slot, an owner or an answer.

--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -18,6 +18,7 @@
 #include "FleetDirectory.h"
 #include "LocalBackend.h"
 #include "RangeCaller.h"
+#include "RunningRequests.h"
 #include "SyncClient.h"
 #include "WorkQueue.h"
 #include "rattanloft/base/Clock.h"
@@ -54,6 +55,9 @@
 // Requests that still run are cut off this long before the end of the grace
 // period.
 constexpr Duration kStopReserve = Milliseconds(300);
+// Requests that still run this long before they would be cut off get an answer
+// that says what is known of them.
+constexpr Duration kFinalAnswerTime = Milliseconds(300);
 constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 // Longer than the time for which callers keep idle connections: up to four
 // fifths of the configured idle timeout, of which the longest that is expected
@@ -139,7 +143,7 @@
         &m_callerServer,
         [this](http::Request aRequest,
                std::shared_ptr<http::CancelToken> aCancel) {
-          return m_entryHandler.Serve(std::move(aRequest), std::move(aCancel));
+          return ServeCaller(std::move(aRequest), std::move(aCancel));
         } },
       { &m_options.m_peerAddress,
         &m_peerServer,
@@ -282,10 +286,20 @@
     co_return response;
   }
 
+  asio::awaitable<http::Response> ServeCaller(
+    http::Request aRequest,
+    std::shared_ptr<http::CancelToken> aCancel)
+  {
+    const RunningRequests::Guard guard(m_runningRequests, aCancel);
+    co_return co_await m_entryHandler.Serve(std::move(aRequest),
+                                            std::move(aCancel));
+  }
+
   asio::awaitable<http::Response> ServePeer(
     http::Request aRequest,
     std::shared_ptr<http::CancelToken> aCancel)
   {
+    const RunningRequests::Guard guard(m_runningRequests, aCancel);
     const HeaderNames& names = m_protocol.Headers();
     RequestAttributes attributes;
     attributes.m_service = FieldValue(aRequest, kServiceField);
@@ -486,6 +500,14 @@
     --m_serversToStop;
   }
 
+  asio::awaitable<void> WaitForServers(TimePoint aEnd)
+  {
+    constexpr Duration kStopPollInterval = Milliseconds(50);
+    do {
+      co_await Sleep(kStopPollInterval);
+    } while (m_serversToStop > 0 && m_clock.Now() < aEnd);
+  }
+
   // Fails the readiness checks, then stops the listeners and waits for running
   // requests until the grace period ends.
   asio::awaitable<void> Stop()
@@ -500,10 +522,14 @@
     co_await Sleep(kDrainNoticeTime);
     asio::co_spawn(m_context, StopServer(*m_callerServer), asio::detached);
     asio::co_spawn(m_context, StopServer(*m_peerServer), asio::detached);
-    constexpr Duration kStopPollInterval = Milliseconds(50);
-    do {
-      co_await Sleep(kStopPollInterval);
-    } while (m_serversToStop > 0 && m_clock.Now() < end);
+    co_await WaitForServers(end - kFinalAnswerTime);
+    if (m_serversToStop > 0) {
+      LogInfo("sidecar",
+              "event=stop-ends-waits running={}",
+              m_runningRequests.Count());
+      m_runningRequests.CancelAll();
+      co_await WaitForServers(end);
+    }
     LogInfo("sidecar", "event=stopped cut_off={}", m_serversToStop);
     m_context.stop();
   }
@@ -528,6 +554,7 @@
   SyncClient m_syncClient;
   EntryHandler m_entryHandler;
   RangeCaller m_rangeCaller;
+  RunningRequests m_runningRequests;
   std::unique_ptr<http::Server> m_callerServer;
   std::unique_ptr<http::Server> m_peerServer;
   std::unique_ptr<http::Server> m_readyServer;
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -270,6 +270,8 @@
 
 
 class FleetTestCase(unittest.TestCase):
+    bounds = "retryBudgetSlack=50"
+
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
@@ -319,7 +321,7 @@
             "--backend_service=keyed",
             *(f"--{name}_address={site[name]}" for name in ports),
             f"--coordinators={','.join(self.operators)}",
-            f"--coordinator_port={self.member_port}", "--bounds=retryBudgetSlack=50"]
+            f"--coordinator_port={self.member_port}", f"--bounds={self.bounds}"]
         site["process"] = self.start(*site["arguments"])
         self.sidecars.append(site)
         self.backends.append(StandInBackend(
