--- a/modules/fleet/include/rattanloft/fleet/FleetState.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetState.h
@@ -85,6 +85,16 @@
   uint32_t m_last = 0;
 };
 
+// Whether two ranges of keys, whose ends are inclusive, have a key in common.
+constexpr bool
+KeysOverlap(uint32_t aFirst,
+            uint32_t aLast,
+            uint32_t aOtherFirst,
+            uint32_t aOtherLast)
+{
+  return aFirst <= aOtherLast && aOtherFirst <= aLast;
+}
+
 // Returns the parts of the ranges that lie in none of the spans. The spans may
 // overlap and need no order.
 std::vector<wire::OwnedRange>
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -40,15 +40,6 @@
 // transferred.
 constexpr size_t kMaxHandoversPerHolder = 64;
 
-bool
-Overlaps(uint32_t aFirst,
-         uint32_t aLast,
-         uint32_t aOtherFirst,
-         uint32_t aOtherLast)
-{
-  return aFirst <= aOtherLast && aOtherFirst <= aLast;
-}
-
 // A sidecar that is stopping still serves for some seconds, but is listed as
 // draining, so that it gets no new work that can go elsewhere.
 wire::Endpoint
@@ -231,7 +222,7 @@
   }
   return std::ranges::none_of(
     last.possible_holds(), [&](const wire::KeyRange& aRange) {
-      return Overlaps(
+      return KeysOverlap(
         aRange.first(), aRange.last(), aTransfer.m_first, aTransfer.m_last);
     });
 }
@@ -312,7 +303,7 @@
     }
     for (const wire::RefusedRange& refused : holder->second.m_refusedRanges) {
       if (refused.fence() == range.fence() &&
-          Overlaps(
+          KeysOverlap(
             range.first(), range.last(), refused.first(), refused.last())) {
         transfers.push_back({ std::max(range.first(), refused.first()),
                               std::min(range.last(), refused.last()),
@@ -367,10 +358,10 @@
   const auto isMoving = [&](const RangeTransfer& aTransfer) {
     return std::ranges::any_of(aService.m_pendingTransfers,
                                [&](const PendingTransfer& aPending) {
-                                 return Overlaps(aTransfer.m_first,
-                                                 aTransfer.m_last,
-                                                 aPending.m_transfer.m_first,
-                                                 aPending.m_transfer.m_last);
+                                 return KeysOverlap(aTransfer.m_first,
+                                                    aTransfer.m_last,
+                                                    aPending.m_transfer.m_first,
+                                                    aPending.m_transfer.m_last);
                                });
   };
   std::vector<RangeTransfer> transfers = ListRefusedRanges(aServiceName);
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -355,6 +355,11 @@
 {
   const HeaderNames& names = m_protocol.Headers();
   const bool isMisdirected = aResponse.result() == status::misdirected_request;
+  // The connection may still deliver a copy of the answer to an earlier
+  // request.
+  if (FieldValue(aResponse, names.m_requestId) != aRequestId) {
+    return MakeUnknownResult("answer-of-another-request");
+  }
   if (isMisdirected || !FieldValue(aResponse, names.m_notRun).empty()) {
     const bool isFull = aResponse.result() == status::service_unavailable ||
                         aResponse.result() == status::too_many_requests;
@@ -364,9 +369,6 @@
                             kNotServingRetryDelay,
                             true);
   }
-  if (FieldValue(aResponse, names.m_requestId) != aRequestId) {
-    return MakeUnknownResult("answer-of-another-request");
-  }
   const bool isSuccess =
     to_status_class(aResponse.result()) == status_class::successful;
   if (isSuccess && (FieldValue(aResponse, names.m_signature).empty() ||
--- a/modules/sidecar/src/CallDelivery.cpp
+++ b/modules/sidecar/src/CallDelivery.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "GrantBounds.h"
-#include "rattanloft/base/Log.h"
+#include "rattanloft/fleet/FleetState.h"
 
 namespace rattanloft::sidecar {
 
@@ -28,15 +28,6 @@
 constexpr size_t kMaxPendingGrants = 4;
 constexpr size_t kMaxPendingReleases = 8;
 
-bool
-Overlaps(uint32_t aFirst,
-         uint32_t aLast,
-         uint32_t aOtherFirst,
-         uint32_t aOtherLast)
-{
-  return aFirst <= aOtherLast && aOtherFirst <= aLast;
-}
-
 // Returns the validity of a grant that may arrive until its timeout, such that
 // it ends before the lease even on a slow clock.
 Duration
@@ -85,7 +76,8 @@
   uint64_t next = aPiece.m_first;
   for (const wire::OwnedRange& range : aPlan) {
     if (range.fence() != aPiece.m_fence ||
-        !Overlaps(range.first(), range.last(), aPiece.m_first, aPiece.m_last)) {
+        !fleet::KeysOverlap(
+          range.first(), range.last(), aPiece.m_first, aPiece.m_last)) {
       continue;
     }
     const uint32_t first = std::max(range.first(), aPiece.m_first);
@@ -208,7 +200,7 @@
 {
   return std::ranges::any_of(m_pieces, [&](const Piece& aOther) {
     return !aOther.m_isPlanned &&
-           Overlaps(
+           fleet::KeysOverlap(
              aPiece.m_first, aPiece.m_last, aOther.m_first, aOther.m_last);
   });
 }
--- /dev/null
+++ b/tests/StrayAnswerTest.py
@@ -0,0 +1,27 @@
+"""Tests that a late copy of another answer is not taken for an answer."""
+
+import unittest
+
+from fleet_fixture import FleetTestCase
+
+
+class StrayAnswerTest(FleetTestCase):
+    def test_a_late_copy_of_a_refusal_refuses_nothing(self):
+        """Guards against not-run for a request that runs."""
+        self.start_service()
+        for backend in self.backends:
+            backend.stray_refusal_paths.add("/order/stray")
+        for key in (0, 20000, 40000, 65535):
+            status, _ = self.send_through_sidecar(0, "/order/stray", key,
+                                                  f"stray{key}", "POST", "stand")
+            runs = [run for backend in self.backends
+                    for run in backend.executed_requests if run[0] == f"stray{key}"]
+            self.assertEqual(len(runs), 1)
+            self.assertEqual(status, 502)
+            # The next request gets its own answer.
+            status, text = self.send_through_sidecar(0, "/p/next", key, f"next{key}")
+            self.assertEqual((status, "/p/next" in text), (200, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -47,6 +47,9 @@
         self.down = False
         # Requests with these paths crash the backend server that runs them.
         self.harmful_paths, self.crash_count = set(), 0
+        # Before the answers to requests with these paths comes a copy of a
+        # refusal of an earlier request.
+        self.stray_refusal_paths = set()
         # Requests with these paths take this long.
         self.slow_paths, self.slow_time_s = set(), 0.3
         self.ip, self.port = ip, port
@@ -171,6 +174,7 @@
         wrong_instance = headers.get("Expected-Instance") not in (None, self.backend_id)
         if wrong_instance or not self.holds_key(headers.get("Shard-Key")):
             handler.send_response(421)
+            handler.send_header("Attempt-Id", headers.get("Attempt-Id", ""))
             handler.send_header("Not-Executed", "1")
             handler.send_header("Content-Length", "0")
             handler.end_headers()
@@ -181,6 +185,9 @@
         if handler.path in self.harmful_paths:
             self.crash()
             return
+        if handler.path in self.stray_refusal_paths:
+            handler.wfile.write(b"HTTP/1.1 503 Service Unavailable\r\n"
+                                b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         if handler.path in self.slow_paths:
             time.sleep(self.slow_time_s)
         text = f"{self.backend_id} {handler.path} ".encode() + body
