--- a/modules/sidecar/src/RangeCaller.cpp
+++ b/modules/sidecar/src/RangeCaller.cpp
@@ -117,7 +117,8 @@
   m_onEnded();
 }
 
-// Grants that succeed are frequent renewals and not logged.
+// Logs grants that succeed only if they pass a handover token on; the others
+// are frequent renewals.
 void
 RangeCaller::LogResult(const OutgoingRangeCall& aCall,
                        const RangeCallResult& aResult,
@@ -125,8 +126,8 @@
                        std::string_view aReason) const
 {
   const bool isGrant = aCall.m_call.m_kind == RangeCallKind::kGrant;
-  const bool isFirst = !aCall.m_call.m_handover.empty();
-  if (isGrant && aResult.m_outcome == RangeCallOutcome::kDone && !isFirst) {
+  const bool isWarmGrant = !aCall.m_call.m_handover.empty();
+  if (isGrant && aResult.m_outcome == RangeCallOutcome::kDone && !isWarmGrant) {
     return;
   }
   LogInfo("ranges",
@@ -140,7 +141,7 @@
           aCall.m_call.m_last,
           aCall.m_call.m_fence,
           aCall.m_call.m_grantDuration.m_ms,
-          isGrant ? isFirst : !aResult.m_handover.empty(),
+          isGrant ? isWarmGrant : !aResult.m_handover.empty(),
           OutcomeName(aResult.m_outcome),
           aCallTime.m_ms,
           aReason);
