--- a/modules/http/tests/ClientTest.cpp
+++ b/modules/http/tests/ClientTest.cpp
@@ -574,4 +574,38 @@
   CHECK(timeoutCount >= 80);
 }
 
+// Guards against a request whose content is outdated because the process was
+// stopped between its preparation and the write.
+TEST_CASE("A request that could not be written in time is not sent")
+{
+  const bool isStopped = GENERATE(false, true);
+  asio::io_context context;
+  int requestCount = 0;
+  ScriptedPeer peer(context,
+                    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+                      while (co_await ReadRequestHeader(aSocket)) {
+                        ++requestCount;
+                        co_await SendText(aSocket, kOkResponse);
+                      }
+                    });
+  ClientOptions options;
+  options.m_maxSendDelay = Milliseconds(1000);
+  const auto client = Client::Make(context, options);
+  ExchangeResult result;
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    if (isStopped) {
+      asio::post(context, [] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+      });
+    }
+    result = co_await client->Exchange(
+      LoopbackAddress(peer.Port()), MakeRequest("/"), Seconds(2));
+  });
+  CHECK(result.has_value() != isStopped);
+  CHECK(requestCount == (isStopped ? 0 : 1));
+  if (!result) {
+    CHECK_FALSE(result.error().m_maybeSent);
+  }
+}
+
 } // namespace rattanloft::http
