Count refusals by reason, and tell which coordinators take no part

Coordinators now serve rattanloft_has_leader and rattanloft_storage_failed, control instances rattanloft_control_storage_failed, and sidecars rattanloft_not_run_by_reason. Requests that are refused before a route is chosen count as not run as well; they were in the log only.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -61,6 +61,8 @@
 struct RaftStatus
 {
   Role m_role = Role::kFollower;
+  // Whether this replica takes no part in the group because its stores failed.
+  bool m_storageFailed = false;
   uint64_t m_replicaId = 0;
   uint64_t m_term = 0;
   // Replica id of the leader, 0 if it is unknown.
--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -159,6 +159,7 @@
 {
   RaftStatus status;
   status.m_role = m_core.GetRole();
+  status.m_storageFailed = m_core.HasFailed();
   status.m_replicaId = m_options.m_replicaId;
   status.m_term = m_core.CurrentTerm();
   status.m_leaderId = m_core.LeaderId();
--- a/modules/control/src/StatusReport.cpp
+++ b/modules/control/src/StatusReport.cpp
@@ -185,6 +185,10 @@
           status.m_role == consensus::Role::kLeader ? 1 : 0);
   out.Add(
     "has_leader", "gauge", "1 if a leader is known", status.m_leaderId != 0);
+  out.Add("storage_failed",
+          "gauge",
+          "1 while the disk refuses writes and the instance takes no part",
+          status.m_storageFailed ? 1 : 0);
   out.Add("term", "gauge", "Raft term", status.m_term);
   out.Add("last_index", "gauge", "Last log index", status.m_lastIndex);
   out.Add("commit_index", "gauge", "Committed index", status.m_commitIndex);
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -294,6 +294,8 @@
     return fmt::format("rattanloft_leading {}\nrattanloft_term {}\n"
                        "rattanloft_commit_index {}\nrattanloft_voters {}\n"
                        "rattanloft_voter {}\n"
+                       "rattanloft_has_leader {}\n"
+                       "rattanloft_storage_failed {}\n"
                        "rattanloft_configuration_version {}\n"
                        "rattanloft_sidecars {}\n",
                        m_fleetControl->IsLeading() ? 1 : 0,
@@ -301,6 +303,8 @@
                        log.m_commitIndex,
                        fleet::CountVoters(log.m_config),
                        IsVoter(log) ? 1 : 0,
+                       log.m_leaderId != 0 ? 1 : 0,
+                       log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
                        m_fleetControl->CountSidecars());
   }
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -165,6 +165,7 @@
     AttemptResult result;
     result.m_outcome = AttemptOutcome::kNotRun;
     result.m_reason = refusal->body().substr(0, refusal->body().size() - 1);
+    CountNotRun(result.m_reason);
     LogOutcome(state, result, refusal->result_int());
     co_return std::move(*refusal);
   }
@@ -416,7 +417,7 @@
       response = std::move(aResult.m_response);
       break;
     case AttemptOutcome::kNotRun:
-      ++m_counters.m_notRun;
+      CountNotRun(aResult.m_reason);
       response = MakeRefusal(status::service_unavailable,
                              aResult.m_reason,
                              std::max(aResult.m_retryAfter, Milliseconds(20)));
@@ -434,6 +435,18 @@
   return response;
 }
 
+// A reason may come from another sidecar, so their number is bounded.
+void
+EntryHandler::CountNotRun(const std::string& aReason)
+{
+  constexpr size_t kMaxReasons = 64;
+  ++m_counters.m_notRun;
+  auto& counts = m_counters.m_notRunByReason;
+  if (counts.contains(aReason) || counts.size() < kMaxReasons) {
+    ++counts[aReason];
+  }
+}
+
 void
 EntryHandler::LogOutcome(const RequestState& aState,
                          const AttemptResult& aResult,
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -33,6 +33,8 @@
   uint64_t m_notRun = 0;
   uint64_t m_unknown = 0;
   uint64_t m_retries = 0;
+  // The requests in m_notRun by the reason of the refusal.
+  std::map<std::string, uint64_t> m_notRunByReason;
 };
 
 // Serves the requests that originate on this instance: selects the route, the
@@ -119,6 +121,7 @@
   void LogOutcome(const RequestState& aState,
                   const AttemptResult& aResult,
                   unsigned aStatus) const;
+  void CountNotRun(const std::string& aReason);
   FleetRetryBudget& FindRetryBudget(const std::string& aService);
 
   boost::asio::io_context& m_context;
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -468,6 +468,10 @@
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
       m_workQueue.RateLimit().value_or(0));
+    for (const auto& [reason, count] : counters.m_notRunByReason) {
+      response.body() += fmt::format(
+        "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
+    }
     co_return response;
   }
 
