--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import os
+import resource
 import socket
 import subprocess
 import tempfile
@@ -304,7 +305,10 @@
 
     def start(self, *arguments):
         log = open(os.path.join(self.folder.name, f"{len(self.processes)}.log"), "w")
-        process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log)
+        # Leaves SIGXFSZ ignored, so that a write beyond a limit on the size of
+        # files fails instead of ending the process.
+        process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log,
+                                   restore_signals=False)
         log.close()
         self.processes.append(process)
         return process
@@ -340,6 +344,12 @@
         site["process"].wait()
         site["process"] = self.start(*site["arguments"])
 
+    def fill_disk(self, coordinator, is_full):
+        """Lets the coordinator's writes to files fail, or succeed again."""
+        hard_limit = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+        resource.prlimit(self.processes[coordinator].pid, resource.RLIMIT_FSIZE,
+                         (0 if is_full else hard_limit, hard_limit))
+
     def put_configuration(self, body, operator=0):
         return send_request(self.operators[operator], "PUT", "/v1/config", body)[0]
 
