Let replicas take part again once their disks accept writes

Cause: after one refused write or sync, a replica took no part in the group until its process was restarted. Its process went on, so nothing restarted it. Class of fault: a passing failure with a lasting effect.

Ruled out: ranges that are stuck under a leader, and answers to heartbeats that backend servers do not take.

Change: a failed replica tries every 250 ms to recover. The log store drops what was never synced, reads the rest again, and proves with a write and a sync that the disk accepts both; then a new Raft core starts from that state, as after a restart of the process. A replica whose log lacks entries that it has applied stays out. The log store no longer logs a refused write itself, since its callers do, and each attempt would repeat it.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -113,8 +113,10 @@
 
 // A log of commands that is replicated by Raft. Stores entries through the log
 // and snapshot stores, exchanges messages through the transport, and applies
-// committed commands to the state machine. Every method must be called on the
-// control thread of the process that owns the log; aNow is the current time.
+// committed commands to the state machine. After a storage failure the replica
+// takes no part in the group until the stores accept writes again. Every method
+// must be called on the control thread of the process that owns the log; aNow
+// is the current time.
 class ReplicatedLog
 {
 public:
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -12,6 +12,7 @@
 
 #include "EntryLog.h"
 #include "FollowerProgress.h"
+#include "PersistedRaftState.h"
 #include "raft.pb.h"
 #include "rattanloft/base/Time.h"
 #include "rattanloft/consensus/ReplicatedLog.h"
@@ -35,16 +36,6 @@
   size_t m_retainedBytes = 0;
 };
 
-// The state that the stores held at the start of the process.
-struct PersistedRaftState
-{
-  wire::HardState m_hardState;
-  // Null if there is none.
-  std::shared_ptr<const storage::Snapshot> m_snapshot;
-  // The entries after the snapshot.
-  std::vector<wire::LogEntry> m_entries;
-};
-
 // What the driver must do next, in this order: send m_messagesBeforeSync, write
 // and sync everything that is to be stored, call RaftCore::OnPersisted(), and
 // send m_messagesAfterSync. If m_hardState is set, m_messagesBeforeSync must
@@ -111,7 +102,8 @@
   // To be called when everything in the last actions is durable.
   void OnPersisted();
   // To be called when the stores failed. From then on this replica gives no
-  // vote, acknowledges nothing and does not lead.
+  // vote, acknowledges nothing and does not lead. A new core over the persisted
+  // state replaces this one once the stores accept writes again.
   void OnStorageFailed();
 
   // Replaces the snapshot and drops the entries covered by it that no follower
--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -4,11 +4,34 @@
 
 #include <fmt/format.h>
 
+#include "PersistedRaftState.h"
 #include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
 
 namespace rattanloft::consensus {
 
+namespace {
+
+// Interval between two attempts to write again after a storage failure.
+constexpr Duration kRecoveryInterval = Milliseconds(250);
+
+RaftCoreOptions
+MakeCoreOptions(const ReplicatedLogOptions& aOptions)
+{
+  return { aOptions.m_replicaId,
+           aOptions.m_seed,
+           aOptions.m_heartbeatInterval,
+           aOptions.m_minElectionTimeout,
+           aOptions.m_maxElectionTimeout,
+           aOptions.m_minStartupElectionTimeout,
+           aOptions.m_maxStartupElectionTimeout,
+           aOptions.m_startupPeriod,
+           aOptions.m_retainedEntries,
+           aOptions.m_snapshotIntervalBytes };
+}
+
+} // namespace
+
 ReplicatedLogImpl::ReplicatedLogImpl(const ReplicatedLogOptions& aOptions,
                                      PersistedRaftState aState,
                                      storage::LogStore& aLogStore,
@@ -21,18 +44,7 @@
   , m_snapshotStore(aSnapshotStore)
   , m_stateMachine(aStateMachine)
   , m_transport(aTransport)
-  , m_core({ aOptions.m_replicaId,
-             aOptions.m_seed,
-             aOptions.m_heartbeatInterval,
-             aOptions.m_minElectionTimeout,
-             aOptions.m_maxElectionTimeout,
-             aOptions.m_minStartupElectionTimeout,
-             aOptions.m_maxStartupElectionTimeout,
-             aOptions.m_startupPeriod,
-             aOptions.m_retainedEntries,
-             aOptions.m_snapshotIntervalBytes },
-           std::move(aState),
-           aNow)
+  , m_core(MakeCoreOptions(aOptions), std::move(aState), aNow)
   , m_lastAppliedIndex(m_core.CommitIndex())
 {
   PublishConfigIfChanged();
@@ -41,6 +53,7 @@
 void
 ReplicatedLogImpl::Tick(TimePoint aNow)
 {
+  RecoverIfDue(aNow);
   m_core.Tick(aNow);
   Flush(aNow);
 }
@@ -312,6 +325,78 @@
   m_core.OnStorageFailed();
 }
 
+void
+ReplicatedLogImpl::RecoverIfDue(TimePoint aNow)
+{
+  if (!m_core.HasFailed()) {
+    m_nextRecoveryAt = aNow + kRecoveryInterval;
+    return;
+  }
+  if (aNow < m_nextRecoveryAt) {
+    return;
+  }
+  m_nextRecoveryAt = aNow + kRecoveryInterval;
+  if (auto recovered = Recover(aNow); !recovered) {
+    // Each attempt fails for the same reason while the disk refuses writes.
+    if (recovered.error().m_message != m_failureReason) {
+      m_failureReason = recovered.error().m_message;
+      rattanloft::LogWarning("raft",
+                             "replica {:x} cannot take part again: {}",
+                             m_options.m_replicaId,
+                             m_failureReason);
+    }
+    return;
+  }
+  m_failureReason.clear();
+  rattanloft::LogInfo("raft",
+                      "replica {:x} takes part again in term {}, last index {}",
+                      m_options.m_replicaId,
+                      m_core.CurrentTerm(),
+                      m_core.Entries().LastIndex());
+}
+
+// Starts again from what is durable, as after a restart of the process. The
+// state machine keeps what it has applied, which is committed and thus equal on
+// all replicas.
+tl::expected<void, RaftError>
+ReplicatedLogImpl::Recover(TimePoint aNow)
+{
+  if (auto stored = m_logStore.Recover(); !stored) {
+    return tl::unexpected(ToRaftError(stored.error()));
+  }
+  auto snapshot = m_snapshotStore.Load();
+  if (!snapshot) {
+    return tl::unexpected(ToRaftError(snapshot.error()));
+  }
+  auto state = LoadPersistedState(m_logStore, std::move(*snapshot));
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  if (m_logStore.LastIndex() < m_lastAppliedIndex) {
+    return tl::unexpected(
+      RaftError{ RaftErrorCode::kStorageFailure,
+                 fmt::format("the log ends at {}, before the applied entry {}",
+                             m_logStore.LastIndex(),
+                             m_lastAppliedIndex) });
+  }
+  // The failure may have come between saving a received snapshot and restoring
+  // it.
+  const storage::Snapshot* const received = state->m_snapshot.get();
+  if (received != nullptr && received->m_meta.index() > m_lastAppliedIndex) {
+    if (auto restored = m_stateMachine.RestoreSnapshot(received->m_data);
+        !restored) {
+      return tl::unexpected(
+        RaftError{ RaftErrorCode::kStorageFailure, restored.error() });
+    }
+    m_lastAppliedIndex = received->m_meta.index();
+  }
+  RaftCoreOptions options = MakeCoreOptions(m_options);
+  // The other replicas may have a leader.
+  options.m_startupPeriod = {};
+  m_core = RaftCore(options, std::move(*state), aNow);
+  return {};
+}
+
 void
 ReplicatedLogImpl::ApplyCommitted()
 {
--- a/modules/consensus/src/ReplicatedLogImpl.h
+++ b/modules/consensus/src/ReplicatedLogImpl.h
@@ -74,8 +74,11 @@
   storage::StoreResult<void> PersistReceivedSnapshot(
     const storage::Snapshot& aSnapshot);
   void SendMessages(const std::vector<wire::RaftMessage>& aMessages);
-  // Ends the part of this replica in the group after a storage failure.
+  // Ends the part of this replica in the group after a storage failure, until
+  // the stores accept writes again.
   void StopParticipating(const std::string& aReason);
+  void RecoverIfDue(TimePoint aNow);
+  tl::expected<void, RaftError> Recover(TimePoint aNow);
   void ApplyCommitted();
   // Completes the proposals up to aIndex, whose applied entry has term aTerm.
   void CompleteProposals(uint64_t aIndex, uint64_t aTerm);
@@ -107,8 +110,9 @@
   std::deque<PendingBarrier> m_pendingBarriers;
   // Serialized configuration last passed to the transport.
   std::string m_publishedConfig;
-  // Why this replica stopped participating, empty if it has not.
+  // Why this replica takes no part, empty if it does.
   std::string m_failureReason;
+  TimePoint m_nextRecoveryAt;
   // Run at the end of the event that completed them, so that they may call
   // methods of this log.
   std::vector<std::function<void()>> m_dueCallbacks;
--- a/modules/consensus/tests/RandomRunTest.cpp
+++ b/modules/consensus/tests/RandomRunTest.cpp
@@ -18,6 +18,7 @@
   size_t m_confirmedReads = 0;
   size_t m_crashes = 0;
   size_t m_syncFailures = 0;
+  size_t m_repairedDisks = 0;
   size_t m_replacedDisks = 0;
   size_t m_configChanges = 0;
   size_t m_termsWithLeader = 0;
@@ -216,6 +217,10 @@
     if (replica->m_logStore.HasFailed() && ChancePerMille(50)) {
       m_cluster.CrashReplica(id);
     }
+    if (replica->m_logStore.HasFailed() && ChancePerMille(50)) {
+      replica->m_logStore.RepairDisk();
+      ++m_counts.m_repairedDisks;
+    }
     if (!replica->m_log && ChancePerMille(30)) {
       replica->m_paused = false;
       m_cluster.StartReplica(id);
@@ -468,18 +473,21 @@
   SetLogLevel(LogLevel::kInfo);
   LogInfo("raft",
           "{} steps, {} commands, {} reads, {} terms, {} crashes, "
-          "{} sync failures, {} disks replaced, {} configurations, {} chunks",
+          "{} sync failures, {} disks repaired, {} disks replaced, "
+          "{} configurations, {} chunks",
           counts.m_steps,
           counts.m_acknowledgedCommands,
           counts.m_confirmedReads,
           counts.m_termsWithLeader,
           counts.m_crashes,
           counts.m_syncFailures,
+          counts.m_repairedDisks,
           counts.m_replacedDisks,
           counts.m_configChanges,
           counts.m_snapshotChunks);
   REQUIRE(counts.m_confirmedReads > 0);
   REQUIRE(counts.m_snapshotChunks > 0);
+  REQUIRE(counts.m_repairedDisks > 0);
 }
 
 } // namespace rattanloft::consensus
--- a/modules/consensus/tests/ReplicatedLogTest.cpp
+++ b/modules/consensus/tests/ReplicatedLogTest.cpp
@@ -154,6 +154,54 @@
   REQUIRE(cluster.LeaderId() == 0);
 }
 
+// Guards against a group without a leader after each disk was full for a while.
+TEST_CASE("Replicas take part again once their stores accept writes")
+{
+  TestCluster cluster(21);
+  cluster.StartFounders(3);
+  size_t committed = 0;
+  for (uint64_t id = 1; id <= 3; ++id) {
+    storage::MemoryLogStore& store = cluster.GetReplica(id).m_logStore;
+    store.FailNextSync();
+    while (!store.HasFailed()) {
+      committed += cluster.CommitCommand("c") != 0 ? 1 : 0;
+    }
+    cluster.RunFor(Seconds(2));
+    REQUIRE(cluster.GetReplica(id).m_log->Status().m_storageFailed);
+    store.RepairDisk();
+    cluster.RunFor(Seconds(1));
+    REQUIRE_FALSE(cluster.GetReplica(id).m_log->Status().m_storageFailed);
+  }
+  REQUIRE(cluster.CommitCommand("last") != 0);
+  cluster.RunFor(Seconds(1));
+  const auto& applied = cluster.GetReplica(1).m_stateMachine->m_appliedCommands;
+  REQUIRE(applied.size() > committed);
+  for (uint64_t id = 2; id <= 3; ++id) {
+    REQUIRE(cluster.GetReplica(id).m_stateMachine->m_appliedCommands ==
+            applied);
+  }
+}
+
+// Guards against a replica that votes although it has forgotten what it
+// acknowledged.
+TEST_CASE("A replica whose disk lost applied entries stays out of the group")
+{
+  TestCluster cluster(22);
+  cluster.StartFounders(3);
+  const uint64_t leader = cluster.WaitForLeader();
+  TestCluster::Replica& replica = cluster.GetReplica(AnyReplicaExcept(leader));
+  REQUIRE(cluster.CommitCommand("c") != 0);
+  cluster.RunFor(Seconds(1));
+  replica.m_logStore.FailNextSync();
+  REQUIRE(cluster.CommitCommand("d") != 0);
+  cluster.RunFor(Seconds(1));
+  REQUIRE(replica.m_log->Status().m_storageFailed);
+  replica.m_logStore = storage::MemoryLogStore();
+  cluster.RunFor(Seconds(5));
+  REQUIRE(replica.m_log->Status().m_storageFailed);
+  REQUIRE(replica.m_logStore.LastIndex() == 0);
+}
+
 // Guards against a separate sync for each proposal.
 TEST_CASE("Queued proposals are written with one sync")
 {
--- a/modules/storage/include/rattanloft/storage/FileLogStore.h
+++ b/modules/storage/include/rattanloft/storage/FileLogStore.h
@@ -8,6 +8,7 @@
 
 #include "rattanloft/storage/DataFolder.h"
 #include "rattanloft/storage/LogStore.h"
+#include "rattanloft/storage/ScopedFd.h"
 
 namespace rattanloft::storage {
 
@@ -39,7 +40,6 @@
 
   FileLogStore(const FileLogStore&) = delete;
   FileLogStore& operator=(const FileLogStore&) = delete;
-  ~FileLogStore() override;
 
   uint64_t FirstIndex() const override { return m_firstIndex; }
   uint64_t LastIndex() const override
@@ -56,6 +56,7 @@
   StoreResult<void> Reset(uint64_t aNextIndex) override;
   StoreResult<void> SetHardState(const wire::HardState& aHardState) override;
   StoreResult<void> Sync() override;
+  StoreResult<void> Recover() override;
 
   // For tests that simulate a crash: how many bytes of the last segment are
   // synced, and its path.
@@ -68,7 +69,7 @@
 private:
   struct Segment
   {
-    int m_fd = -1;
+    ScopedFd m_fd;
     // The highest index of an entry in the segment, 0 if it has none.
     uint64_t m_lastIndex = 0;
   };
@@ -84,6 +85,7 @@
     , m_options(aOptions)
   {
   }
+  FileLogStore& operator=(FileLogStore&&) = default;
 
   std::string SegmentPath(uint64_t aSegmentNumber) const;
   // Reads all segments and starts the first one if there is none.
@@ -114,7 +116,7 @@
   StoreResult<void> WriteBuffer();
   StoreResult<void> CheckWritable() const;
   StoreResult<wire::LogEntry> ReadEntry(const EntryLocation& aLocation) const;
-  // Makes every further write fail. Returns aError.
+  // Makes every further write fail until Recover(). Returns aError.
   StoreError RefuseFurtherWrites(StoreError aError);
   // Adds a record to the write buffer and returns its offset.
   uint64_t BufferRecord(RecordType aType, std::string_view aBody);
--- a/modules/storage/include/rattanloft/storage/LogStore.h
+++ b/modules/storage/include/rattanloft/storage/LogStore.h
@@ -11,8 +11,8 @@
 
 // The durable Raft log and hard state of one replica. Changes are visible to
 // reads at once and durable after the next successful Sync(). Once a change or
-// Sync() has failed with kIo, every further change fails, while reads still
-// work. Must be used on one thread.
+// Sync() has failed with kIo, every further change fails until Recover()
+// succeeds, while reads still work. Must be used on one thread.
 class LogStore
 {
 public:
@@ -42,6 +42,11 @@
   virtual StoreResult<void> Reset(uint64_t aNextIndex) = 0;
   virtual StoreResult<void> SetHardState(const wire::HardState& aHardState) = 0;
   virtual StoreResult<void> Sync() = 0;
+
+  // Tries to accept changes again after a failure. On success the store holds
+  // what was durable before the failure, as after a restart of the process. No
+  // effect if it fails, or if the store accepts changes.
+  virtual StoreResult<void> Recover() = 0;
 };
 
 } // namespace rattanloft::storage
--- a/modules/storage/include/rattanloft/storage/MemoryLogStore.h
+++ b/modules/storage/include/rattanloft/storage/MemoryLogStore.h
@@ -26,12 +26,16 @@
   StoreResult<void> Reset(uint64_t aNextIndex) override;
   StoreResult<void> SetHardState(const wire::HardState& aHardState) override;
   StoreResult<void> Sync() override;
+  StoreResult<void> Recover() override;
 
   // Restores the content of the last successful Sync() and accepts writes
   // again.
   void Crash();
-  // Makes the next Sync() fail, and every change after it until Crash().
+  // Makes the next Sync() fail, and every change and Recover() after it until
+  // Crash() or RepairDisk().
   void FailNextSync(bool aFail = true) { m_failNextSync = aFail; }
+  // Lets Recover() succeed after a failed Sync().
+  void RepairDisk() { m_diskRepaired = true; }
   bool HasFailed() const { return m_syncFailed; }
   uint64_t SyncCount() const { return m_syncCount; }
 
@@ -57,6 +61,7 @@
   uint64_t m_firstUnsyncedIndex = 1;
   bool m_failNextSync = false;
   bool m_syncFailed = false;
+  bool m_diskRepaired = false;
   uint64_t m_syncCount = 0;
 };
 
--- a/modules/storage/include/rattanloft/storage/StoreError.h
+++ b/modules/storage/include/rattanloft/storage/StoreError.h
@@ -9,7 +9,8 @@
 enum class StoreErrorCode
 {
   // A system call failed, for example on a full disk. If it was a write to a
-  // log store, the store refuses all further writes and stays readable.
+  // log store, the store refuses further writes until it recovers, and stays
+  // readable.
   kIo,
   // Synced data is damaged or missing.
   kCorrupt,
--- a/modules/storage/src/FileIo.cpp
+++ b/modules/storage/src/FileIo.cpp
@@ -11,19 +11,6 @@
 
 namespace rattanloft::storage {
 
-ScopedFd::~ScopedFd()
-{
-  if (m_fd >= 0) {
-    close(m_fd);
-  }
-}
-
-int
-ScopedFd::Release()
-{
-  return std::exchange(m_fd, -1);
-}
-
 StoreError
 SystemError(std::string_view aAction, std::string_view aPath)
 {
--- a/modules/storage/src/FileIo.h
+++ b/modules/storage/src/FileIo.h
@@ -5,30 +5,11 @@
 #include <string>
 #include <string_view>
 
+#include "rattanloft/storage/ScopedFd.h"
 #include "rattanloft/storage/StoreError.h"
 
 namespace rattanloft::storage {
 
-// Closes a file descriptor at the end of its scope.
-class ScopedFd
-{
-public:
-  explicit ScopedFd(int aFd)
-    : m_fd(aFd)
-  {
-  }
-  ScopedFd(const ScopedFd&) = delete;
-  ScopedFd& operator=(const ScopedFd&) = delete;
-  ~ScopedFd();
-
-  int Get() const { return m_fd; }
-  // Returns the descriptor without closing it.
-  int Release();
-
-private:
-  int m_fd;
-};
-
 // Returns a kIo error with the text of errno. aAction is a phrase such as
 // "cannot read".
 StoreError
--- a/modules/storage/src/FileLogStore.cpp
+++ b/modules/storage/src/FileLogStore.cpp
@@ -63,13 +63,6 @@
   return store;
 }
 
-FileLogStore::~FileLogStore()
-{
-  for (const auto& [number, segment] : m_segments) {
-    close(segment.m_fd);
-  }
-}
-
 std::string
 FileLogStore::SegmentPath(uint64_t aSegmentNumber) const
 {
@@ -127,7 +120,7 @@
     if (file < 0) {
       return tl::unexpected(SystemError("cannot open", item.path().native()));
     }
-    m_segments[number].m_fd = file;
+    m_segments[number].m_fd = ScopedFd(file);
   }
   return {};
 }
@@ -190,13 +183,12 @@
   if (aOffset == 0) {
     // The process crashed while it created the segment. The segment number is
     // used again.
-    close(m_segments[aSegmentNumber].m_fd);
     m_segments.erase(aSegmentNumber);
     m_initialSegmentNumber = aSegmentNumber;
     return {};
   }
-  if (ftruncate(m_segments[aSegmentNumber].m_fd, static_cast<off_t>(aOffset)) !=
-      0) {
+  if (ftruncate(m_segments[aSegmentNumber].m_fd.Get(),
+                static_cast<off_t>(aOffset)) != 0) {
     return tl::unexpected(SystemError("cannot truncate", path));
   }
   return {};
@@ -290,8 +282,6 @@
 FileLogStore::RefuseFurtherWrites(StoreError aError)
 {
   m_writeFailure = aError.m_message;
-  LogError(
-    "store", "the log store refuses all further writes: {}", aError.m_message);
   return aError;
 }
 
@@ -319,7 +309,7 @@
 FileLogStore::WriteBuffer()
 {
   const std::string buffer = std::exchange(m_writeBuffer, {});
-  auto written = WriteAt(CurrentSegment().m_fd,
+  auto written = WriteAt(CurrentSegment().m_fd.Get(),
                          buffer,
                          m_writtenBytes,
                          SegmentPath(CurrentSegmentNumber()));
@@ -368,7 +358,7 @@
 FileLogStore::ReadEntry(const EntryLocation& aLocation) const
 {
   const std::string path = SegmentPath(aLocation.m_segmentNumber);
-  const int file = m_segments.at(aLocation.m_segmentNumber).m_fd;
+  const int file = m_segments.at(aLocation.m_segmentNumber).m_fd.Get();
   auto bytes = ReadAt(file, aLocation.m_offset, kRecordHeaderBytes, path);
   if (bytes) {
     bytes = ReadAt(file, aLocation.m_offset, ParseRecordSize(*bytes), path);
@@ -489,7 +479,7 @@
   }
   // After a failed sync the kernel may have dropped the dirty pages, so the
   // success of a second attempt would not prove that the data is on disk.
-  if (m_options.m_syncFile(CurrentSegment().m_fd) != 0) {
+  if (m_options.m_syncFile(CurrentSegment().m_fd.Get()) != 0) {
     return tl::unexpected(RefuseFurtherWrites(
       SystemError("cannot sync", SegmentPath(CurrentSegmentNumber()))));
   }
@@ -501,6 +491,34 @@
   return {};
 }
 
+StoreResult<void>
+FileLogStore::Recover()
+{
+  if (!m_writeFailure) {
+    return {};
+  }
+  // What was never synced has not been acknowledged. It is dropped, since after
+  // a failed sync the page cache may hold data that is not on disk.
+  const std::string path = SegmentPath(CurrentSegmentNumber());
+  if (ftruncate(CurrentSegment().m_fd.Get(),
+                static_cast<off_t>(m_syncedBytes)) != 0) {
+    return tl::unexpected(SystemError("cannot truncate", path));
+  }
+  FileLogStore reopened(m_folderPath, m_options);
+  auto result = reopened.LoadSegments();
+  // Only a write and a sync prove that the disk takes bytes again.
+  if (result) {
+    result = reopened.SetHardState(reopened.GetHardState());
+  }
+  if (result) {
+    result = reopened.Sync();
+  }
+  if (result) {
+    *this = std::move(reopened);
+  }
+  return result;
+}
+
 StoreResult<void>
 FileLogStore::StartSegment()
 {
@@ -514,7 +532,7 @@
       RefuseFurtherWrites(SystemError("cannot create", path)));
   }
   const uint64_t nextIndex = LastIndex() + 1;
-  m_segments[number].m_fd = file;
+  m_segments[number].m_fd = ScopedFd(file);
   m_writtenBytes = 0;
   m_syncedBytes = 0;
   BufferRecord(RecordType::kCheckpoint,
@@ -545,7 +563,6 @@
     if (oldest->second.m_lastIndex >= m_firstIndex) {
       return;
     }
-    close(oldest->second.m_fd);
     const std::string path = SegmentPath(oldest->first);
     // Each deletion is synced on its own, so that a power loss leaves no gap
     // between segments.
--- a/modules/storage/src/MemoryLogStore.cpp
+++ b/modules/storage/src/MemoryLogStore.cpp
@@ -104,6 +104,7 @@
   if (m_failNextSync) {
     m_syncFailed = true;
     m_failNextSync = false;
+    m_diskRepaired = false;
   }
   if (auto writable = CheckWritable(); !writable) {
     return writable;
@@ -131,6 +132,18 @@
   return {};
 }
 
+StoreResult<void>
+MemoryLogStore::Recover()
+{
+  if (m_syncFailed && !m_diskRepaired) {
+    return CheckWritable();
+  }
+  if (m_syncFailed) {
+    Crash();
+  }
+  return {};
+}
+
 void
 MemoryLogStore::Crash()
 {
--- a/modules/storage/tests/FileLogStoreTest.cpp
+++ b/modules/storage/tests/FileLogStoreTest.cpp
@@ -90,6 +90,37 @@
   return sRemainingSyncs-- > 0 ? fdatasync(aFd) : FailSync(aFd);
 }
 
+int
+FailRandomSyncs(int)
+{
+  static std::mt19937_64 sRandom(3);
+  return sRandom() % 8 != 0 ? 0 : FailSync(0);
+}
+
+// Lets writes beyond a file size fail in its scope, as on a full disk.
+class FileSizeLimit
+{
+public:
+  explicit FileSizeLimit(rlim_t aMaxBytes)
+    : m_oldHandler(std::signal(SIGXFSZ, SIG_IGN))
+  {
+    getrlimit(RLIMIT_FSIZE, &m_oldLimit);
+    const rlimit limit{ aMaxBytes, m_oldLimit.rlim_max };
+    setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  FileSizeLimit(const FileSizeLimit&) = delete;
+  FileSizeLimit& operator=(const FileSizeLimit&) = delete;
+  ~FileSizeLimit()
+  {
+    setrlimit(RLIMIT_FSIZE, &m_oldLimit);
+    std::signal(SIGXFSZ, m_oldHandler);
+  }
+
+private:
+  void (*m_oldHandler)(int);
+  rlimit m_oldLimit{};
+};
+
 // Applies the same random change to the store and to the model.
 void
 ApplyRandomChange(LogStore& aStore, LogStore& aModel, std::mt19937_64& aRandom)
@@ -312,18 +343,13 @@
   FileLogStoreFixture fixture;
   REQUIRE(fixture.OpenStore());
   fixture.AppendAndSync(1, 3);
-  const auto oldHandler = std::signal(SIGXFSZ, SIG_IGN);
-  rlimit oldLimit{};
-  REQUIRE(getrlimit(RLIMIT_FSIZE, &oldLimit) == 0);
-  const rlimit limit{ 600, oldLimit.rlim_max };
-  REQUIRE(setrlimit(RLIMIT_FSIZE, &limit) == 0);
-  const auto appended = fixture.m_store->Append(MakeEntries(4, 40));
-  const auto after = fixture.m_store->Append(MakeEntries(4, 4));
-  setrlimit(RLIMIT_FSIZE, &oldLimit);
-  std::signal(SIGXFSZ, oldHandler);
-  REQUIRE_FALSE(appended);
-  REQUIRE(appended.error().m_code == StoreErrorCode::kIo);
-  REQUIRE_FALSE(after);
+  {
+    const FileSizeLimit limit(600);
+    const auto appended = fixture.m_store->Append(MakeEntries(4, 40));
+    REQUIRE_FALSE(appended);
+    REQUIRE(appended.error().m_code == StoreErrorCode::kIo);
+    REQUIRE_FALSE(fixture.m_store->Append(MakeEntries(4, 4)));
+  }
   REQUIRE_FALSE(fixture.m_store->Append(MakeEntries(4, 4)));
   REQUIRE(fixture.m_store->Read(1, 3)->size() == 3);
   REQUIRE(fixture.OpenStore());
@@ -331,6 +357,66 @@
   fixture.AppendAndSync(fixture.m_store->LastIndex() + 1, 50);
 }
 
+// Guards against a log store that refuses writes although the disk has room
+// again, and against unsynced entries that a recovery keeps.
+TEST_CASE("A log store accepts changes again once the disk has room")
+{
+  FileLogStoreFixture fixture;
+  REQUIRE(fixture.OpenStore());
+  fixture.AppendAndSync(1, 3);
+  REQUIRE(fixture.m_store->Append(MakeEntries(4, 4)));
+  {
+    const FileSizeLimit limit(600);
+    REQUIRE_FALSE(fixture.m_store->Append(MakeEntries(5, 40)));
+    const FileSizeLimit fullDisk(1);
+    REQUIRE_FALSE(fixture.m_store->Recover());
+    REQUIRE_FALSE(fixture.m_store->Append(MakeEntries(5, 5)));
+    REQUIRE(fixture.m_store->Read(1, 3)->size() == 3);
+  }
+  REQUIRE(fixture.m_store->Recover());
+  REQUIRE(fixture.m_store->LastIndex() == 3);
+  fixture.AppendAndSync(4, 9);
+  REQUIRE(fixture.OpenStore());
+  REQUIRE(fixture.m_store->LastIndex() == 9);
+}
+
+// Guards against a recovery that keeps what a failed sync may not have written,
+// in the current segment and in one that was being started.
+TEST_CASE("Recovery after random failed syncs keeps the durable content")
+{
+  std::mt19937_64 random(6);
+  size_t recoveries = 0;
+  for (int run = 0; run < 20; ++run) {
+    FileLogStoreFixture fixture;
+    const FileLogOptions options{ .m_segmentBytes = 100 + random() % 1'000,
+                                  .m_syncFile = FailRandomSyncs };
+    while (!fixture.OpenStore(options)) {
+    }
+    for (uint64_t index = 1; index < 100;) {
+      REQUIRE(fixture.m_store->Append(MakeEntries(index, index)));
+      if (fixture.m_store->Sync()) {
+        ++index;
+        continue;
+      }
+      while (!fixture.m_store->Recover()) {
+      }
+      ++recoveries;
+      // The sync may have failed after the entry was durable.
+      const uint64_t last = fixture.m_store->LastIndex();
+      REQUIRE((last == index - 1 || last == index));
+      const auto entries = fixture.m_store->Read(1, last);
+      REQUIRE(entries->size() == last);
+      REQUIRE((last == 0 ||
+               entries->back().payload() == fmt::format("command {}", last)));
+      index = last + 1;
+    }
+    const uint64_t last = fixture.m_store->LastIndex();
+    REQUIRE(fixture.OpenStore());
+    REQUIRE(fixture.m_store->LastIndex() == last);
+  }
+  REQUIRE(recoveries > 100);
+}
+
 // Guards against a gap in the log, which would violate the log matching
 // property of Raft.
 TEST_CASE("Appended entries that would leave a gap are refused")
