Count a replica whose storage failed as lost, so that a spare one replaces it

A coordinator whose disk refuses writes went on answering the messages of the leader, so it counted as alive, and no spare coordinator took its place: the group stayed one loss nearer to its end for as long as the disk was full.

--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -276,7 +276,11 @@
   UpdateRole();
   const consensus::RaftStatus status = m_log.Status();
   wire::DeliverReply reply;
-  reply.set_replica_id(status.m_replicaId);
+  // Without an id the reply does not count as a sign of life, so that a spare
+  // replica can take the place of one whose storage has failed.
+  if (!status.m_storageFailed) {
+    reply.set_replica_id(status.m_replicaId);
+  }
   reply.set_applied_index(status.m_appliedIndex);
   return reply;
 }
--- a/tests/FullDiskTest.py
+++ b/tests/FullDiskTest.py
@@ -50,6 +50,16 @@
         wait_for(lambda: self.send_change(1), CATCH_UP_S, "a change is confirmed")
         self.require_service()
 
+    def test_spare_coordinator_replaces_one_whose_disk_stays_full(self):
+        self.start_coordinator(3, form_group=False)
+        wait_for(lambda: self.has_metrics(
+            3, f"rattanloft_configuration_version {self.version}"), 5,
+            "the spare coordinator learns the configuration")
+        self.fill_disk(1, True)
+        wait_for(lambda: self.send_change(0), 5, "a change while a disk is full")
+        wait_for(lambda: self.has_metrics(3, "rattanloft_voter 1"), CATCH_UP_S,
+                 "the spare coordinator votes")
+
 
 if __name__ == "__main__":
     unittest.main()
