--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -14,6 +14,8 @@
 
 // Interval between two attempts to write again after a storage failure.
 constexpr Duration kRecoveryInterval = Milliseconds(250);
+// Pause after a snapshot could not be saved. The log grows meanwhile.
+constexpr Duration kSnapshotRetryInterval = Seconds(5);
 
 RaftCoreOptions
 MakeCoreOptions(const ReplicatedLogOptions& aOptions)
@@ -53,6 +55,7 @@
 void
 ReplicatedLogImpl::Tick(TimePoint aNow)
 {
+  m_latestTime = aNow;
   RecoverIfDue(aNow);
   m_core.Tick(aNow);
   Flush(aNow);
@@ -72,6 +75,7 @@
 void
 ReplicatedLogImpl::Receive(const wire::RaftMessage& aMessage, TimePoint aNow)
 {
+  m_latestTime = aNow;
   m_core.Receive(aMessage, aNow);
   ProcessCoreActions();
 }
@@ -509,7 +513,7 @@
       m_options.m_snapshotIntervalEntries ||
     (m_lastAppliedIndex > lastSnapshotIndex &&
      m_payloadBytesSinceSnapshot > m_options.m_snapshotIntervalBytes);
-  if (m_core.HasFailed() || !snapshotDue) {
+  if (m_core.HasFailed() || !snapshotDue || m_latestTime < m_nextSnapshotAt) {
     return;
   }
   auto snapshot = std::make_shared<storage::Snapshot>();
@@ -517,12 +521,18 @@
   snapshot->m_meta.set_term(*m_core.Entries().TermAt(m_lastAppliedIndex));
   *snapshot->m_meta.mutable_config() = m_core.ConfigAt(m_lastAppliedIndex);
   snapshot->m_data = m_stateMachine.TakeSnapshot();
-  auto stored = m_snapshotStore.Save(*snapshot);
-  if (stored) {
-    stored = m_logStore.CompactPrefix(m_lastAppliedIndex + 1);
+  if (auto saved = m_snapshotStore.Save(*snapshot); !saved) {
+    rattanloft::LogWarning("raft",
+                           "replica {:x} goes on without a snapshot at {}: {}",
+                           m_options.m_replicaId,
+                           m_lastAppliedIndex,
+                           saved.error().m_message);
+    m_nextSnapshotAt = m_latestTime + kSnapshotRetryInterval;
+    return;
   }
-  if (!stored) {
-    StopParticipating(stored.error().m_message);
+  if (auto compacted = m_logStore.CompactPrefix(m_lastAppliedIndex + 1);
+      !compacted) {
+    StopParticipating(compacted.error().m_message);
     HandleLeadershipChange();
     return;
   }
--- a/modules/consensus/src/ReplicatedLogImpl.h
+++ b/modules/consensus/src/ReplicatedLogImpl.h
@@ -113,6 +113,9 @@
   // Why this replica takes no part, empty if it does.
   std::string m_failureReason;
   TimePoint m_nextRecoveryAt;
+  // The time of the latest event.
+  TimePoint m_latestTime;
+  TimePoint m_nextSnapshotAt;
   // Run at the end of the event that completed them, so that they may call
   // methods of this log.
   std::vector<std::function<void()>> m_dueCallbacks;
--- a/modules/consensus/tests/ReplicatedLogTest.cpp
+++ b/modules/consensus/tests/ReplicatedLogTest.cpp
@@ -182,6 +182,32 @@
   }
 }
 
+// Guards against a replica that leaves the group although only its snapshots
+// cannot be saved.
+TEST_CASE("Replicas go on without snapshots while they cannot be saved")
+{
+  TestCluster cluster(23, 10);
+  cluster.StartFounders(3);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    cluster.GetReplica(id).m_snapshotStore.SetSaveFails(true);
+  }
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(cluster.CommitCommand("c") != 0);
+  }
+  cluster.RunFor(Seconds(1));
+  for (uint64_t id = 1; id <= 3; ++id) {
+    TestCluster::Replica& replica = cluster.GetReplica(id);
+    REQUIRE_FALSE(replica.m_log->Status().m_storageFailed);
+    REQUIRE(replica.m_stateMachine->m_appliedCommands.size() == 40);
+    REQUIRE(replica.m_logStore.FirstIndex() == 1);
+    replica.m_snapshotStore.SetSaveFails(false);
+  }
+  cluster.RunFor(Seconds(10));
+  for (uint64_t id = 1; id <= 3; ++id) {
+    REQUIRE(cluster.GetReplica(id).m_logStore.FirstIndex() > 40);
+  }
+}
+
 // Guards against a replica that votes although it has forgotten what it
 // acknowledged.
 TEST_CASE("A replica whose disk lost applied entries stays out of the group")
