Offer a backend server only the ranges that fit into a heartbeat response

Backend servers do not accept responses above 4 KiB, and nothing bounded them: a response with too many ranges would have renewed none, and the keys of that backend server would have been refused until ranges moved away.

The response now has the ranges that are held first, without their tokens, and as many new ones as fit; the next one has room for more. The stand-in of tests/fleet_fixture.py refuses larger responses as the platform does. In the random run of ownership, each fourth response has room for at most seven ranges.

--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -161,6 +161,8 @@
     std::string_view aBody) const = 0;
   virtual std::string FormatHeartbeatResponse(
     const HeartbeatResponse& aResponse) const = 0;
+  // Backend servers do not accept larger heartbeat responses.
+  virtual size_t MaxHeartbeatResponseBytes() const = 0;
   // Returns the start of the lifetime, in Unix milliseconds, from the body of a
   // deregistration; 0 if the body does not give it.
   virtual int64_t ParseLifetimeStartUnixMs(std::string_view aBody) const = 0;
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -218,7 +218,7 @@
 }
 
 HeartbeatResponse
-LocalBackend::MakeHeartbeatResponse(TimePoint aNow)
+LocalBackend::MakeHeartbeatResponse(TimePoint aNow, const ResponseFits& aFits)
 {
   HeartbeatResponse response;
   const Duration grantDuration = LongestGrantWithin(m_leaseEnd - aNow);
@@ -229,18 +229,48 @@
   response.m_grantedRanges = m_plannedRanges;
   // A handover token matters only in the first grant of a range. Leaving it out
   // later lets more ranges fit into the response.
-  for (wire::OwnedRange& range : response.m_grantedRanges) {
-    if (IsReportedHeld(range)) {
-      range.clear_handover();
-    }
-  }
+  const auto firstNew = std::stable_partition(
+    response.m_grantedRanges.begin(),
+    response.m_grantedRanges.end(),
+    [this](const wire::OwnedRange& aRange) { return IsReportedHeld(aRange); });
+  std::for_each(response.m_grantedRanges.begin(),
+                firstNew,
+                [](wire::OwnedRange& aRange) { aRange.clear_handover(); });
   response.m_grantDuration = grantDuration;
-  m_offeredRanges = m_plannedRanges;
+  LimitRanges(response, aFits);
+  m_offeredRanges = response.m_grantedRanges;
   m_offerEnd = aNow + OnSlowClock(grantDuration);
   m_lastPossibleHoldEnd = std::max(m_lastPossibleHoldEnd, m_offerEnd);
   return response;
 }
 
+void
+LocalBackend::LimitRanges(HeartbeatResponse& aResponse,
+                          const ResponseFits& aFits) const
+{
+  if (!aFits || aFits(aResponse)) {
+    return;
+  }
+  const std::vector<wire::OwnedRange> all =
+    std::move(aResponse.m_grantedRanges);
+  // The first fittingCount ranges fit, the first excessCount do not.
+  size_t fittingCount = 0;
+  size_t excessCount = all.size();
+  while (fittingCount + 1 < excessCount) {
+    const size_t count = (fittingCount + excessCount) / 2;
+    aResponse.m_grantedRanges.assign(
+      all.begin(), all.begin() + static_cast<ptrdiff_t>(count));
+    (aFits(aResponse) ? fittingCount : excessCount) = count;
+  }
+  aResponse.m_grantedRanges.assign(
+    all.begin(), all.begin() + static_cast<ptrdiff_t>(fittingCount));
+  LogWarning("backend",
+             "event=ranges-left-out holder={} planned={} offered={}",
+             m_view.holder(),
+             all.size(),
+             fittingCount);
+}
+
 // Returns true if the last heartbeat reported that the backend server holds the
 // range under this fencing token.
 bool
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -36,6 +37,9 @@
 std::string_view
 ServeVerdictName(ServeVerdict aVerdict);
 
+// Whether the backend server accepts a response of this size.
+using ResponseFits = std::function<bool(const HeartbeatResponse&)>;
+
 // State of the backend server next to this sidecar, and the key ranges that the
 // sidecar grants to it under the lease from the leading coordinator. Before the
 // first heartbeat the backend server counts as absent, so a restarted sidecar
@@ -105,8 +109,10 @@
   // Increases with every plan that is adopted.
   uint64_t AdoptedPlanCount() const { return m_adoptedPlanCount; }
   // Must be called immediately before the response is written, since the grants
-  // that it returns count as offered from then on.
-  HeartbeatResponse MakeHeartbeatResponse(TimePoint aNow);
+  // that it returns count as offered from then on. If aFits is not empty, the
+  // response has only as many ranges as fit, first those that are held.
+  HeartbeatResponse MakeHeartbeatResponse(TimePoint aNow,
+                                          const ResponseFits& aFits = {});
   // Increases with every change that should be reported to the leader at once.
   uint64_t ReportRevision() const
   {
@@ -116,6 +122,9 @@
   Duration ColdRemaining(TimePoint aNow) const;
 
 private:
+  // Leaves out ranges at the end of the response until it fits.
+  void LimitRanges(HeartbeatResponse& aResponse,
+                   const ResponseFits& aFits) const;
   void StartLifetime(const Heartbeat& aHeartbeat,
                      std::string aHolder,
                      TimePoint aNow);
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -383,7 +383,11 @@
         m_localBackend.View().started_at_unix_ms() ==
           heartbeat->m_startedAtUnixMs;
       if (isNewest) {
-        heartbeatResponse = m_localBackend.MakeHeartbeatResponse(m_clock.Now());
+        heartbeatResponse = m_localBackend.MakeHeartbeatResponse(
+          m_clock.Now(), [this](const HeartbeatResponse& aResponse) {
+            return m_protocol.FormatHeartbeatResponse(aResponse).size() <=
+                   m_protocol.MaxHeartbeatResponseBytes();
+          });
       }
     }
     response.result(status::ok);
--- a/modules/sidecar/tests/BackendHandlerTest.cpp
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -32,6 +32,7 @@
   {
     return {};
   }
+  size_t MaxHeartbeatResponseBytes() const override { return 0; }
   int64_t ParseLifetimeStartUnixMs(std::string_view /*aBody*/) const override
   {
     return 0;
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -68,6 +68,48 @@
 
 } // namespace
 
+// Guards against a response that the backend server does not accept because it
+// is too large, so that none of its ranges is renewed.
+TEST_CASE(
+  "a response that has no room for all ranges keeps those that are held")
+{
+  // As on the wire, a handover token takes more room than the rest of a range.
+  const auto fits = [](const HeartbeatResponse& aResponse) {
+    size_t size = 0;
+    for (const wire::OwnedRange& range : aResponse.m_grantedRanges) {
+      size += range.handover().empty() ? 1 : 2;
+    }
+    return size <= 6;
+  };
+  LocalBackend backend = MakeLocalBackend();
+  REQUIRE(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
+  wire::FleetSyncReply reply = MakePlanReply(1, 1, 0);
+  for (uint32_t key = 0; key < 5; ++key) {
+    wire::OwnedRange& range = *reply.add_plan_ranges();
+    range.set_first(key);
+    range.set_last(key);
+    range.set_fence(7);
+    range.set_handover("token");
+  }
+  backend.OnSyncReply(reply, kStart);
+  CHECK(backend.MakeHeartbeatResponse(kStart, fits).m_grantedRanges.size() ==
+        3);
+  CHECK(backend.CheckServable(2, true, kStart) == ServeVerdict::kServe);
+  CHECK(backend.CheckServable(3, true, kStart) == ServeVerdict::kNotOwner);
+
+  // The ranges that are held come without their tokens, which makes room.
+  Heartbeat heartbeat = MakeHeartbeat(2);
+  heartbeat.m_heldRanges = { { 1, 1, 7 }, { 2, 2, 7 }, { 4, 4, 7 } };
+  REQUIRE(backend.OnHeartbeat(heartbeat, kStart + Seconds(1)));
+  const HeartbeatResponse response =
+    backend.MakeHeartbeatResponse(kStart + Seconds(1), fits);
+  REQUIRE(response.m_grantedRanges.size() == 4);
+  CHECK(response.m_grantedRanges[0].first() == 1);
+  CHECK(response.m_grantedRanges[2].first() == 4);
+  CHECK(response.m_grantedRanges[2].handover().empty());
+  CHECK(response.m_grantedRanges[3].handover() == "token");
+}
+
 // Guards against a restarted sidecar that sends requests to a backend server
 // before it learns that this backend server is draining.
 TEST_CASE("no request is served before the first heartbeat")
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -349,7 +349,12 @@
       localBackend.View().started_at_unix_ms() == heartbeat.m_startedAtUnixMs;
     HeartbeatResponse response;
     if (isNewest) {
-      response = localBackend.MakeHeartbeatResponse(Now());
+      // Some responses have no room for all ranges of a backend server.
+      const size_t maxRanges = m_random() % 4 == 0 ? m_random() % 8 : 1'000;
+      response = localBackend.MakeHeartbeatResponse(
+        Now(), [maxRanges](const HeartbeatResponse& aResponse) {
+          return aResponse.m_grantedRanges.size() <= maxRanges;
+        });
     }
     Schedule(RandomDelayMs(), [this, aNode, response, sent] {
       OnHeartbeatResponse(aNode,
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -221,7 +221,8 @@
         )
         grant = json.loads(text or "{}")
         with self.lock:
-            if status == 200 and "holds" in grant:
+            # As on the platform, a larger answer is not accepted.
+            if status == 200 and len(text) <= 4096 and "holds" in grant:
                 self.held_ranges = grant["holds"]
                 self.hold_end_s = sent + grant["holdS"]
         return status
