Use a backend server that restarts after its clock was set back

A sidecar took the heartbeats of a lifetime that started before the known one for late ones, without end. After the clock of the instance was set back between two starts of the backend server, the new lifetime was not used until the sidecar restarted or the clock had caught up.

Such a lifetime is now accepted once the known one has been silent for 10 s. By then its grants, 3.2 s at most, have ended, and heartbeats are late by seconds only. The new test failed before, in its last three checks.

--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -21,6 +21,11 @@
 // unreachable, even if no request was sent to it. Heartbeats come about every
 // 0.9 s.
 constexpr Duration kHeartbeatTimeout = Milliseconds(4500);
+// A heartbeat of a lifetime that started earlier than the known one is late,
+// unless the known one has been silent for this long: then the clock was set
+// back between the two starts. Longer than heartbeats may be delayed and than
+// any grant is in force.
+constexpr Duration kMaxLifetimeSilence = Seconds(10);
 // Share of the drain limit in which a draining backend server still serves its
 // keys while they move to other owners.
 constexpr int64_t kDrainServePercent = 60;
@@ -172,8 +177,10 @@
 bool
 LocalBackend::OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow)
 {
+  const bool startedEarlier =
+    aHeartbeat.m_startedAtUnixMs < m_view.started_at_unix_ms();
   if (aHeartbeat.m_address != m_backendAddress ||
-      aHeartbeat.m_startedAtUnixMs < m_view.started_at_unix_ms()) {
+      (startedEarlier && aNow - m_lastHeartbeatAt < kMaxLifetimeSilence)) {
     return false;
   }
   std::string holder = fleet::FormatHolderName(
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -140,6 +140,19 @@
   CHECK_FALSE(backend.OnHeartbeat(otherAddress, kStart));
 }
 
+// Guards against a backend server that is not used until its sidecar restarts.
+TEST_CASE("a backend server that restarts after its clock was set back is used")
+{
+  LocalBackend backend = MakeLocalBackend();
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(5, 90'000), kStart));
+  const Heartbeat restarted = MakeHeartbeat(1, 30'000, "i-2");
+  CHECK_FALSE(backend.OnHeartbeat(restarted, kStart + Seconds(9)));
+  const TimePoint later = kStart + Seconds(11);
+  CHECK(backend.OnHeartbeat(restarted, later));
+  CHECK(backend.View().backend_id() == "i-2");
+  CHECK(backend.CheckServable({}, false, later) == ServeVerdict::kServe);
+}
+
 TEST_CASE("only a deregistration of the current lifetime starts a drain")
 {
   LocalBackend backend = MakeLocalBackend();
