Forget join requests of earlier leaderships and of removed replicas

A coordinator kept every join request for as long as its process ran. One that led again after another leader had replaced replicas added a replica that no longer exists as a learner, and took the healthy replica at the same address for one that had lost its disk, to be replaced by the next ready learner. A learner that was gone for good was added again after each removal, every 20 s, and after 64 such requests no new coordinator could join that leader.

fleet::JoinRequests now keeps the requests of one leadership, and drops that of a replica that is removed. Without the request, a voter that lost its disk is replaced for its silence, 1.5 s, since its address answers under another id. IsMember stood three times in the fleet.

--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -163,6 +163,7 @@
       }
       m_leaderTerm = aTerm;
       m_transport.ResetPeerHealth();
+      m_joinRequests.OnLeadershipGained();
       m_leader = std::make_unique<fleet::FleetLeader>(
         m_state, aTerm, fleet::LeaderTimings{}, m_clock.Now());
       LogInfo("control",
@@ -237,12 +238,13 @@
   view.m_commitIndex = status.m_commitIndex;
   view.m_targetVoters = m_targetVoters;
   view.m_health = m_transport.PeerHealth();
-  view.m_joins = m_joins;
+  view.m_joins = m_joinRequests.ByReplica();
   std::optional<wire::GroupConfig> next = fleet::PlanMembership(view);
   if (!next) {
     return;
   }
   m_memberChangePending = true;
+  m_joinRequests.OnMembersChanged(status.m_config, *next);
   LogInfo("member",
           "event=change members={}->{} voters={}->{}",
           status.m_config.members_size(),
@@ -293,21 +295,9 @@
   if (m_leader == nullptr) {
     return reply;
   }
-  const consensus::RaftStatus status = m_log.Status();
-  for (const wire::GroupMember& member : status.m_config.members()) {
-    if (member.replica_id() == aRequest.replica_id()) {
-      reply.set_member(true);
-    }
-  }
-  // Keeps one replica id per address. A new id at the same address means that
-  // the coordinator there has lost its disk.
-  std::erase_if(m_joins, [&](const auto& aJoin) {
-    return aJoin.second.internal_address() == aRequest.internal_address();
-  });
-  constexpr size_t kMaxJoinRequests = 64;
-  if (m_joins.size() < kMaxJoinRequests) {
-    m_joins[aRequest.replica_id()] = aRequest;
-  }
+  reply.set_member(
+    fleet::IsMember(m_log.Status().m_config, aRequest.replica_id()));
+  m_joinRequests.Record(aRequest);
   return reply;
 }
 
@@ -327,11 +317,8 @@
 FleetControl::HasJoinedGroup() const
 {
   const consensus::RaftStatus status = m_log.Status();
-  bool listed = false;
-  for (const wire::GroupMember& member : status.m_config.members()) {
-    listed = listed || member.replica_id() == status.m_replicaId;
-  }
-  return listed && m_clock.Now() - m_leaderLastKnownAt < kMaxLeaderSilence;
+  return fleet::IsMember(status.m_config, status.m_replicaId) &&
+         m_clock.Now() - m_leaderLastKnownAt < kMaxLeaderSilence;
 }
 
 size_t
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -17,6 +17,7 @@
 #include "rattanloft/consensus/ReplicatedLog.h"
 #include "rattanloft/fleet/FleetLeader.h"
 #include "rattanloft/fleet/FleetState.h"
+#include "rattanloft/fleet/JoinRequests.h"
 #include "rattanloft/fleet/MembershipPlanner.h"
 
 namespace rattanloft::coordinator {
@@ -158,8 +159,7 @@
   TimePoint m_nextPlanAt;
   // When a leader was last known.
   TimePoint m_leaderLastKnownAt;
-  // Latest join request of each replica, by replica id.
-  std::map<uint64_t, wire::JoinRequest> m_joins;
+  fleet::JoinRequests m_joinRequests;
   // By instance of the sidecar.
   std::map<std::string, std::shared_ptr<HeldSync>> m_heldSyncs;
 };
--- a/modules/fleet/include/rattanloft/fleet/MembershipPlanner.h
+++ b/modules/fleet/include/rattanloft/fleet/MembershipPlanner.h
@@ -32,13 +32,17 @@
   size_t m_targetVoters = 1;
   // By replica id, without the leader.
   std::map<uint64_t, ReplicaHealth> m_health;
-  // Latest join request of each replica, by replica id.
+  // By replica id, see JoinRequests.
   std::map<uint64_t, wire::JoinRequest> m_joins;
 };
 
 size_t
 CountVoters(const wire::GroupConfig& aConfig);
 
+// Whether the replica is a voter or a learner.
+bool
+IsMember(const wire::GroupConfig& aConfig, uint64_t aReplicaId);
+
 // Returns the next change of one member that brings the group closer to
 // m_targetVoters live voters; empty if none is needed or possible. A replica
 // whose address has come back with a new replica id has lost its disk and is
--- a/modules/fleet/src/MembershipPlanner.cpp
+++ b/modules/fleet/src/MembershipPlanner.cpp
@@ -67,14 +67,6 @@
     });
   }
 
-  bool IsMember(uint64_t aReplicaId) const
-  {
-    return std::ranges::any_of(m_view.m_config.members(),
-                               [&](const wire::GroupMember& aMember) {
-                                 return aMember.replica_id() == aReplicaId;
-                               });
-  }
-
   wire::GroupConfig WithoutMember(uint64_t aReplicaId) const
   {
     wire::GroupConfig config;
@@ -112,7 +104,7 @@
   std::optional<wire::GroupConfig> AddLearner() const
   {
     for (const auto& [id, join] : m_view.m_joins) {
-      if (IsMember(id)) {
+      if (IsMember(m_view.m_config, id)) {
         continue;
       }
       wire::GroupConfig config = m_view.m_config;
@@ -182,6 +174,15 @@
     [](const wire::GroupMember& aMember) { return !aMember.learner(); }));
 }
 
+bool
+IsMember(const wire::GroupConfig& aConfig, uint64_t aReplicaId)
+{
+  return std::ranges::any_of(aConfig.members(),
+                             [&](const wire::GroupMember& aMember) {
+                               return aMember.replica_id() == aReplicaId;
+                             });
+}
+
 std::optional<wire::GroupConfig>
 PlanMembership(const MembershipView& aView)
 {
