--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -139,8 +139,10 @@
 
     def start(self):
         with open(self.log_path, "ab") as log:
+            # restore_signals: see set_disk_full().
             self.popen = subprocess.Popen(
-                self.command_line, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                self.command_line, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                restore_signals=False
             )
 
     def is_running(self):
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -5,14 +5,19 @@
 import http.server
 import json
 import os
-import resource
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import unittest
 
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
+
+from full_disk import set_disk_full  # noqa: E402
+
 BINARY = os.environ["RATTANLOFT_BINARY"]
 HOST = "shop.example"
 
@@ -306,8 +311,7 @@
 
     def start(self, *arguments):
         log = open(os.path.join(self.folder.name, f"{len(self.processes)}.log"), "w")
-        # Leaves SIGXFSZ ignored, so that a write beyond a limit on the size of
-        # files fails instead of ending the process.
+        # See set_disk_full().
         process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log,
                                    restore_signals=False)
         log.close()
@@ -347,9 +351,7 @@
 
     def fill_disk(self, coordinator, is_full):
         """Lets the coordinator's writes to files fail, or succeed again."""
-        hard_limit = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
-        resource.prlimit(self.processes[coordinator].pid, resource.RLIMIT_FSIZE,
-                         (0 if is_full else hard_limit, hard_limit))
+        set_disk_full(self.processes[coordinator].pid, is_full)
 
     def put_configuration(self, body, operator=0):
         return send_request(self.operators[operator], "PUT", "/v1/config", body)[0]
