--- a/modules/fleet/include/rattanloft/fleet/JoinRequests.h
+++ b/modules/fleet/include/rattanloft/fleet/JoinRequests.h
@@ -9,7 +9,8 @@
 namespace rattanloft::fleet {
 
 // The join requests that a coordinator has received since it began to lead. A
-// replica sends them until it is a member, and again after it was removed. Pure.
+// replica sends them until it is a member, and again after it was removed.
+// Pure.
 class JoinRequests
 {
 public:
