End the lease of a node's backend server for traffic as well when it restarts

Cause: the announcement ended the lease in the view of the control thread only. The traffic thread kept the former view until the next reply to a sync. Grants that were being sent to the former incarnation reached the new one, which then accepted their epochs, and their view was published after that.

Sidecars are not affected: LocalBackend is asked for each request.

--- a/modules/node/src/NodeControl.cpp
+++ b/modules/node/src/NodeControl.cpp
@@ -194,6 +194,12 @@
   const bool isNew = backend.incarnation() != m_announcedIncarnation;
   m_announcedIncarnation = backend.incarnation();
   m_backendMonitor.SetAnnouncement(*announcement);
+  if (isNew) {
+    // The new incarnation must get no request under the lease of the former
+    // one, also while PublishLoop() awaits the answer to its grants.
+    m_hooks.m_onViewChanged(m_nodeAgent.CurrentView(), {});
+    PublishView();
+  }
   m_hooks.m_onAnnouncement(*announcement, isNew);
   m_nodeAgent.SetDraining(m_stopping || announcement->m_draining);
   if (isNew) {
@@ -384,7 +390,10 @@
       m_publishedShards = grants.m_shards;
     }
     co_await m_backendMonitor.PutGrants(std::move(grants));
-    if (shardsChanged) {
+    // A new incarnation may have ended the lease meanwhile.
+    const bool sameLease =
+      m_nodeAgent.CurrentView()->m_backend == view->m_backend;
+    if (shardsChanged && sameLease) {
       m_hooks.m_onViewChanged(view, std::move(releases));
     }
   } while (m_publishRequested);
