--- a/modules/fleet/tests/JoinRequestsTest.cpp
+++ b/modules/fleet/tests/JoinRequestsTest.cpp
@@ -2,21 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "Builders.h"
 #include "rattanloft/fleet/MembershipPlanner.h"
 
 namespace rattanloft::fleet {
 
 namespace {
 
-wire::JoinRequest
-MakeJoin(uint64_t aId, const std::string& aAddress)
-{
-  wire::JoinRequest join;
-  join.set_replica_id(aId);
-  join.set_internal_address(aAddress);
-  return join;
-}
-
 void
 AddMember(MembershipView& aView,
           uint64_t aId,
--- a/modules/fleet/tests/MembershipPlannerTest.cpp
+++ b/modules/fleet/tests/MembershipPlannerTest.cpp
@@ -6,19 +6,12 @@
 
 #include <catch2/catch.hpp>
 
+#include "Builders.h"
+
 namespace rattanloft::fleet {
 
 namespace {
 
-wire::JoinRequest
-MakeJoin(uint64_t aId, const std::string& aAddress)
-{
-  wire::JoinRequest join;
-  join.set_replica_id(aId);
-  join.set_internal_address(aAddress);
-  return join;
-}
-
 // A group whose only member is the replica that formed it; the target is 5
 // voters.
 MembershipView
