--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -298,6 +298,12 @@
   reply.set_member(
     fleet::IsMember(m_log.Status().m_config, aRequest.replica_id()));
   m_joinRequests.Record(aRequest);
+  if (!m_joinRequests.ByReplica().contains(aRequest.replica_id())) {
+    LogWarning("member",
+               "event=join-dropped replica={:016x} waiting={}",
+               aRequest.replica_id(),
+               m_joinRequests.ByReplica().size());
+  }
   return reply;
 }
 
