Reserve the ports of test processes until the tests end

Cause: the tests asked the kernel for a free port, closed it and passed its number on. Until the process listened, and while it was stopped for a restart, any other socket could get that port.

Ports are now reserved by sockets that stay bound without listening and take SO_REUSEADDR only after that. Listeners with SO_REUSEADDR may share the port, all other sockets are refused. cluster.py, the fleet fixture and ControlProcesses use the same scheme; two ways of choosing ports are gone.

The fixture also left all its processes running when a set-up failed, as in FullDisk, and said nothing of their logs. It now stops them in every case and prints the last lines of each log.

--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -6,13 +6,13 @@
 import http.client
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 
+from ports import reserve_ports
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BINARY = os.environ.get(
     "RATTANLOFT_BINARY", os.path.join(ROOT, "build/tools/rattanloft/rattanloft")
@@ -57,31 +57,6 @@
 }
 
 
-def free_ports(count):
-    """Returns ports that are free at present, below the ephemeral range.
-
-    An outgoing connection could take a port of the ephemeral range before the
-    intended process listens on it.
-    """
-    ports = []
-    while len(ports) < count:
-        port = random.randrange(12000, 32000)
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports and port not in _used_ports:
-            ports.append(port)
-            _used_ports.add(port)
-    return ports
-
-
-# Ports that free_ports has returned; it returns none of them again.
-_used_ports = set()
-
-
 class HttpResponse:
     """An HTTP response. Status 0 means that none arrived; `error` says why."""
 
@@ -218,7 +193,7 @@
         self._create_sites()
 
     def _create_control_processes(self, count):
-        ports = free_ports(2 * count)
+        ports = reserve_ports(2 * count)
         listen_ports = []
         members = []
         for i in range(count):
@@ -234,7 +209,7 @@
             self.control_ports.append((grpc_port, http_port))
             listen_port = grpc_port
             if self.start_control_proxy:
-                listen_port = free_ports(1)[0]
+                listen_port = reserve_ports(1)[0]
                 self.start_control_proxy(listen_port, grpc_port)
             listen_ports.append(listen_port)
         self.group = ",".join(members)
@@ -257,7 +232,7 @@
         service_spec = self.deployment_spec["services"][service]
         zones = self.deployment_spec["zones"]
         zone = zones[number % len(zones)]
-        ports = free_ports(5)
+        ports = reserve_ports(5)
         caller_port, peer_port, agent_port, request_port, fault_port = ports
         name = f"{service}-{number}"
         control_grpc = ",".join(f"127.0.0.1:{port}" for port, _ in self.control_ports)
--- a/tests/ExampleSettingsTest.py
+++ b/tests/ExampleSettingsTest.py
@@ -19,7 +19,8 @@
 sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
 
 from cluster import BINARY, DEPLOYMENTS, Process  # noqa: E402
-from cluster import send_request, free_ports, wait_for  # noqa: E402
+from cluster import send_request, wait_for  # noqa: E402
+from ports import reserve_ports  # noqa: E402
 
 SLOTS_OF_DEPLOYMENT = {"adwoa": "12", "tidewater": "6"}
 EXPECTED_CONNECTIONS = "100"
@@ -76,7 +77,7 @@
                    + [f"node-{s}.flags" for s in services]
                    + [f"backend-{s}.flags" for s in services]))
 
-        grpc_port, http_port = free_ports(2)
+        grpc_port, http_port = reserve_ports(2)
         data_flags = ["--data_dir", os.path.join(self.folder, "control")]
         control_flags = f"{folder}/control.flags"
         replica = subprocess.run(
@@ -98,7 +99,7 @@
 
         agent_ports = []
         for service in services:
-            caller_port, peer_port, agent_port, request_port = free_ports(4)
+            caller_port, peer_port, agent_port, request_port = reserve_ports(4)
             agent_ports.append(agent_port)
             self.start(f"node-{service}", "node", f"{folder}/node-{service}.flags", [
                 "--address", "127.0.0.1", "--caller_port", str(caller_port),
--- a/tests/FleetTest.py
+++ b/tests/FleetTest.py
@@ -56,7 +56,7 @@
         self.assertEqual(self.trace("unknown").returncode, 1)
 
     def trace(self, request):
-        logs = sorted(glob.glob(os.path.join(self.folder.name, "*.log")))
+        logs = sorted(glob.glob(os.path.join(self.folder, "*.log")))
         return subprocess.run([BINARY, "trace", request, *logs], capture_output=True,
                               text=True, timeout=10)
 
@@ -71,7 +71,7 @@
         # and its disk must not lose the configuration.
         self.processes[0].kill()
         self.processes[0].wait()
-        subprocess.run(["rm", "-r", f"{self.folder.name}/c0"], check=True)
+        subprocess.run(["rm", "-r", f"{self.folder}/c0"], check=True)
         wait_for(lambda: self.put_configuration(configuration(2, 3), 1) == 200, 8,
                  "a new leader accepts a change")
         self.start_coordinator(0, form_group=False)
--- a/tests/RangeCallTest.py
+++ b/tests/RangeCallTest.py
@@ -38,10 +38,7 @@
     def setUp(self):
         super().setUp()
         self.monitor = OwnershipMonitor(self.backends)
-
-    def tearDown(self):
-        self.monitor.stop()
-        super().tearDown()
+        self.addCleanup(self.monitor.stop)
 
     def serves_all_keys(self, name):
         return all(self.send_through_sidecar(site, "/p/x", key, f"{name}{key}{site}")[0]
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -17,15 +17,12 @@
 sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
 
 from full_disk import set_disk_full  # noqa: E402
+from ports import reserve_ports  # noqa: E402
 
 BINARY = os.environ["RATTANLOFT_BINARY"]
 HOST = "shop.example"
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Lines of each process's log that a failed test prints.
+MAX_PRINTED_LOG_LINES = 30
 
 
 class StandInBackend:
@@ -286,18 +283,33 @@
 class FleetTestCase(unittest.TestCase):
     bounds = "retryBudgetSlack=50"
 
+    def run(self, result=None):
+        result = result or self.defaultTestResult()
+        fault_count = len(result.failures) + len(result.errors)
+        with tempfile.TemporaryDirectory() as self.folder:
+            super().run(result)
+            if len(result.failures) + len(result.errors) > fault_count:
+                self.print_logs()
+        return result
+
+    def print_logs(self):
+        for number, process in enumerate(self.processes):
+            with open(self.log_path(number), encoding="utf-8") as log:
+                lines = log.read().splitlines()
+            print(f"-- {process.args[1]} {number}, status {process.returncode}:",
+                  *lines[-MAX_PRINTED_LOG_LINES:], sep="\n", file=sys.stderr)
+
     def setUp(self):
-        self.folder = tempfile.TemporaryDirectory()
-        self.processes = []
-        self.operator_port, self.member_port = free_port(), free_port()
+        self.processes, self.backends, self.sidecars = [], [], []
+        self.addCleanup(self.stop_all)
+        self.operator_port, self.member_port = reserve_ports(2)
         self.operators = [f"127.0.0.{n}:{self.operator_port}" for n in (11, 12, 13)]
         for number in range(3):
             self.start_coordinator(number, form_group=True)
-        self.backends, self.sidecars = [], []
         for number in range(2):
             self.start_site(number)
 
-    def tearDown(self):
+    def stop_all(self):
         for backend in self.backends:
             backend.stopped = True
         for process in self.processes:
@@ -307,10 +319,12 @@
         for backend in self.backends:
             backend.server.shutdown()
             backend.server.server_close()
-        self.folder.cleanup()
+
+    def log_path(self, number):
+        return os.path.join(self.folder, f"{number}.log")
 
     def start(self, *arguments):
-        log = open(os.path.join(self.folder.name, f"{len(self.processes)}.log"), "w")
+        log = open(self.log_path(len(self.processes)), "w")
         # See set_disk_full().
         process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log,
                                    restore_signals=False)
@@ -321,7 +335,7 @@
     def start_coordinator(self, number, form_group):
         ip = f"127.0.0.{11 + number}"
         return self.start(
-            "coordinator", "--zone=z", f"--state_dir={self.folder.name}/c{number}",
+            "coordinator", "--zone=z", f"--state_dir={self.folder}/c{number}",
             f"--operator_address={ip}:{self.operator_port}",
             f"--member_address={ip}:{self.member_port}",
             "--seed_coordinators=" + ",".join(self.operators),
@@ -329,8 +343,8 @@
 
     def start_site(self, number):
         ip = f"127.0.0.{21 + number}"
-        ports = {name: free_port()
-                 for name in ("caller", "peer", "ready", "announce", "backend")}
+        listeners = ("caller", "peer", "ready", "announce", "backend")
+        ports = dict(zip(listeners, reserve_ports(len(listeners))))
         site = {name: f"{ip}:{port}" for name, port in ports.items()}
         site["arguments"] = [
             "sidecar", "--zone=z", f"--instance=site-{number}",
--- a/tools/rattanloft/tests/ControlProcesses.cpp
+++ b/tools/rattanloft/tests/ControlProcesses.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <span>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -9,8 +10,6 @@
 #include <unistd.h>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
 
 #include "rattanloft/control/ControlInstance.h"
@@ -20,29 +19,12 @@
 
 namespace {
 
-using boost::asio::ip::tcp;
-
 constexpr std::chrono::milliseconds kPollInterval{ 20 };
 
-// Returns ports that were free a moment ago. All are held open until the last
-// one is chosen, so that they differ.
-std::vector<uint16_t>
-FreePorts(size_t aCount)
-{
-  boost::asio::io_context context;
-  std::vector<tcp::acceptor> acceptors;
-  std::vector<uint16_t> ports;
-  for (size_t i = 0; i < aCount; ++i) {
-    acceptors.emplace_back(
-      context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    ports.push_back(acceptors.back().local_endpoint().port());
-  }
-  return ports;
-}
-
 } // namespace
 
 ControlProcesses::ControlProcesses(size_t aCount)
+  : m_reservedPorts(2 * aCount)
 {
   std::string folder =
     (std::filesystem::temp_directory_path() / "rattanloft-XXXXXX").string();
@@ -51,7 +33,7 @@
       "cannot create a temporary folder for the control instances");
   }
   m_folder = folder;
-  const auto ports = FreePorts(2 * aCount);
+  const std::span<const uint16_t> ports = m_reservedPorts.Ports();
   for (size_t i = 0; i < aCount; ++i) {
     m_instances.push_back({});
     const auto id = control::InitDataFolder(DataDir(i));
--- a/tools/rattanloft/tests/ControlProcesses.h
+++ b/tools/rattanloft/tests/ControlProcesses.h
@@ -8,12 +8,13 @@
 #include <vector>
 
 #include "ControlClient.h"
+#include "ReservedPorts.h"
 
 namespace rattanloft::tool {
 
 // Runs a group of control instances as child processes on loopback, each with
-// free ports and its own data folder. The destructor kills the instances that
-// still run and removes the data folders.
+// reserved ports and its own data folder. The destructor kills the instances
+// that still run and removes the data folders.
 class ControlProcesses
 {
 public:
@@ -48,6 +49,7 @@
     pid_t m_pid = 0;
   };
 
+  ReservedPorts m_reservedPorts;
   std::filesystem::path m_folder;
   std::string m_group;
   std::vector<Instance> m_instances;
