Keep a leaving backend server out of use after a restart of its sidecar

Cause: the phase of a backend server lived in its sidecar only. The new process took it for ready if heartbeats did not state the drain, and the leader believed that report and kept assigning ranges.

The leader now keeps the latest phase of a lifetime and returns it with the lease. A sidecar that learns of a drain in this way, or with the first heartbeat of a lifetime, does not know when it began and serves nothing more.

A reply of an older coordinator has no phase, which changes nothing.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -85,6 +85,8 @@
     // Set once a later lifetime runs at the same instance, which proves that
     // this one has ended.
     bool m_ended = false;
+    // Latest phase that its sidecar has reported.
+    wire::BackendPhase m_phase = wire::BACKEND_PHASE_UNKNOWN;
     // Incremented each time that the planned ranges change.
     uint64_t m_planNumber = 0;
     // Ranges that the lifetime is told to hold.
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -98,6 +98,7 @@
     MarkEarlierLifetimesEnded(aRequest.instance(), backend);
     Holder& holder = m_holders[backend.holder()];
     holder.m_instance = aRequest.instance();
+    holder.m_phase = std::max(holder.m_phase, backend.phase());
     holder.m_refusedRanges.assign(aRequest.refused_ranges().begin(),
                                   aRequest.refused_ranges().end());
     for (const wire::HandedOver& handover : aRequest.handovers()) {
@@ -114,8 +115,13 @@
     m_quarantine.Merge(entry, aNow);
   }
   sidecar.m_lastRequest = aRequest;
+  if (const auto holder = m_holders.find(backend.holder());
+      holder != m_holders.end()) {
+    // A sidecar that has restarted may report an earlier phase.
+    sidecar.m_lastRequest.mutable_backend()->set_phase(holder->second.m_phase);
+  }
   sidecar.m_lastHeardAt = aNow;
-  m_endpoints.Set(MakeEndpoint(aRequest));
+  m_endpoints.Set(MakeEndpoint(sidecar.m_lastRequest));
   return true;
 }
 
@@ -651,6 +657,7 @@
     holder.m_leaseEnd, aNow + m_timings.m_leaseDuration + kLeaseClockMargin);
   reply.set_lease_ms(static_cast<uint32_t>(m_timings.m_leaseDuration.m_ms));
   reply.set_holder(name);
+  reply.set_backend_phase(holder.m_phase);
   reply.set_plan(holder.m_planNumber);
   reply.set_expects_ranges(ExpectsRanges(name));
   if (aRequest.plan_term() != m_term ||
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -436,4 +436,28 @@
   CHECK(fixture.OwnsAnyKey("n3/b@1"));
 }
 
+// Guards against a backend server that is used again because its sidecar has
+// restarted and does not know that it is leaving.
+TEST_CASE("a lifetime that has begun to leave does not become ready again")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest leaving = fixture.MakeRequest("n1");
+  leaving.mutable_backend()->set_phase(wire::BACKEND_PHASE_DRAINING);
+  CHECK(fixture.SendSync(leaving).backend_phase() ==
+        wire::BACKEND_PHASE_DRAINING);
+  const wire::FleetSyncReply reply =
+    fixture.SendSync(fixture.MakeRequest("n1"));
+  CHECK(reply.backend_phase() == wire::BACKEND_PHASE_DRAINING);
+  REQUIRE(reply.endpoints_size() == 1);
+  CHECK(reply.endpoints(0).backend().phase() == wire::BACKEND_PHASE_DRAINING);
+  fixture.AssignAllKeys("n1/b@1");
+  CHECK(fixture.RunUntilTakeover(fixture.MakeRequest("n1")) < Seconds(5));
+  CHECK_FALSE(fixture.OwnsAnyKey("n1/b@1"));
+
+  wire::FleetSyncRequest next = fixture.MakeRequest("n1");
+  next.mutable_backend()->set_started_at_unix_ms(2);
+  next.mutable_backend()->set_holder("n1/b@2");
+  CHECK(fixture.SendSync(next).backend_phase() == wire::BACKEND_PHASE_READY);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -185,7 +185,8 @@
   }
   std::string holder = fleet::FormatHolderName(
     { m_instance, aHeartbeat.m_backendId, aHeartbeat.m_startedAtUnixMs });
-  if (holder != m_view.holder()) {
+  const bool isNewLifetime = holder != m_view.holder();
+  if (isNewLifetime) {
     LogInfo("backend",
             "event=lifetime holder={} before={} service={} slots={}",
             holder,
@@ -208,7 +209,9 @@
   m_failingSince = {};
   m_view.set_reachable(true);
   if (aHeartbeat.m_draining) {
-    StartDrain(wire::BACKEND_PHASE_DRAINING, aNow);
+    // The drain may have begun before this sidecar was restarted.
+    StartDrain(wire::BACKEND_PHASE_DRAINING,
+               isNewLifetime ? EarlierDrainStart(aNow) : aNow);
   }
   const size_t reportedBefore = m_reportedRanges.size();
   m_reportedRanges = aHeartbeat.m_heldRanges;
@@ -324,13 +327,13 @@
 }
 
 void
-LocalBackend::StartDrain(wire::BackendPhase aPhase, TimePoint aNow)
+LocalBackend::StartDrain(wire::BackendPhase aPhase, TimePoint aStartedAt)
 {
   if (m_view.phase() >= aPhase) {
     return;
   }
   if (m_view.phase() == wire::BACKEND_PHASE_READY) {
-    m_drainStartedAt = aNow;
+    m_drainStartedAt = aStartedAt;
   }
   LogInfo("backend",
           "event=leaving holder={} phase={}",
@@ -340,6 +343,12 @@
   ++m_reportRevision;
 }
 
+TimePoint
+LocalBackend::EarlierDrainStart(TimePoint aNow) const
+{
+  return aNow - m_drainTimeout;
+}
+
 void
 LocalBackend::OnLeavingAnnounced(TimePoint aNow)
 {
@@ -362,8 +371,12 @@
 void
 LocalBackend::OnSyncReply(const wire::FleetSyncReply& aReply, TimePoint aSentAt)
 {
-  if (aReply.holder().empty() || aReply.holder() != m_view.holder() ||
-      aReply.term() < m_planTerm ||
+  if (aReply.holder().empty() || aReply.holder() != m_view.holder()) {
+    return;
+  }
+  // A process of this sidecar before its restart has reported the phase.
+  StartDrain(aReply.backend_phase(), EarlierDrainStart(aSentAt));
+  if (aReply.term() < m_planTerm ||
       (aReply.term() == m_planTerm && aReply.plan() < m_planNumber)) {
     return;
   }
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -134,7 +134,9 @@
   bool IsReportedHeld(const wire::OwnedRange& aRange) const;
   bool MustRelease() const;
   ServeVerdict CheckOwnership(uint32_t aKey, TimePoint aNow) const;
-  void StartDrain(wire::BackendPhase aPhase, TimePoint aNow);
+  void StartDrain(wire::BackendPhase aPhase, TimePoint aStartedAt);
+  // Returns a start of the drain after which nothing is served any more.
+  TimePoint EarlierDrainStart(TimePoint aNow) const;
 
   std::string m_instance;
   std::string m_backendAddress;
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -347,4 +347,49 @@
   CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kServe);
 }
 
+// Guards against requests that reach a leaving backend server because the
+// sidecar beside it has restarted and counts its drain from then.
+TEST_CASE("a backend server whose drain began before a restart is not used")
+{
+  LocalBackend backend = MakeLocalBackend();
+  SECTION("a heartbeat states the drain")
+  {
+    Heartbeat heartbeat = MakeHeartbeat(1);
+    heartbeat.m_draining = true;
+    CHECK(backend.OnHeartbeat(heartbeat, kStart));
+    backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  }
+  SECTION("only the leader knows of the drain")
+  {
+    CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
+    wire::FleetSyncReply reply = MakePlanReply(1, 0, 99);
+    reply.set_backend_phase(wire::BACKEND_PHASE_DRAINING);
+    backend.OnSyncReply(reply, kStart);
+  }
+  backend.MakeHeartbeatResponse(kStart);
+  CHECK(backend.CheckServable(5, true, kStart) == ServeVerdict::kDraining);
+  CHECK(MakeReport(backend, kStart).backend().phase() ==
+        wire::BACKEND_PHASE_DRAINING);
+}
+
+// Guards against a drain that ends at once because the leader repeats the phase
+// that this sidecar has reported.
+TEST_CASE("a draining backend server serves its keys until they have moved")
+{
+  LocalBackend backend = MakeLocalBackend();
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
+  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  backend.MakeHeartbeatResponse(kStart);
+  Heartbeat heartbeat = MakeHeartbeat(2);
+  heartbeat.m_draining = true;
+  CHECK(backend.OnHeartbeat(heartbeat, kStart));
+  wire::FleetSyncReply reply = MakePlanReply(1, 0, 99);
+  reply.set_backend_phase(wire::BACKEND_PHASE_DRAINING);
+  backend.OnSyncReply(reply, kStart);
+  CHECK(backend.CheckServable(5, true, kStart + Seconds(1)) ==
+        ServeVerdict::kServe);
+  CHECK(backend.CheckServable(5, true, kStart + Milliseconds(1300)) ==
+        ServeVerdict::kDraining);
+}
+
 } // namespace rattanloft::sidecar
