Refuse keyed requests at once while no leader assigns keys

While there was no leader, every keyed request waited for an owner until 60 % of its time was over, and was refused then, also when the leader had been away for long.

Cause: the wait for the next owner did not ask whether anybody could assign one. A leader that is replaced is back within a second; an entry without a reply of any leader for 2.5 s cannot learn of another owner in time. AttemptPolicy now ends a request then if the key has no owner or its owner has lost it. An owner that cannot be reached for a moment is still tried again, since it needs no leader to come back.

tests/FleetTest.py, the new test: 1.17 s until the refusal before; passes now. Ruled out: refusing earlier than after 2.5 s, since most changes of the leader end before.

--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -44,6 +44,9 @@
     return NextStep::kFinish;
   }
   const bool isMoving = aResult.m_kind == ResultKind::kOwnerMoved;
+  if (isMoving && m_limits.m_leaderSilent) {
+    return NextStep::kFinish;
+  }
   return WaitOrFinish(isMoving ? m_limits.m_moveWaitDeadline
                                : m_limits.m_ownerWaitDeadline,
                       aNow);
@@ -69,8 +72,9 @@
 NextStep
 AttemptPolicy::OnNoEndpoint(TimePoint aNow) const
 {
-  return m_limits.m_keyed ? WaitOrFinish(m_limits.m_ownerWaitDeadline, aNow)
-                          : NextStep::kFinish;
+  return m_limits.m_keyed && !m_limits.m_leaderSilent
+           ? WaitOrFinish(m_limits.m_ownerWaitDeadline, aNow)
+           : NextStep::kFinish;
 }
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/AttemptPolicy.h
+++ b/modules/sidecar/src/AttemptPolicy.h
@@ -25,6 +25,9 @@
   // End of the wait while the keys move to another owner. The current owner has
   // reported that it gave them up, so the next owner is expected soon.
   TimePoint m_moveWaitDeadline;
+  // No leader has replied for so long that another owner is not expected to
+  // become known in time.
+  bool m_leaderSilent = false;
 };
 
 enum class NextStep
@@ -37,8 +40,8 @@
 
 // Decides before and after each attempt, or if no backend server was found,
 // whether a request is sent, waits or finishes. Covers keys that change their
-// owner and backend servers that are stalled, overloaded or failing. Does no
-// I/O; one instance per request.
+// owner or have none for lack of a leader, and backend servers that are
+// stalled, overloaded or failing. Does no I/O; one instance per request.
 class AttemptPolicy
 {
 public:
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -29,7 +29,7 @@
 // the backend server may respond exactly at the deadline.
 constexpr Duration kResponseGracePeriod = Milliseconds(120);
 // If the last reply of a leader is older than this, a route that is missing
-// from the directory may exist.
+// from the directory may exist, and keys get no other owner for some time.
 constexpr Duration kDirectoryFreshnessLimit = Milliseconds(2500);
 // Share of the time until its deadline for which a request waits while its key
 // moves to another owner. The rest is left for running the request, which may
@@ -217,7 +217,7 @@
 }
 
 AttemptPolicy
-EntryHandler::MakeAttemptPolicy(const RequestState& aState)
+EntryHandler::MakeAttemptPolicy(const RequestState& aState) const
 {
   AttemptLimits limits;
   limits.m_keyed = aState.m_keyed;
@@ -230,6 +230,8 @@
   limits.m_moveWaitDeadline =
     aState.m_arrivedAt +
     (aState.m_deadline - aState.m_arrivedAt) * kMoveWaitPercent / 100;
+  limits.m_leaderSilent = m_directory.TimeSinceLastReply(aState.m_arrivedAt) >
+                          kDirectoryFreshnessLimit;
   return AttemptPolicy(limits);
 }
 
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -107,7 +107,7 @@
     std::shared_ptr<http::CancelToken> aCancel);
   void RecordAcceptance(const std::string& aTarget,
                         const AttemptResult& aResult);
-  static AttemptPolicy MakeAttemptPolicy(const RequestState& aState);
+  AttemptPolicy MakeAttemptPolicy(const RequestState& aState) const;
   // Takes one retry from the budget of the service; returns false if the budget
   // is used up.
   bool TryTakeRetry(const std::string& aService);
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -108,6 +108,24 @@
         NextStep::kFinish);
 }
 
+// Guards against requests that wait until most of their time is over, although
+// nobody can assign their key.
+TEST_CASE("a keyed request waits for no other owner while the leader is silent")
+{
+  AttemptLimits limits = MakeKeyedLimits();
+  limits.m_leaderSilent = true;
+  AttemptPolicy policy(limits);
+  CHECK(policy.OnNoEndpoint(kStart) == NextStep::kFinish);
+  CHECK(policy.OnInstanceChosen(false) == NextStep::kSend);
+  const AttemptResult leaseEnded =
+    MakeResult(AttemptOutcome::kNotRun, false, ResultKind::kOwnerMoved);
+  CHECK(policy.OnResult(leaseEnded, kStart, AllowRetry) == NextStep::kFinish);
+  // The owner that cannot be reached for a moment needs no leader to come back.
+  const AttemptResult unreachable = MakeResult(AttemptOutcome::kNotRun, false);
+  CHECK(policy.OnResult(unreachable, kStart, AllowRetry) ==
+        NextStep::kWaitForOwner);
+}
+
 TEST_CASE("a keyed request does not wait for an overloaded owner")
 {
   AttemptPolicy policy(MakeKeyedLimits());
--- a/tests/FleetTest.py
+++ b/tests/FleetTest.py
@@ -10,6 +10,9 @@
 from fleet_fixture import (BINARY, FleetTestCase, configuration, send_request,
                            wait_for)
 
+# A refusal that waits for nothing takes less than this.
+REFUSAL_LIMIT_S = 0.3
+
 
 class FleetTest(FleetTestCase):
     def test_configuration_routing_and_trace(self):
@@ -86,6 +89,20 @@
         wait_for(lambda: self.send_through_sidecar(0, "/p/x", 1, "late")[0] == 200, 8,
                  "a request is answered after a second loss")
 
+    # Guards against requests that wait for an owner which nobody can assign.
+    def test_keyed_requests_are_refused_at_once_while_no_leader_is_there(self):
+        self.start_service()
+        for process in self.processes[:3]:
+            process.kill()
+            process.wait()
+        wait_for(lambda: self.send_through_sidecar(0, "/p/x", 1, "first")[0] == 503,
+                 8, "the lease of the owner ends")
+        for number, key in enumerate((1, 20000, 40000, 65535)):
+            sent_s = time.time()
+            self.assertEqual(
+                self.send_through_sidecar(number % 2, "/p/x", key, f"r{key}")[0], 503)
+            self.assertLess(time.time() - sent_s, REFUSAL_LIMIT_S)
+
     def test_draining_backend_gets_no_work_and_sidecar_stops(self):
         self.start_service()
         draining_backend = self.backends[1]
