Test that grants confirmed by the next incarnation are not used

The new test delays the answers to grants and announces the next incarnation while grants are on their way.

--- a/tests/BackendRestartTest.py
+++ b/tests/BackendRestartTest.py
@@ -1,5 +1,6 @@
 """Tests a node whose backend server restarts under the same address."""
 
+import concurrent.futures
 import http.server
 import json
 import os
@@ -7,6 +8,7 @@
 import signal
 import sys
 import threading
+import time
 import unittest
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -14,17 +16,23 @@
 
 from cluster import Cluster, send_request, wait_for  # noqa: E402
 
-FIRST_INCARNATION, SECOND_INCARNATION = f"{1:016x}", f"{2:016x}"
+# Shorter than the time that a node waits for the confirmation.
+GRANT_DELAY_S = 0.4
+
+FIRST_INCARNATION, SECOND_INCARNATION, THIRD_INCARNATION = (
+    f"{number:016x}" for number in (1, 2, 3))
 
 
 class StandInBackend:
-    """Confirms all grants and answers all requests. Two incarnations share it."""
+    """Confirms all grants and answers all requests. All incarnations share it."""
 
     def __init__(self, site):
         self.site = site
         self.incarnation = FIRST_INCARNATION
         # Pairs of the incarnation that ran a request and its epoch.
         self.runs = []
+        # How long grants are not confirmed, and whether some were sent.
+        self.grant_delay_s, self.got_grants = 0, threading.Event()
         backend = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -37,7 +45,10 @@
                 self.reply()
 
             def do_PUT(self):
-                self.rfile.read(int(self.headers["Content-Length"]))
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                if body.get("grants"):
+                    backend.got_grants.set()
+                time.sleep(backend.grant_delay_s)
                 self.reply()
 
             def reply(self):
@@ -81,20 +92,23 @@
             os.path.join(ROOT, "examples", "adwoa", "catalogue.json"))
         self.backend = StandInBackend(self.site)
         self.addCleanup(self.backend.close)
+        self.assertIsNotNone(
+            wait_for(lambda: self.backend.announce() == 200 and self.read() == 200,
+                     15, 0.3), "a read is answered")
 
     def read(self):
         return send_request(self.site.caller_port, "GET", "/catalogue/stand-42",
                             timeout=3).status
 
+    def pause_control(self):
+        """Without control instances, nothing replaces the node's view."""
+        for process in self.cluster.control_processes:
+            process.send_signal(signal.SIGSTOP)
+
     # Guards against a backend server that runs requests under the epochs of the
     # incarnation before it.
     def test_new_incarnation_inherits_no_shards(self):
-        self.assertIsNotNone(
-            wait_for(lambda: self.backend.announce() == 200 and self.read() == 200,
-                     15, 0.3), "a read is answered")
-        # Without control instances, nothing replaces the node's view.
-        for process in self.cluster.control_processes:
-            process.send_signal(signal.SIGSTOP)
+        self.pause_control()
         self.assertEqual(self.read(), 200)
         self.backend.incarnation = SECOND_INCARNATION
         self.assertEqual(self.backend.announce(), 200)
@@ -102,6 +116,27 @@
         self.assertEqual([run for run in self.backend.runs
                           if run[0] == SECOND_INCARNATION], [])
 
+    # Guards against a node that uses grants for the incarnation before, because
+    # the new one has confirmed them.
+    def test_grants_of_the_incarnation_before_are_not_used_once_confirmed(self):
+        self.backend.grant_delay_s = GRANT_DELAY_S
+        self.backend.incarnation = SECOND_INCARNATION
+        self.backend.got_grants.clear()
+        self.assertIsNotNone(
+            wait_for(lambda: self.backend.announce() == 200
+                     and self.backend.got_grants.wait(0.3), 15, 0), "grants are sent")
+        self.pause_control()
+        self.backend.incarnation = THIRD_INCARNATION
+        self.assertEqual(self.backend.announce(), 200)
+        with concurrent.futures.ThreadPoolExecutor(24) as pool:
+            reads = []
+            for _ in range(24):
+                reads.append(pool.submit(self.read))
+                time.sleep(GRANT_DELAY_S / 8)
+        self.assertEqual({read.result() for read in reads}, {503})
+        self.assertEqual([run for run in self.backend.runs
+                          if run[0] == THIRD_INCARNATION], [])
+
 
 if __name__ == "__main__":
     unittest.main()
