--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -210,6 +210,7 @@
     def send_heartbeat(self):
         with self.lock:
             self.sequence += 1
+            lifetime = self.born_unix_ms
             body = {
                 "service": self.service, "address": self.address, "zone": "z",
                 "version": "v1", "slots": 4, "state": self.state,
@@ -224,7 +225,9 @@
         grant = json.loads(text or "{}")
         with self.lock:
             # As on the platform, a larger answer is not accepted.
-            if status == 200 and len(text) <= 4096 and "holds" in grant:
+            is_current = lifetime == self.born_unix_ms and not self.down
+            if (status == 200 and len(text) <= 4096 and "holds" in grant
+                    and is_current):
                 self.held_ranges = grant["holds"]
                 self.hold_end_s = sent + grant["holdS"]
         return status
