Wait for the end of all leases before refusals are timed

The test of refusals without a leader waited for one refused key only. The bound of the refusal stays.

--- a/tests/FleetTest.py
+++ b/tests/FleetTest.py
@@ -95,9 +95,10 @@
         for process in self.processes[:3]:
             process.kill()
             process.wait()
-        wait_for(lambda: self.send_through_sidecar(0, "/p/x", 1, "first")[0] == 503,
-                 8, "the lease of the owner ends")
-        for number, key in enumerate((1, 20000, 40000, 65535)):
+        keys = (1, 20000, 40000, 65535)
+        wait_for(lambda: all(self.send_through_sidecar(0, "/p/x", key, f"w{key}")[0]
+                             == 503 for key in keys), 8, "all leases have ended")
+        for number, key in enumerate(keys):
             sent_s = time.time()
             self.assertEqual(
                 self.send_through_sidecar(number % 2, "/p/x", key, f"r{key}")[0], 503)
