--- a/tests/FleetSoakTest.py
+++ b/tests/FleetSoakTest.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import sys
 import threading
 import time
 import unittest
@@ -124,11 +125,11 @@
     bounds = "retryBudgetSlack=5000,graceS=4"
 
     def setUp(self):
+        self.violations, self.spans, self.ended = [], [], False
         super().setUp()
         self.coordinators = self.processes[:COORDINATOR_COUNT]
         self.start_site(2)
         self.start_service()
-        self.violations, self.spans, self.ended = [], [], False
         self.confirmed_version = 2
         # When lifetimes began to announce their end.
         self.announced_s = {}
@@ -146,6 +147,10 @@
         for caller in self.callers:
             caller.stop()
 
+    def print_logs(self):
+        print(*self.spans, sep="\n", file=sys.stderr)
+        super().print_logs()
+
     def check_owners(self):
         while not self.ended:
             for backend in self.backends:
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -299,8 +299,12 @@
         for number, process in enumerate(self.processes):
             with open(self.log_path(number), encoding="utf-8") as log:
                 lines = log.read().splitlines()
+            # When the process started and stopped, also if this was long before.
+            lines = [line for line in lines[:-MAX_PRINTED_LOG_LINES]
+                     if "event=sta" in line or "event=sto" in line
+                     ] + lines[-MAX_PRINTED_LOG_LINES:]
             print(f"-- {process.args[1]} {number}, status {process.returncode}:",
-                  *lines[-MAX_PRINTED_LOG_LINES:], sep="\n", file=sys.stderr)
+                  *lines, sep="\n", file=sys.stderr)
 
     def setUp(self):
         self.processes, self.backends, self.sidecars = [], [], []
