--- a/review/1/play.py
+++ b/review/1/play.py
@@ -39,21 +39,6 @@
                text=text.decode())
 
 
-def find_overlaps(backends):
-    """Spans of keys that two backends held at once, with how long."""
-    holds = [(backend.name, *row) for backend in backends
-             for row in backend.hold_history]
-    found = []
-    for index, (name, first, last, fence, start, end) in enumerate(holds):
-        for other, first2, last2, fence2, start2, end2 in holds[index + 1:]:
-            keys = min(last, last2) - max(first, first2) + 1
-            span_s = min(end, end2) - max(start, start2)
-            if name != other and keys > 0 and span_s > MAX_OVERLAP_S:
-                found.append((span_s, max(first, first2), min(last, last2),
-                              (name, fence), (other, fence2)))
-    return sorted(found, reverse=True)
-
-
 async def play(record, installation, trouble):
     await installation.start([SERVICE] * 3, {SERVICE})
     await installation.put_configuration(
@@ -75,7 +60,7 @@
         task.cancel()
     for backend in installation.backends:
         backend.close_holds()
-    overlaps = find_overlaps(installation.backends)
+    overlaps = standins.find_overlaps(installation.backends, MAX_OVERLAP_S)
     breaks = []
     if overlaps:
         keys = sum(last - first + 1 for _, first, last, _, _ in overlaps)
--- a/review/standins.py
+++ b/review/standins.py
@@ -139,6 +139,8 @@
         self.seen_fences = [0] * KEY_COUNT
         # Rows (attempt id, time) of all that arrived and all that ran.
         self.arrivals, self.runs = [], []
+        # When the last heartbeat was confirmed.
+        self.confirmed_at = None
         # May be replaced by a case: returns True if it has answered itself.
         self.before_request = None
         self.server, self.tasks = None, []
@@ -225,12 +227,15 @@
             {"Content-Type": "application/json"}, json.dumps(body).encode())
 
     async def beat_loop(self):
+        # Backends do not start in step.
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_S))
         while True:
             released = False
             if self.beating:
                 body, sent = self.make_beat(), self.record.now()
                 status, _, text = await self.send_beat(body)
                 if 200 <= status < 300 and len(text) <= 4096:
+                    self.confirmed_at = self.record.now()
                     done = body["released"]
                     self.released = [r for r in self.released if r not in done]
                     answer = json.loads(text or b"{}")
@@ -239,7 +244,8 @@
                         released = self.apply_holds(answer["holds"], sent + hold_s)
                 self.record.add("beat", backend=self.name, seq=body["seq"],
                                 status=status, rows=len(self.rows))
-                pause = HEARTBEAT_S - (self.record.now() - sent)
+                pause = (HEARTBEAT_S * random.uniform(0.95, 1.05) -
+                         (self.record.now() - sent))
             else:
                 pause = 0.1
             await asyncio.sleep(0.05 if released else max(pause, 0.02))
@@ -542,6 +548,21 @@
         self.reader = self.writer = None
 
 
+def find_overlaps(backends, max_overlap_s):
+    """Spans of keys that two backends held at once, with how long."""
+    holds = [(backend.name, *row) for backend in backends
+             for row in backend.hold_history]
+    found = []
+    for index, (name, first, last, fence, start, end) in enumerate(holds):
+        for other, first2, last2, fence2, start2, end2 in holds[index + 1:]:
+            keys = min(last, last2) - max(first, first2) + 1
+            span_s = min(end, end2) - max(start, start2)
+            if name != other and keys > 0 and span_s > max_overlap_s:
+                found.append((span_s, max(first, first2), min(last, last2),
+                              (name, fence), (other, fence2)))
+    return sorted(found, reverse=True)
+
+
 def route(host, prefix, kind, service, **fields):
     return {"host": host, "pathPrefix": prefix, "routeKind": kind,
             "timeoutS": 1.2, "targetLatencyS": 0.5, "priority": 1,
