--- a/review/2/play.py
+++ b/review/2/play.py
@@ -11,7 +11,7 @@
 import standins  # noqa: E402
 
 HOST, SERVICE = "shop.example", "deposits"
-REQUESTERS, REQUESTS_EACH = 3, 150
+REQUESTERS, REQUESTS_EACH = 2, 400
 # Each backend rejects this share of what arrives as full, with and without the
 # disruption.
 REJECTED_SHARE = 0.1
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -11,7 +11,7 @@
 import standins  # noqa: E402
 
 HOST, SERVICE = "shop.example", "catalogue"
-MACHINES, ROUNDS = 8, 3
+MACHINES, ROUNDS = 10, 3
 RESTART_DELAY_S = 0.05
 # OWNER: "hold the same keys for over half a second".
 MAX_OVERLAP_S = 0.5
@@ -81,14 +81,16 @@
         async def has_beaten():
             return backend.confirmed_at != before and backend.rows
 
-        await installation.wait_for(has_beaten, 5, "the next heartbeat")
+        await installation.wait_for(has_beaten, 5, "the next heartbeat",
+                                    poll_s=0.02)
         if trouble:
             installation.kill(installation.sidecars[number]["pid"])
             record.add("sidecar-killed", number=number)
             await asyncio.sleep(RESTART_DELAY_S)
             installation.start_sidecar(number, SERVICE)
             await installation.wait_for(
-                lambda n=number: installation.is_ready(n), 3, "ready again")
+                lambda n=number: installation.is_ready(n), 3, "ready again",
+                poll_s=0.02)
         await late[backend.name].let_arrive()
         await asyncio.sleep(1.5)
     for task in traffic:
--- a/review/standins.py
+++ b/review/standins.py
@@ -460,12 +460,12 @@
             await asyncio.sleep(0.1)
         raise CannotRun("the first desired state was not confirmed")
 
-    async def wait_for(self, condition, timeout_s, what):
+    async def wait_for(self, condition, timeout_s, what, poll_s=0.1):
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
             if await condition():
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(poll_s)
         raise CannotRun(f"not within {timeout_s} s: {what}")
 
     async def is_ready(self, number):
