--- a/review/2/play.py
+++ b/review/2/play.py
@@ -11,13 +11,13 @@
 import standins  # noqa: E402
 
 HOST, SERVICE = "shop.example", "deposits"
-REQUESTERS, REQUESTS_EACH = 2, 400
+REQUESTERS, REQUESTS_EACH = 2, 500
 # Each backend rejects this share of what arrives as full, with and without the
 # disruption.
 REJECTED_SHARE = 0.1
-# The largest dose of "garble" with "extra late" in the site file: of the answers
-# of 0.6 of the backends.
-SPOILT_SHARE, SPOILT_BACKENDS = 0.03, 0.6
+# The dose of "garble" with "extra late" in the site file: of the answers of 0.6 of
+# the backends, for 5 s. It comes several times.
+SPOILT_SHARE, SPOILT_BACKENDS, SPOILT_S, PAUSE_S = 0.03, 0.6, 5, 3
 ATTEMPTS = int(os.environ.get("ATTEMPTS", "2"))
 
 
@@ -30,12 +30,19 @@
 
     def __init__(self, backend, spoils):
         self.backend, self.spoils = backend, spoils
-        self.answers = self.copies = self.arrivals = 0
+        self.copies = self.arrivals = 0
+        # Answers while the disruption was on, and how many of them are sent twice.
+        self.answers = self.chosen = 0
+        self.begin_s = backend.record.now()
         self.stray = {}
 
+    def is_on(self):
+        at_s = (self.backend.record.now() - self.begin_s) % (SPOILT_S + PAUSE_S)
+        return self.spoils and at_s < SPOILT_S
+
     async def before_request(self, attempt, writer):
         self.arrivals += 1
-        self.answers += 1
+        self.answers += self.is_on()
         stray = self.stray.pop(writer, None)
         if stray is not None:
             self.copies += 1
@@ -46,8 +53,8 @@
         if self.arrivals % round(1 / REJECTED_SHARE) != 0:
             return False
         answer = self.backend.reject(writer, 503, attempt, "full")
-        planned = self.copies + len(self.stray) + 1
-        if self.spoils and planned <= SPOILT_SHARE * self.answers:
+        if self.is_on() and self.chosen + 1 <= SPOILT_SHARE * self.answers:
+            self.chosen += 1
             self.stray[writer] = answer
         return True
 
@@ -96,7 +103,7 @@
     served = sum(1 for status in answers.values() if status == 200)
     copies = sum(spoiler.copies for spoiler in spoilers)
     record.add("summary", requests=len(answers), served=served, copies=copies,
-               answers=sum(spoiler.answers for spoiler in spoilers),
+               answers_meanwhile=sum(spoiler.answers for spoiler in spoilers),
                refused_but_run=refused, run_twice=twice)
     if served < len(answers) / 2:
         raise standins.CannotRun("less than half of the requests were served")
