--- a/review/standins.py
+++ b/review/standins.py
@@ -583,6 +583,8 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
+    # Programs start in the root of the repository.
+    os.chdir(ROOT)
 
     async def whole():
         installation = Installation(record)
