--- a/review/2/play.py
+++ b/review/2/play.py
@@ -12,7 +12,7 @@
 
 HOST, SERVICE = "shop.example", "deposits"
 REQUESTERS, REQUESTS_EACH = 2, 500
-# Each backend rejects this share of what arrives as full, with and without the
+# Each backend rejects this share of what arrives with 429, with and without the
 # disruption.
 REJECTED_SHARE = 0.1
 # The dose of "garble" with "extra late" in the site file: of the answers of 0.6 of
@@ -52,7 +52,7 @@
             await writer.drain()
         if self.arrivals % round(1 / REJECTED_SHARE) != 0:
             return False
-        answer = self.backend.reject(writer, 503, attempt, "full")
+        answer = self.backend.reject(writer, 429, attempt, "one in ten")
         if self.is_on() and self.chosen + 1 <= SPOILT_SHARE * self.answers:
             self.chosen += 1
             self.stray[writer] = answer
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -28,12 +28,31 @@
         await asyncio.sleep(0.03)
 
 
-async def send_late_beat(backend):
-    body = backend.make_beat()
-    backend.record.add("late-beat-sent", backend=backend.name, seq=body["seq"])
-    await asyncio.sleep(BEAT_LATE_S)
-    status, _, _ = await backend.send_beat(body)
-    backend.record.add("late-beat-arrived", backend=backend.name, status=status)
+class LateBeat:
+    """Delays the next heartbeat of the backend on its way."""
+
+    def __init__(self, backend):
+        self.backend, self.send_at_once = backend, backend.send_beat
+        self.sent, self.arrived = asyncio.Event(), asyncio.Event()
+        backend.send_beat = self.send
+
+    async def send(self, body):
+        if self.sent.is_set():
+            return await self.send_at_once(body)
+        self.sent.set()
+        self.backend.record.add("late-beat-sent", backend=self.backend.name,
+                                seq=body["seq"])
+        asyncio.create_task(self.deliver(body))
+        # The backend takes an answer for one second only.
+        await asyncio.sleep(1)
+        return 0, {}, b""
+
+    async def deliver(self, body):
+        await asyncio.sleep(BEAT_LATE_S)
+        status, _, _ = await self.send_at_once(body)
+        self.backend.record.add("late-beat-arrived", backend=self.backend.name,
+                                status=status)
+        self.arrived.set()
 
 
 async def play(record, installation, trouble):
@@ -52,8 +71,13 @@
     await installation.wait_for(all_serve, 15, "both backends get requests")
     await asyncio.sleep(3)
     leaving = installation.backends[1]
-    leaving.beating = False
-    await asyncio.sleep(1)
+    before = leaving.confirmed_at
+
+    async def has_beaten():
+        return leaving.confirmed_at != before
+
+    await installation.wait_for(has_beaten, 5, "the next heartbeat", poll_s=0.02)
+    late_beat = LateBeat(leaving)
     if trouble:
         installation.kill(installation.sidecars[1]["pid"])
         record.add("sidecar-killed", number=1)
@@ -62,14 +86,14 @@
     restarted = record.now()
     await installation.wait_for(lambda: installation.is_ready(1), 5,
                                 "the restarted sidecar is ready")
-    late_beat = asyncio.create_task(send_late_beat(leaving))
+    await late_beat.sent.wait()
     await asyncio.sleep(0.3)
     status = await leaving.leave_unannounced()
     confirmed = record.now()
     record.add("deregistered", backend=leaving.name, status=status)
     if not 200 <= status < 300:
         raise standins.CannotRun("the deregistration was not confirmed")
-    await late_beat
+    await late_beat.arrived.wait()
     await asyncio.sleep(confirmed + SERVES_ON_S - record.now())
     for task in traffic:
         task.cancel()
--- a/review/standins.py
+++ b/review/standins.py
@@ -133,6 +133,11 @@
         self.seq, self.state, self.beating = 0, "ready", True
         # Rows [first, last, fence, end of the hold, end of the slow time].
         self.rows, self.released, self.running = [], [], 0
+        # Rows that are no longer held, but on which it is still at work, with
+        # whether they were released.
+        self.unfinished = []
+        # The row of each request that runs.
+        self.rows_at_work = []
         # Rows [first, last, fence, start, end] of every hold.
         self.hold_history = []
         # The highest generation number that was seen for each key.
@@ -166,6 +171,25 @@
             self.rows.remove(row)
             self.end_hold(row, row[3])
             self.record.add("hold-expired", backend=self.name, row=row[:3])
+            if self.is_at_work(row):
+                self.unfinished.append((row, False))
+
+    def is_at_work(self, row):
+        return any(other is row for other in self.rows_at_work)
+
+    def report_released(self, row):
+        self.released.append([row[0], row[1], f"{random.getrandbits(64):016x}"])
+
+    def finish(self, row):
+        """Called when a request on the row has ended."""
+        self.rows_at_work = [r for r in self.rows_at_work if r is not row] + [
+            row] * (sum(r is row for r in self.rows_at_work) - 1)
+        if self.is_at_work(row):
+            return
+        for item in [item for item in self.unfinished if item[0] is row]:
+            self.unfinished.remove(item)
+            if item[1]:
+                self.report_released(row)
 
     def find_row(self, key):
         self.expire()
@@ -199,7 +223,10 @@
         left = [row for row in self.rows if row not in kept]
         for row in left:
             self.end_hold(row, now)
-            self.released.append([row[0], row[1], f"{random.getrandbits(64):016x}"])
+            if self.is_at_work(row):
+                self.unfinished.append((row, True))
+            else:
+                self.report_released(row)
             self.record.add("hold-released", backend=self.name, row=row[:3])
         self.rows = kept
         return bool(left)
@@ -218,7 +245,9 @@
         return {"service": self.service, "address": self.address,
                 "zone": self.zone, "version": "v1", "slots": self.slots,
                 "state": self.state, "coldRemainingS": 0, "seq": self.seq,
-                "born": self.born, "holds": [row[:3] for row in self.rows],
+                "born": self.born, "holds": [
+                    row[:3] for row in self.rows] + [
+                    row[:3] for row, _ in self.unfinished],
                 "released": list(self.released)}
 
     async def send_beat(self, body):
@@ -248,7 +277,9 @@
                          (self.record.now() - sent))
             else:
                 pause = 0.1
-            await asyncio.sleep(0.05 if released else max(pause, 0.02))
+            if released or any(item[1] for item in self.unfinished):
+                pause = 0.05
+            await asyncio.sleep(max(pause, 0.02))
 
     async def leave_unannounced(self):
         """Deregisters without reporting a drain first."""
@@ -315,8 +346,19 @@
         self.runs.append((attempt, self.record.now(), key))
         self.record.add("run", backend=self.name, attempt=attempt, key=key)
         slow = row is not None and self.record.now() < row[4]
+        if row is not None:
+            self.rows_at_work.append(row)
         await asyncio.sleep(self.work_s * (2 if slow else 1))
         self.running -= 1
+        if row is not None:
+            self.finish(row)
+            self.expire()
+            if row[3] <= self.record.now():
+                self.record.add("outlasted-lease", backend=self.name,
+                                attempt=attempt)
+                writer.write(format_response(500, {
+                    "Attempt-Id": attempt, "Response-Signature": f"sig-{attempt}"}))
+                return
         fields = {"Attempt-Id": attempt, "Response-Signature": f"sig-{attempt}",
                   "Server-Load": self.load()}
         body = f"{self.name} ran {attempt}\n".encode()
