Refuse heartbeats of another service, and give a lifetime its lease again

Some keys had no holder afterwards.

Cause: the listener believed every heartbeat with the right address. The later start counted as the proof that the real lifetime had ended, so the leader did not wait for its lease, and it never gave a lease again to a lifetime that it had once taken for ended.

Ruled out: a lost release (none is asked for, event=transfer-done follows the report of the later lifetime at once) and clock drift (the overlap is the rest of the hold).

Change: BackendCallRules checks what a heartbeat states before any of it is used: service and address are those of the settings. The check of the address moves there from LocalBackend, and so do its test lines. A lifetime that its sidecar reports again is no longer taken for ended.

"a lifetime that is reported again gets its lease and plan again" fails without the change in FleetLeader (2 assertions) and passes with it.

--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -98,6 +98,9 @@
     MarkEarlierLifetimesEnded(aRequest.instance(), backend);
     Holder& holder = m_holders[backend.holder()];
     holder.m_instance = aRequest.instance();
+    // A lifetime that is reported again was taken for ended by mistake, for
+    // instance because the clock of the instance was set back.
+    holder.m_ended = false;
     holder.m_phase = std::max(holder.m_phase, backend.phase());
     holder.m_refusedRanges.assign(aRequest.refused_ranges().begin(),
                                   aRequest.refused_ranges().end());
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -216,6 +216,24 @@
   CHECK(wait.m_ms < 4000);
 }
 
+// Guards against keys that get no holder for ever: the leader neither renews
+// the lease of a lifetime that it takes for ended, nor gives its keys to
+// another.
+TEST_CASE("a lifetime that is reported again gets its lease and plan again")
+{
+  LeaderFixture fixture;
+  fixture.AssignAllKeys("n1/b@1");
+  fixture.SendSync(fixture.MakeRequest("n1"));
+  wire::FleetSyncRequest later = fixture.MakeRequest("n1");
+  later.mutable_backend()->set_holder("n1/odd@2");
+  later.mutable_backend()->set_started_at_unix_ms(2);
+  fixture.SendSync(later);
+  const wire::FleetSyncReply reply =
+    fixture.SendSync(fixture.MakeRequest("n1"));
+  CHECK(reply.lease_ms() > 0);
+  CHECK(reply.holder() == "n1/b@1");
+}
+
 // Guards against a lease that counts as ended because this leader granted none.
 TEST_CASE("a new leader waits for the lease of a holder without a reply")
 {
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -72,11 +72,9 @@
 }
 
 LocalBackend::LocalBackend(std::string aInstance,
-                           std::string aBackendAddress,
                            Duration aDrainTimeout,
                            TimePoint aNow)
   : m_instance(std::move(aInstance))
-  , m_backendAddress(std::move(aBackendAddress))
   , m_drainTimeout(aDrainTimeout)
   , m_createdAt(aNow)
 {
@@ -179,8 +177,7 @@
 {
   const bool startedEarlier =
     aHeartbeat.m_startedAtUnixMs < m_view.started_at_unix_ms();
-  if (aHeartbeat.m_address != m_backendAddress ||
-      (startedEarlier && aNow - m_lastHeartbeatAt < kMaxLifetimeSilence)) {
+  if (startedEarlier && aNow - m_lastHeartbeatAt < kMaxLifetimeSilence) {
     return false;
   }
   std::string holder = fleet::FormatHolderName(
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -48,14 +48,11 @@
 class LocalBackend
 {
 public:
-  LocalBackend(std::string aInstance,
-               std::string aBackendAddress,
-               Duration aDrainTimeout,
-               TimePoint aNow);
-
-  // Returns false, and ignores the heartbeat, if it has another address, comes
-  // from an earlier lifetime or is older than one received before. Such a
-  // heartbeat must be answered without grants.
+  LocalBackend(std::string aInstance, Duration aDrainTimeout, TimePoint aNow);
+
+  // Applies a heartbeat that CheckHeartbeat() has accepted. Returns false, and
+  // ignores it, if it comes from an earlier lifetime or is older than one
+  // received before. Such a heartbeat must be answered without grants.
   bool OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow);
   // Sequence number of the newest heartbeat. Older heartbeats get no grants.
   uint64_t HeartbeatSequence() const { return m_heartbeatSequence; }
@@ -139,7 +136,6 @@
   TimePoint EarlierDrainStart(TimePoint aNow) const;
 
   std::string m_instance;
-  std::string m_backendAddress;
   Duration m_drainTimeout;
   TimePoint m_createdAt;
   wire::BackendView m_view;
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include "BackendCallRules.h"
 #include "BackendHandler.h"
 #include "EndpointSelector.h"
 #include "EntryHandler.h"
@@ -79,8 +80,8 @@
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
     , m_tickTimer(m_context)
+    , m_configuredBackend{ m_options.m_service, m_options.m_backendAddress }
     , m_localBackend(m_options.m_instance,
-                     m_options.m_backendAddress,
                      m_options.m_drainTimeout,
                      m_clock.Now())
     , m_endpointSelector(RandomId())
@@ -357,11 +358,16 @@
     http::Response response;
     response.set(field::content_type, "application/json");
     const auto heartbeat = m_protocol.ParseHeartbeat(aBackendId, aBody);
-    if (!heartbeat) {
+    const tl::expected<void, std::string> verdict =
+      heartbeat ? CheckHeartbeat(*heartbeat, m_configuredBackend)
+                : tl::unexpected(heartbeat.error());
+    if (!verdict) {
+      ++m_refusedHeartbeats;
       LogWarning("backend",
-                 "event=heartbeat-refused backend={} reason=\"{}\"",
+                 "event=heartbeat-refused backend={} holder={} reason=\"{}\"",
                  aBackendId,
-                 heartbeat.error());
+                 m_localBackend.View().holder(),
+                 verdict.error());
       response.result(status::bad_request);
       co_return response;
     }
@@ -459,7 +465,8 @@
       "rattanloft_backend_running {}\nrattanloft_backend_waiting {}\n"
       "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
       "rattanloft_directory_age_ms {}\nrattanloft_quarantine_entries {}\n"
-      "rattanloft_backend_request_limit {}\n",
+      "rattanloft_backend_request_limit {}\n"
+      "rattanloft_backend_heartbeats_refused {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -471,7 +478,8 @@
       m_directory.Router() ? m_directory.Router()->Version() : 0,
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
-      m_workQueue.RateLimit().value_or(0));
+      m_workQueue.RateLimit().value_or(0),
+      m_refusedHeartbeats);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       response.body() += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
@@ -549,6 +557,7 @@
   asio::signal_set m_stopSignals;
   asio::signal_set m_reloadSignals;
   asio::steady_timer m_tickTimer;
+  ConfiguredBackend m_configuredBackend;
   LocalBackend m_localBackend;
   WorkQueue m_workQueue;
   FleetDirectory m_directory;
@@ -570,6 +579,7 @@
   std::unique_ptr<http::Server> m_metricsServer;
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
+  uint64_t m_refusedHeartbeats = 0;
   int m_serversToStop = 0;
   bool m_stopping = false;
 };
--- /dev/null
+++ b/modules/sidecar/tests/BackendCallRulesTest.cpp
@@ -0,0 +1,41 @@
+#include "BackendCallRules.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+const ConfiguredBackend kBackend{ "s", "10.0.0.1:80" };
+
+Heartbeat
+MakeHeartbeat()
+{
+  Heartbeat heartbeat;
+  heartbeat.m_backendId = "i-1";
+  heartbeat.m_service = kBackend.m_service;
+  heartbeat.m_address = kBackend.m_address;
+  heartbeat.m_slots = 4;
+  heartbeat.m_sequence = 1;
+  heartbeat.m_startedAtUnixMs = 500;
+  return heartbeat;
+}
+
+} // namespace
+
+// Guards against a heartbeat of another writer that counts as the start of a
+// new lifetime, so that the leader gives away what the backend server holds.
+TEST_CASE("only heartbeats of the configured service and address are accepted")
+{
+  CHECK(CheckHeartbeat(MakeHeartbeat(), kBackend));
+  Heartbeat otherService = MakeHeartbeat();
+  otherService.m_service = "t";
+  CHECK_FALSE(CheckHeartbeat(otherService, kBackend));
+  Heartbeat otherAddress = MakeHeartbeat();
+  otherAddress.m_address = "10.0.0.2:80";
+  CHECK_FALSE(CheckHeartbeat(otherAddress, kBackend));
+  otherAddress.m_address = "10.0.0.1:99999";
+  CHECK_FALSE(CheckHeartbeat(otherAddress, kBackend));
+}
+
+} // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/BackendHandlerTest.cpp
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -86,7 +86,7 @@
   ProtocolStub m_protocol;
   asio::io_context m_context;
   std::unique_ptr<http::Client> m_client = http::Client::Make(m_context, {});
-  LocalBackend m_localBackend{ "n1", "10.0.0.1:80", Seconds(2), m_clock.Now() };
+  LocalBackend m_localBackend{ "n1", Seconds(2), m_clock.Now() };
   WorkQueue m_workQueue;
   BackendQuarantine m_quarantine{ m_context,
                                   m_clock,
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -26,7 +26,7 @@
 LocalBackend
 MakeLocalBackend()
 {
-  LocalBackend backend("n1", "10.0.0.1:80", Seconds(2), kStart);
+  LocalBackend backend("n1", Seconds(2), kStart);
   backend.SetRangeDelivery(wire::RANGE_DELIVERY_HEARTBEAT_RESPONSE);
   return backend;
 }
@@ -135,9 +135,6 @@
   CHECK_FALSE(backend.OnHeartbeat(MakeHeartbeat(9, 400, "i-0"), kStart));
   CHECK(backend.OnHeartbeat(MakeHeartbeat(1, 600, "i-2"), kStart));
   CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kServe);
-  Heartbeat otherAddress = MakeHeartbeat(2, 700, "i-3");
-  otherAddress.m_address = "10.0.0.2:80";
-  CHECK_FALSE(backend.OnHeartbeat(otherAddress, kStart));
 }
 
 // Guards against a backend server that is not used until its sidecar restarts.
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -191,7 +191,7 @@
   void StartSidecar(Node& aNode)
   {
     aNode.m_localBackend =
-      std::make_unique<LocalBackend>(aNode.m_name, "b", Seconds(2), Now());
+      std::make_unique<LocalBackend>(aNode.m_name, Seconds(2), Now());
     aNode.m_localBackend->SetRangeDelivery(m_delivery);
     aNode.m_session = ++m_lastId;
     aNode.m_sequence = 0;
--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -163,7 +163,7 @@
 public:
   SyncFixture()
     : m_link(m_clock)
-    , m_localBackend("n1", "127.0.0.1:1", Seconds(2), m_clock.Now())
+    , m_localBackend("n1", Seconds(2), m_clock.Now())
     , m_syncClient(m_context,
                    m_clock,
                    m_options,
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -207,16 +207,19 @@
             # The caller has left, or this lifetime has crashed.
             pass
 
+    def make_heartbeat(self):
+        self.sequence += 1
+        return {
+            "service": self.service, "address": self.address, "zone": "z",
+            "version": "v1", "slots": 4, "state": self.state,
+            "coldRemainingS": 0, "seq": self.sequence, "born": self.born_unix_ms,
+            "holds": [row[:3] for row in self.held_ranges], "released": [],
+        }
+
     def send_heartbeat(self):
         with self.lock:
-            self.sequence += 1
             lifetime = self.born_unix_ms
-            body = {
-                "service": self.service, "address": self.address, "zone": "z",
-                "version": "v1", "slots": 4, "state": self.state,
-                "coldRemainingS": 0, "seq": self.sequence, "born": self.born_unix_ms,
-                "holds": [row[:3] for row in self.held_ranges], "released": [],
-            }
+            body = self.make_heartbeat()
         sent = time.time()
         status, text = send_request(
             self.announce_address, "PUT", f"/v1/instances/{self.backend_id}",
