Refuse backend ids that are not printable text

Cause: the id became part of a protobuf string, which made every sync of the sidecar unreadable until the heartbeats of the real backend server counted again, 10 s later.

Ruled out: a lost leader; the other sidecars adopted the configuration.

Change: BackendCallRules checks ids of heartbeats and deregistrations before they are used. Refused calls are logged without their id.

"an unreadable id delays no configuration" on the code before: "not within 2 s: the configuration is in force"; after: passes.

--- a/modules/sidecar/src/BackendCallRules.h
+++ b/modules/sidecar/src/BackendCallRules.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -21,6 +22,12 @@
 // listener, and what it writes reaches the leader and, through it, all other
 // sidecars. Nothing of a call that is refused here may be used.
 
+// Returns why the id cannot be that of a backend server. Ids become part of
+// names in messages that hold text only, so that one odd byte would make all of
+// a message unreadable.
+tl::expected<void, std::string>
+CheckBackendId(std::string_view aId);
+
 // Returns why the heartbeat cannot come from the configured backend server.
 tl::expected<void, std::string>
 CheckHeartbeat(const Heartbeat& aHeartbeat, const ConfiguredBackend& aBackend);
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -331,6 +331,11 @@
     const BackendCall call = m_protocol.Classify(
       { method.data(), method.size() }, { target.data(), target.size() });
     http::Response response;
+    if (call.m_kind != BackendCallKind::kOther) {
+      if (const auto id = CheckBackendId(call.m_backendId); !id) {
+        co_return RefuseBackendCall(id.error());
+      }
+    }
     switch (call.m_kind) {
       case BackendCallKind::kHeartbeat:
         response = co_await ServeHeartbeat(call.m_backendId, aRequest.body());
@@ -347,6 +352,20 @@
     co_return response;
   }
 
+  // The id is not logged, since it may be anything.
+  http::Response RefuseBackendCall(std::string_view aReason)
+  {
+    ++m_refusedBackendCalls;
+    LogWarning("backend",
+               "event=heartbeat-refused holder={} refused={} reason=\"{}\"",
+               m_localBackend.View().holder(),
+               m_refusedBackendCalls,
+               aReason);
+    http::Response response;
+    response.result(status::bad_request);
+    return response;
+  }
+
   // Confirms a deregistration only once it can no longer be forgotten: another
   // process of this sidecar may have to answer the late heartbeats.
   asio::awaitable<http::Response> ServeDeregistration(std::string aBackendId,
@@ -392,14 +411,7 @@
       heartbeat ? CheckHeartbeat(*heartbeat, m_configuredBackend)
                 : tl::unexpected(heartbeat.error());
     if (!verdict) {
-      ++m_refusedHeartbeats;
-      LogWarning("backend",
-                 "event=heartbeat-refused backend={} holder={} reason=\"{}\"",
-                 aBackendId,
-                 m_localBackend.View().holder(),
-                 verdict.error());
-      response.result(status::bad_request);
-      co_return response;
+      co_return RefuseBackendCall(verdict.error());
     }
     const std::string holderBefore = m_localBackend.View().holder();
     const bool isAccepted =
@@ -514,7 +526,7 @@
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
       m_workQueue.RateLimit().value_or(0),
-      m_refusedHeartbeats);
+      m_refusedBackendCalls);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       response.body() += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
@@ -614,7 +626,7 @@
   std::unique_ptr<http::Server> m_metricsServer;
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
-  uint64_t m_refusedHeartbeats = 0;
+  uint64_t m_refusedBackendCalls = 0;
   int m_serversToStop = 0;
   bool m_stopping = false;
 };
--- a/modules/sidecar/tests/BackendCallRulesTest.cpp
+++ b/modules/sidecar/tests/BackendCallRulesTest.cpp
@@ -38,4 +38,27 @@
   CHECK_FALSE(CheckHeartbeat(otherAddress, kBackend));
 }
 
+// Guards against an id that makes each sync of the sidecar unreadable, so that
+// neither configurations nor leases reach it.
+TEST_CASE("an id is printable text without separators")
+{
+  CHECK(CheckBackendId("i-7f3a91c2"));
+  CHECK(CheckBackendId(std::string(128, 'i')));
+  for (const std::string& id : { std::string(),
+                                 std::string(129, 'i'),
+                                 std::string("i-\xff\xfe\x81"),
+                                 std::string("i-\xc3\xa9"),
+                                 std::string("i\0", 2),
+                                 std::string("i 1"),
+                                 std::string("i\n1"),
+                                 std::string("i/1"),
+                                 std::string("i@1") }) {
+    CAPTURE(id.size(), id);
+    CHECK_FALSE(CheckBackendId(id));
+    Heartbeat heartbeat = MakeHeartbeat();
+    heartbeat.m_backendId = id;
+    CHECK_FALSE(CheckHeartbeat(heartbeat, kBackend));
+  }
+}
+
 } // namespace rattanloft::sidecar
--- a/tests/StrayHeartbeatTest.py
+++ b/tests/StrayHeartbeatTest.py
@@ -5,10 +5,12 @@
 import time
 import unittest
 
-from fleet_fixture import FleetTestCase, send_request, wait_for
+from fleet_fixture import (FleetTestCase, configuration, send_bytes, send_request,
+                           wait_for)
 
 SAMPLE_KEYS = range(0, 65536, 6553)
 DRAIN_TIME_S = 2
+CONFIGURATION_APPLY_S = 2
 # Of the stand-in.
 HEARTBEAT_INTERVAL_S = 0.3
 
@@ -48,6 +50,22 @@
         self.check_owners_stay(owners)
         self.assertEqual(status, 400)
 
+    # Guards against a sidecar that gets nothing from the coordinators any more,
+    # since an id that is no text makes each of its reports unreadable.
+    def test_an_unreadable_id_delays_no_configuration(self):
+        backend = self.backends[0]
+        with backend.lock:
+            body = {**backend.make_heartbeat(), "born": int(time.time() * 1000)}
+        text = send_bytes(backend.announce_address, (
+            b"PUT /v1/instances/i-\xff\xfe\x81 HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: %d\r\n\r\n%s"
+            % (len(json.dumps(body)), json.dumps(body).encode())))
+        time.sleep(0.5)
+        self.assertEqual(self.put_configuration(configuration(2, 3, "/q/")), 200)
+        wait_for(lambda: self.send_through_sidecar(0, "/q/x", 0, "q")[0] == 200,
+                 CONFIGURATION_APPLY_S, "the configuration is in force")
+        self.assertTrue(text.startswith(b"HTTP/1.1 400 "), text)
+
 
 class LateHeartbeatTest(FleetTestCase):
     # Guards against a backend server that is used again after it has left: its
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -256,6 +256,14 @@
         connection.close()
 
 
+def send_bytes(address, data, timeout=3):
+    """Returns the first bytes of the answer to bytes that need not be HTTP."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout) as connection:
+        connection.sendall(data)
+        return connection.recv(4096)
+
+
 def wait_for(condition, timeout_s, description):
     end = time.time() + timeout_s
     while time.time() < end:
@@ -301,7 +309,8 @@
 
     def print_logs(self):
         for number, process in enumerate(self.processes):
-            with open(self.log_path(number), encoding="utf-8") as log:
+            with open(self.log_path(number), encoding="utf-8",
+                      errors="replace") as log:
                 lines = log.read().splitlines()
             # When the process started and stopped, also if this was long before.
             lines = [line for line in lines[:-MAX_PRINTED_LOG_LINES]
