Test answers that end within their head

It cannot happen here: the client reads a header as a whole or fails with partial_message, also where responses without a length are accepted.

--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -173,6 +173,35 @@
   CHECK(client->ConnectionCount() == 0);
 }
 
+// Guards against the beginning of a response that is passed on as a whole one.
+TEST_CASE("A response that ends within its header is an error")
+{
+  const std::string response = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n"
+                               "Signature: s\r\nContent-Length: 2\r\n"
+                               "Connection: close\r\n\r\nok";
+  const bool acceptsUnframed = GENERATE(false, true);
+  const bool resets = GENERATE(false, true);
+  ClientOptions options;
+  options.m_echoedFieldName = "Request-Id";
+  options.m_acceptUnframedResponses = acceptsUnframed;
+  for (size_t length = 0; length < response.size(); ++length) {
+    CAPTURE(length, acceptsUnframed, resets);
+    const ExchangeOutcome outcome = ExchangeOnce(
+      [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+        co_await ReadRequestHeader(aSocket);
+        co_await SendText(aSocket, response.substr(0, length));
+        if (resets) {
+          aSocket.set_option(asio::socket_base::linger(true, 0));
+          aSocket.close();
+        }
+      },
+      options);
+    REQUIRE_FALSE(outcome.m_result);
+    CHECK(outcome.m_result.error().m_maybeSent);
+    CHECK(outcome.m_openConnectionCount == 0);
+  }
+}
+
 // Guards against a truncated response without a length that is taken for a
 // complete one.
 TEST_CASE("A response without a length is complete only after an orderly close")
--- a/tests/StrayAnswerTest.py
+++ b/tests/StrayAnswerTest.py
@@ -35,6 +35,14 @@
                     for run in backend.executed_requests if run[0] == f"twice{key}"]
             self.assertEqual((status, len(runs)), (200, 1))
 
+    def test_an_answer_that_ends_within_its_head_is_not_passed_on(self):
+        """Guards against a success with an empty or short body, framed as whole."""
+        self.start_service()
+        for length in range(0, 100, 9):
+            status, text = self.send_through_sidecar(
+                0, f"/p/cut-head/{length}", length * 655, f"cut{length}")
+            self.assertEqual(status, 502, text)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -194,6 +194,9 @@
         if handler.path in self.harmful_paths:
             self.crash()
             return
+        if handler.path.startswith("/p/cut-head/"):
+            self.cut_off_head(handler)
+            return
         if handler.path in self.stray_refusal_paths:
             handler.wfile.write(b"HTTP/1.1 503 Service Unavailable\r\n"
                                 b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -213,6 +216,14 @@
             # The caller has left, or this lifetime has crashed.
             pass
 
+    @staticmethod
+    def cut_off_head(handler):
+        """Writes as many bytes of an answer's head as the path says, and closes."""
+        head = (b"HTTP/1.1 200 OK\r\nResponse-Signature: signed\r\nAttempt-Id: %s\r\n"
+                b"Content-Length: 5\r\n\r\n" % handler.headers["Attempt-Id"].encode())
+        handler.wfile.write(head[:-1][:int(handler.path.split("/")[-1])])
+        handler.close_connection = True
+
     def reject_with_a_copy(self, handler):
         """Returns whether the request was rejected."""
         attempt = handler.headers.get("Attempt-Id", "")
