Bound what an odd entry can cost, and check its numbers

Measured here before: 20 MB of '[' as a heartbeat took a sidecar to 1.5 GB, 15 MB as a configuration a coordinator to 1.1 GB; both would be killed at their limits of 160 to 260 MB. Slots of 2^32 were stored as 0, and coldRemainingS of 10^9, reversed rows and others were accepted.

Cause: heartbeats could be as large as requests, the parsed form of nested lists takes about 70 times their text, and numbers were narrowed unchecked.

Ruled out: text that cannot be parsed, and numbers that no type holds, were refused before.

--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -43,6 +43,9 @@
 // are slightly behind.
 constexpr uint64_t kRetainedEntries = 200;
 constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+// Above the largest configuration that a command of the log can hold. The
+// parsed form of a document may take 25 times as much.
+constexpr uint64_t kMaxOperatorBodyBytes = 2 * 1024 * 1024;
 
 // Whether this replica votes, that is, is a member and not a learner.
 bool
@@ -191,6 +194,7 @@
 
   tl::expected<std::unique_ptr<http::Server>, CoordinatorError> Listen(
     const std::string& aAddress,
+    uint64_t aMaxBodyBytes,
     http::Server::Handler aHandler)
   {
     const auto endpoint = http::ParseEndpoint(aAddress);
@@ -201,7 +205,7 @@
     http::ServerOptions options;
     options.m_address = endpoint->address().to_string();
     options.m_port = endpoint->port();
-    options.m_maxBodyBytes = kMaxBodyBytes;
+    options.m_maxBodyBytes = aMaxBodyBytes;
     auto server =
       http::Server::Make(m_context, std::move(options), std::move(aHandler));
     if (!server) {
@@ -214,6 +218,7 @@
   {
     auto internal = Listen(
       m_options.m_internalAddress,
+      kMaxBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
         return OnInternalRequest(std::move(aRequest));
       });
@@ -223,6 +228,7 @@
     m_internalServer = std::move(*internal);
     auto control = Listen(
       m_options.m_controlAddress,
+      kMaxOperatorBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
         return m_configurationService->OnOperatorRequest(std::move(aRequest));
       });
--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -73,6 +73,10 @@
   std::vector<wire::HandedOver> m_releasedRanges;
 };
 
+// Whether a handover token may be passed on, in messages that hold text only.
+bool
+IsUsableHandover(std::string_view aToken);
+
 // Reply of the sidecar to a heartbeat.
 struct HeartbeatResponse
 {
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -62,6 +62,8 @@
 // that says what is known of them.
 constexpr Duration kFinalAnswerTime = Milliseconds(300);
 constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+// A heartbeat with as many ranges as are accepted takes less.
+constexpr uint64_t kMaxBackendCallBytes = 256 * 1024;
 // Longer than the time for which callers keep idle connections: up to four
 // fifths of the configured idle timeout, of which the longest that is expected
 // is 60 s.
@@ -141,6 +143,7 @@
       const std::string* m_address;
       std::unique_ptr<http::Server>* m_server;
       http::Server::Handler m_handler;
+      uint64_t m_maxBodyBytes = kMaxBodyBytes;
     } listeners[] = {
       { &m_options.m_callerAddress,
         &m_callerServer,
@@ -163,7 +166,8 @@
         &m_announceServer,
         [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
           return ServeBackendCall(std::move(aRequest));
-        } },
+        },
+        kMaxBackendCallBytes },
       { &m_options.m_metricsAddress,
         &m_metricsServer,
         [this](http::Request, std::shared_ptr<http::CancelToken>) {
@@ -174,7 +178,8 @@
       if (listener.m_address->empty()) {
         continue;
       }
-      auto server = MakeServer(*listener.m_address, listener.m_handler);
+      auto server = MakeServer(
+        *listener.m_address, listener.m_handler, listener.m_maxBodyBytes);
       if (!server) {
         return tl::unexpected(server.error());
       }
@@ -228,7 +233,8 @@
 
   tl::expected<std::unique_ptr<http::Server>, SidecarError> MakeServer(
     const std::string& aAddress,
-    const http::Server::Handler& aHandler)
+    const http::Server::Handler& aHandler,
+    uint64_t aMaxBodyBytes)
   {
     const auto endpoint = http::ParseEndpoint(aAddress);
     if (!endpoint) {
@@ -238,7 +244,7 @@
     http::ServerOptions options;
     options.m_address = endpoint->address().to_string();
     options.m_port = endpoint->port();
-    options.m_maxBodyBytes = kMaxBodyBytes;
+    options.m_maxBodyBytes = aMaxBodyBytes;
     options.m_idleTimeout = kServerIdleTimeout;
     auto server = http::Server::Make(m_context, std::move(options), aHandler);
     if (!server) {
--- a/modules/sidecar/tests/BackendCallRulesTest.cpp
+++ b/modules/sidecar/tests/BackendCallRulesTest.cpp
@@ -1,5 +1,7 @@
 #include "BackendCallRules.h"
 
+#include <functional>
+
 #include <catch2/catch.hpp>
 
 namespace rattanloft::sidecar {
@@ -38,6 +40,43 @@
   CHECK_FALSE(CheckHeartbeat(otherAddress, kBackend));
 }
 
+// Guards against an odd number that reaches the leader and all other sidecars,
+// or that is stored in a narrower type.
+TEST_CASE("numbers and ranges that no backend server has are refused")
+{
+  const auto isAccepted = [](const std::function<void(Heartbeat&)>& aChange) {
+    Heartbeat heartbeat = MakeHeartbeat();
+    heartbeat.m_heldRanges = { { 0, 99, 7 } };
+    wire::HandedOver released;
+    released.set_last(99);
+    released.set_token("5c0e");
+    heartbeat.m_releasedRanges = { released };
+    aChange(heartbeat);
+    return CheckHeartbeat(heartbeat, kBackend).has_value();
+  };
+  CHECK(isAccepted([](Heartbeat&) {}));
+  CHECK_FALSE(isAccepted([](Heartbeat& aBeat) { aBeat.m_slots = 0; }));
+  CHECK_FALSE(isAccepted([](Heartbeat& aBeat) { aBeat.m_slots = 65537; }));
+  CHECK_FALSE(isAccepted(
+    [](Heartbeat& aBeat) { aBeat.m_sequence = uint64_t{ 1 } << 60; }));
+  CHECK_FALSE(isAccepted(
+    [](Heartbeat& aBeat) { aBeat.m_startedAtUnixMs = int64_t{ 1 } << 60; }));
+  CHECK_FALSE(isAccepted(
+    [](Heartbeat& aBeat) { aBeat.m_coldRemaining = Seconds(1'000'000'000); }));
+  CHECK_FALSE(
+    isAccepted([](Heartbeat& aBeat) { aBeat.m_heldRanges[0].m_first = 100; }));
+  CHECK_FALSE(isAccepted([](Heartbeat& aBeat) {
+    aBeat.m_heldRanges[0].m_fence = uint64_t{ 1 } << 60;
+  }));
+  CHECK_FALSE(
+    isAccepted([](Heartbeat& aBeat) { aBeat.m_heldRanges.resize(4097); }));
+  CHECK_FALSE(isAccepted(
+    [](Heartbeat& aBeat) { aBeat.m_releasedRanges[0].set_first(100); }));
+  CHECK_FALSE(isAccepted([](Heartbeat& aBeat) {
+    aBeat.m_releasedRanges[0].set_token(std::string(257, 't'));
+  }));
+}
+
 // Guards against an id that makes each sync of the sidecar unreadable, so that
 // neither configurations nor leases reach it.
 TEST_CASE("an id is printable text without separators")
--- a/tests/StrayHeartbeatTest.py
+++ b/tests/StrayHeartbeatTest.py
@@ -15,6 +15,12 @@
 HEARTBEAT_INTERVAL_S = 0.3
 
 
+def peak_memory_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+        line = next(line for line in file if line.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
 class StrayHeartbeatTest(FleetTestCase):
     def setUp(self):
         super().setUp()
@@ -66,6 +72,33 @@
                  CONFIGURATION_APPLY_S, "the configuration is in force")
         self.assertTrue(text.startswith(b"HTTP/1.1 400 "), text)
 
+    # Guards against a process that ends, or stops following its backend server,
+    # since another writer has left an odd entry.
+    def test_odd_entries_neither_end_a_process_nor_change_what_it_serves(self):
+        owners = self.find_owners()
+        backend, path = self.backends[0], f"/v1/instances/{self.backends[0].backend_id}"
+        valid = backend.make_heartbeat()
+        odd = [json.dumps({**valid, **fields}) for fields in (
+            {"slots": 2**32}, {"slots": 10**400}, {"born": 10**18}, {"seq": 2**63},
+            {"coldRemainingS": 1e9}, {"address": "127.0.0.21:99999"},
+            {"holds": [[9, 1, 5]]}, {"holds": [[0, 65535, 2**63]]},
+            {"state": ["ready"]}, {"service": None})]
+        odd += ["[" * 20_000_000, '{"a":' * 20_000 + "1" + "}" * 20_000]
+        statuses = [self.send_odd(backend.announce_address, path, body) for body in odd]
+        statuses.append(self.send_odd(self.operators[0], "/v1/config",
+                                      "[" * 15_000_000))
+        self.check_owners_stay(owners, duration_s=2)
+        for process in self.processes:
+            self.assertIsNone(process.poll())
+            self.assertLess(peak_memory_mb(process.pid), 100)
+        self.assertLessEqual(set(statuses), {400, 413})
+
+    @staticmethod
+    def send_odd(address, path, body):
+        """Returns the status, also if it comes before the whole body is read."""
+        head = f"PUT {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        return int(send_bytes(address, head.encode() + body.encode()).split(b" ")[1])
+
 
 class LateHeartbeatTest(FleetTestCase):
     # Guards against a backend server that is used again after it has left: its
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -293,7 +293,11 @@
     """Returns the first bytes of the answer to bytes that need not be HTTP."""
     host, port = address.split(":")
     with socket.create_connection((host, int(port)), timeout) as connection:
-        connection.sendall(data)
+        try:
+            connection.sendall(data)
+        except (BrokenPipeError, ConnectionResetError):
+            # The answer may come before all has been read.
+            pass
         return connection.recv(4096)
 
 
