Take no late heartbeat for the present state after a restart

Cause: a process that has had any heartbeat reported the held ranges as known. It cannot see that the heartbeat is late, as it knows no other.

Ruled out: the lease (it was not waited for) and a backend server that drops its ranges by itself (its next heartbeat lists them).

Change: reports have the number of the newest heartbeat, and the leader tells a new process which one earlier processes have reported; StartupTrust takes nothing up to that for the present. A heartbeat without a list of ranges shows nothing about them. New keys are offered only once the leader knows of the heartbeat that they answer.

Tests: OwnershipRandomTest no longer keeps late heartbeats from later processes, and delays them by up to 7 s. LocalBackendTest lets the leader receive a report with each reply.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,14 @@
     // Set once a later lifetime runs at the same instance, which proves that
     // this one has ended.
     bool m_ended = false;
+    // Process of its sidecar that has reported it last; empty before the first
+    // report.
+    std::optional<uint64_t> m_session;
+    // Newest heartbeat that was reported, by any process of its sidecar and by
+    // those before the last one.
+    uint64_t m_heartbeatSequence = 0;
+    uint64_t m_earlierHeartbeatSequence = 0;
+    bool m_wasReportedEarlier = false;
     // Latest phase that its sidecar has reported.
     wire::BackendPhase m_phase = wire::BACKEND_PHASE_UNKNOWN;
     // Incremented each time that the planned ranges change.
@@ -144,6 +153,7 @@
     const;
   void RefreshPlans();
   void RemoveSilentEndpoints(TimePoint aNow);
+  TimePoint EndOfEarlierLeases() const;
   Holder& FindOrAddHolder(const std::string& aName);
   // Adopts what the request states about the lifetime of the backend server.
   void RecordLifetime(const wire::FleetSyncRequest& aRequest,
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -71,12 +71,10 @@
   , m_latestTime(aNow)
 {
   m_configurationHistory.Observe(m_state.CurrentChange().configuration());
-  // An earlier leader may have renewed any lease until this moment.
   for (const auto& [name, ranges] : m_state.RangesByService()) {
     for (const wire::OwnedRange& range : ranges.ranges()) {
       if (!range.holder().empty()) {
-        m_holders[range.holder()].m_leaseEnd =
-          aNow + m_timings.m_leaseDuration + kLeaseClockMargin;
+        FindOrAddHolder(range.holder());
       }
     }
   }
@@ -124,14 +122,19 @@
   return true;
 }
 
+// Earlier leaders may have renewed any lease until this leadership began.
+TimePoint
+FleetLeader::EndOfEarlierLeases() const
+{
+  return m_leadershipStart + m_timings.m_leaseDuration + kLeaseClockMargin;
+}
+
 FleetLeader::Holder&
 FleetLeader::FindOrAddHolder(const std::string& aName)
 {
   const auto [holder, isNew] = m_holders.try_emplace(aName);
   if (isNew) {
-    // An earlier leader may have renewed its lease until then.
-    holder->second.m_leaseEnd =
-      m_leadershipStart + m_timings.m_leaseDuration + kLeaseClockMargin;
+    holder->second.m_leaseEnd = EndOfEarlierLeases();
   }
   return holder->second;
 }
@@ -145,6 +148,13 @@
   MarkEarlierLifetimesEnded(aRequest.instance(), backend);
   Holder& holder = FindOrAddHolder(backend.holder());
   holder.m_instance = aRequest.instance();
+  if (holder.m_session != aRequest.session()) {
+    holder.m_wasReportedEarlier = holder.m_session.has_value();
+    holder.m_earlierHeartbeatSequence = holder.m_heartbeatSequence;
+    holder.m_session = aRequest.session();
+  }
+  holder.m_heartbeatSequence =
+    std::max(holder.m_heartbeatSequence, aRequest.heartbeat_sequence());
   if (holder.m_ended && aNow - aSessionStart >= kMaxHeartbeatDelay) {
     // Not a late heartbeat that a sidecar gets after its start. The sidecar has
     // not heard the later lifetime for long, whose start was stated wrongly.
@@ -245,8 +255,7 @@
   }
   const auto found = m_holders.find(aHolder);
   if (found == m_holders.end()) {
-    return aNow >=
-           m_leadershipStart + m_timings.m_leaseDuration + kLeaseClockMargin;
+    return aNow >= EndOfEarlierLeases();
   }
   const Holder& holder = found->second;
   if (aNow >= holder.m_leaseEnd) {
@@ -596,7 +605,7 @@
 FleetLeader::HasUpdates(const wire::FleetSyncRequest& aRequest) const
 {
   if (aRequest.stopping() || !aRequest.handovers().empty() ||
-      !aRequest.departures().empty() ||
+      !aRequest.departures().empty() || aRequest.awaits_confirmation() ||
       aRequest.configuration_version() <
         m_state.CurrentChange().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
@@ -700,6 +709,11 @@
   reply.set_lease_ms(static_cast<uint32_t>(m_timings.m_leaseDuration.m_ms));
   reply.set_holder(name);
   reply.set_backend_phase(holder.m_phase);
+  reply.set_earlier_heartbeat_sequence(holder.m_earlierHeartbeatSequence);
+  // A grant of an earlier process needs a lease, which this leader gives only
+  // after a report, and which has ended if an earlier leader gave it.
+  reply.set_knows_earlier_grants(holder.m_wasReportedEarlier ||
+                                 aNow >= EndOfEarlierLeases());
   reply.set_plan(holder.m_planNumber);
   reply.set_expects_ranges(ExpectsRanges(name));
   if (aRequest.plan_term() != m_term ||
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -237,6 +237,35 @@
   CHECK(reply.holder() == "n1/b@1");
 }
 
+// Guards against a restarted sidecar that takes a late heartbeat for the
+// present state, and against one that waits although nothing was granted before
+// it.
+TEST_CASE("a leader tells what earlier processes of a sidecar have reported")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest request = fixture.MakeRequest("n1");
+  const auto sendAs = [&](uint64_t aSession, uint64_t aHeartbeatSequence) {
+    request.set_session(aSession);
+    request.set_sequence(++fixture.m_sequence);
+    request.set_heartbeat_sequence(aHeartbeatSequence);
+    REQUIRE(fixture.m_leader->OnSync(request, fixture.m_now));
+    return fixture.m_leader->BuildReply(request, fixture.m_now);
+  };
+  // An earlier leader may have given a lease.
+  CHECK_FALSE(sendAs(7, 3).knows_earlier_grants());
+  CHECK(sendAs(7, 4).earlier_heartbeat_sequence() == 0);
+  const wire::FleetSyncReply restarted = sendAs(8, 1);
+  CHECK(restarted.knows_earlier_grants());
+  CHECK(restarted.earlier_heartbeat_sequence() == 4);
+  CHECK(sendAs(8, 6).earlier_heartbeat_sequence() == 4);
+  fixture.RunFor(Seconds(4));
+  request.mutable_backend()->set_holder("n1/b@2");
+  request.mutable_backend()->set_started_at_unix_ms(2);
+  const wire::FleetSyncReply newLifetime = sendAs(8, 1);
+  CHECK(newLifetime.knows_earlier_grants());
+  CHECK(newLifetime.earlier_heartbeat_sequence() == 0);
+}
+
 // Guards against a backend server that is used again after it has left, since
 // its sidecar has restarted and a late heartbeat arrives.
 TEST_CASE("a departure outlives the process of the sidecar that reports it")
--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -67,7 +67,9 @@
   // Start of the lifetime, that is, of the backend process, in Unix
   // milliseconds.
   int64_t m_startedAtUnixMs = 0;
-  // Ranges that the backend server holds or still runs requests for.
+  // Ranges that the backend server holds or still runs requests for. If it
+  // does not list them, they are not known.
+  bool m_listsHolds = true;
   std::vector<HeldRange> m_heldRanges;
   // Ranges that the backend server gave up since its last confirmed heartbeat.
   std::vector<wire::HandedOver> m_releasedRanges;
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -89,11 +89,13 @@
   m_view.set_phase(wire::BACKEND_PHASE_READY);
   m_view.set_reachable(true);
   m_heartbeatSequence = 0;
+  m_deliveredSequence = 0;
   m_leaseEnd = {};
   m_planTerm = 0;
   m_planNumber = 0;
   m_plannedRanges.clear();
   m_expectsRanges = false;
+  m_reportedRanges.clear();
   m_offeredRanges.clear();
   m_offerEnd = {};
   m_pendingHandovers.clear();
@@ -194,7 +196,8 @@
             aHeartbeat.m_service,
             aHeartbeat.m_slots);
     StartLifetime(aHeartbeat, std::move(holder), aNow);
-  } else if (aHeartbeat.m_sequence <= m_heartbeatSequence) {
+  } else if (aHeartbeat.m_sequence <= m_heartbeatSequence ||
+             m_startupTrust.IsOutdated(holder, aHeartbeat.m_sequence)) {
     return false;
   }
   m_heartbeatSequence = aHeartbeat.m_sequence;
@@ -214,19 +217,92 @@
                isNewLifetime ? EarlierDrainStart(aNow) : aNow);
   }
   const size_t reportedBefore = m_reportedRanges.size();
-  m_reportedRanges = aHeartbeat.m_heldRanges;
+  if (aHeartbeat.m_listsHolds) {
+    m_reportedRanges = aHeartbeat.m_heldRanges;
+  } else {
+    KeepOfferedRanges();
+  }
+  m_listsHolds = aHeartbeat.m_listsHolds;
   for (const wire::HandedOver& handover : aHeartbeat.m_releasedRanges) {
     if (m_pendingHandovers.size() < kMaxPendingHandovers) {
       m_pendingHandovers.push_back(handover);
     }
   }
   if (changed || !aHeartbeat.m_releasedRanges.empty() ||
-      m_reportedRanges.size() < reportedBefore) {
+      HasRangesToOfferLater() || m_reportedRanges.size() < reportedBefore) {
     ++m_reportRevision;
   }
   return true;
 }
 
+// Counts what was offered as held, since the heartbeat does not show whether it
+// is.
+void
+LocalBackend::KeepOfferedRanges()
+{
+  for (const wire::OwnedRange& range : m_offeredRanges) {
+    if (!IsReportedHeld(range)) {
+      m_reportedRanges.push_back(
+        { range.first(), range.last(), range.fence() });
+    }
+  }
+}
+
+// Returns the planned ranges, but no keys that the backend server does not hold
+// while the leader does not know of the heartbeat. Otherwise the next process
+// of this sidecar could take an earlier heartbeat that is late for a later one,
+// and report the keys as free.
+std::vector<wire::OwnedRange>
+LocalBackend::RangesToOffer() const
+{
+  if (m_deliveredSequence >= m_heartbeatSequence) {
+    return m_plannedRanges;
+  }
+  std::vector<wire::OwnedRange> heldParts;
+  for (const wire::OwnedRange& planned : m_plannedRanges) {
+    AppendHeldParts(planned, heldParts);
+  }
+  return heldParts;
+}
+
+void
+LocalBackend::AppendHeldParts(const wire::OwnedRange& aPlanned,
+                              std::vector<wire::OwnedRange>& aParts) const
+{
+  std::vector<HeldRange> held;
+  std::ranges::copy_if(
+    m_reportedRanges, std::back_inserter(held), [&](const HeldRange& aRange) {
+      return aRange.m_fence == aPlanned.fence() &&
+             fleet::KeysOverlap(aRange.m_first,
+                                aRange.m_last,
+                                aPlanned.first(),
+                                aPlanned.last());
+    });
+  std::ranges::sort(held, {}, &HeldRange::m_first);
+  const size_t firstPart = aParts.size();
+  for (const HeldRange& range : held) {
+    const uint32_t first = std::max(range.m_first, aPlanned.first());
+    const uint32_t last = std::min(range.m_last, aPlanned.last());
+    if (aParts.size() > firstPart && first <= aParts.back().last() + 1) {
+      aParts.back().set_last(std::max(last, aParts.back().last()));
+      continue;
+    }
+    wire::OwnedRange& part = aParts.emplace_back(aPlanned);
+    part.set_first(first);
+    part.set_last(last);
+  }
+}
+
+bool
+LocalBackend::HasRangesToOfferLater() const
+{
+  return DeliversInHeartbeats() && m_deliveredSequence < m_heartbeatSequence &&
+         !std::ranges::all_of(m_plannedRanges,
+                              [this](const wire::OwnedRange& aRange) {
+                                return IsReportedHeld(aRange);
+                              });
+}
+
 HeartbeatResponse
 LocalBackend::MakeHeartbeatResponse(TimePoint aNow, const ResponseFits& aFits)
 {
@@ -236,7 +312,7 @@
     return response;
   }
   response.m_hasGrants = true;
-  response.m_grantedRanges = m_plannedRanges;
+  response.m_grantedRanges = RangesToOffer();
   // A handover token matters only in the first grant of a range. Leaving it out
   // later lets more ranges fit into the response.
   const auto firstNew = std::stable_partition(
@@ -316,6 +392,11 @@
   if (m_delivery && !DeliversInHeartbeats()) {
     return false;
   }
+  // Takes one exchange with the leader. A backend server that always has
+  // something to release would otherwise never get new ranges.
+  if (HasRangesToOfferLater()) {
+    return true;
+  }
   const bool knowsPlan = m_planTerm > 0;
   if (knowsPlan && MustRelease()) {
     return false;
@@ -472,8 +553,12 @@
 }
 
 void
-LocalBackend::OnHandoversDelivered(const wire::FleetSyncRequest& aRequest)
+LocalBackend::OnReportDelivered(const wire::FleetSyncRequest& aRequest)
 {
+  if (aRequest.backend().holder() == m_view.holder()) {
+    m_deliveredSequence =
+      std::max(m_deliveredSequence, aRequest.heartbeat_sequence());
+  }
   std::erase_if(m_pendingHandovers, [&](const wire::HandedOver& aHandover) {
     return std::ranges::any_of(
       aRequest.handovers(), [&](const wire::HandedOver& aDelivered) {
@@ -575,10 +660,15 @@
   }
   aRequest.set_plan_term(m_planTerm);
   aRequest.set_plan(m_planNumber);
-  // A grant of an earlier process of this sidecar may still be in force. Only
-  // heartbeats of a backend server that gets its ranges in answers tell.
-  const bool reportsHolds = m_heartbeatSequence > 0 && DeliversInHeartbeats();
-  aRequest.set_holds_known(reportsHolds ||
+  aRequest.set_heartbeat_sequence(m_heartbeatSequence);
+  aRequest.set_awaits_confirmation(HasRangesToOfferLater());
+  // Only heartbeats of a backend server that gets its ranges in answers list
+  // the grants of an earlier process.
+  const bool listsHolds = m_heartbeatSequence > 0 && m_listsHolds &&
+                          DeliversInHeartbeats() &&
+                          m_startupTrust.ListsAllEarlierGrants(
+                            m_view.holder(), m_heartbeatSequence, aNow);
+  aRequest.set_holds_known(listsHolds ||
                            !m_startupTrust.MayHaveEarlierGrants(aNow));
   m_callDelivery.FillReport(aRequest, aNow);
   const bool allExpired =
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -90,9 +90,9 @@
   // Applies the lease and the plan of a sync reply. aSentAt is the time at
   // which the sync request was sent; the lease counts from then.
   void OnSyncReply(const wire::FleetSyncReply& aReply, TimePoint aSentAt);
-  // The leader has received the handover tokens of this request, so they are
-  // not reported again.
-  void OnHandoversDelivered(const wire::FleetSyncRequest& aRequest);
+  // The leader has received this report: its handover tokens are not reported
+  // again, and another process of this sidecar would learn its heartbeat.
+  void OnReportDelivered(const wire::FleetSyncRequest& aRequest);
 
   // Records whether a connection attempt or an exchange with the backend server
   // succeeded.
@@ -142,6 +142,12 @@
   bool DeliversInHeartbeats() const;
   // The planned ranges if they are delivered by calls, otherwise none.
   std::span<const wire::OwnedRange> RangesToCallFor() const;
+  void KeepOfferedRanges();
+  std::vector<wire::OwnedRange> RangesToOffer() const;
+  // Appends the parts of the planned range that the backend server holds.
+  void AppendHeldParts(const wire::OwnedRange& aPlanned,
+                       std::vector<wire::OwnedRange>& aParts) const;
+  bool HasRangesToOfferLater() const;
   bool IsReportedHeld(const wire::OwnedRange& aRange) const;
   bool MustRelease() const;
   ServeVerdict CheckOwnership(uint32_t aKey, TimePoint aNow) const;
@@ -157,6 +163,8 @@
   StartupTrust m_startupTrust;
   wire::BackendView m_view;
   uint64_t m_heartbeatSequence = 0;
+  // Newest heartbeat of the lifetime that the leader knows of.
+  uint64_t m_deliveredSequence = 0;
   TimePoint m_lastHeartbeatAt;
   // The backend server expects to be slow until this time.
   TimePoint m_coldUntil;
@@ -171,8 +179,11 @@
   bool m_expectsRanges = false;
   uint64_t m_adoptedPlanCount = 0;
 
-  // Ranges that the last heartbeat reported.
+  // Ranges that the last heartbeat with a list of them reported, and those that
+  // were offered before later ones without a list.
   std::vector<HeldRange> m_reportedRanges;
+  // Whether the last heartbeat had a list.
+  bool m_listsHolds = false;
   // Ranges granted by the last response; valid until m_offerEnd.
   std::vector<wire::OwnedRange> m_offeredRanges;
   // After this time no grant of any response can still be in force.
--- a/modules/sidecar/src/StartupTrust.cpp
+++ b/modules/sidecar/src/StartupTrust.cpp
@@ -21,6 +21,8 @@
 StartupTrust::OnLeaderView(const wire::FleetSyncReply& aReply)
 {
   m_knownHolder = aReply.holder();
+  m_earlierSequence = aReply.earlier_heartbeat_sequence();
+  m_knowsEarlierGrants = aReply.knows_earlier_grants();
 }
 
 bool
@@ -30,6 +32,22 @@
          aNow - m_processStart >= fleet::kMaxHeartbeatDelay;
 }
 
+bool
+StartupTrust::IsOutdated(std::string_view aHolder, uint64_t aSequence) const
+{
+  return aHolder == m_knownHolder && aSequence <= m_earlierSequence;
+}
+
+bool
+StartupTrust::ListsAllEarlierGrants(std::string_view aHolder,
+                                    uint64_t aSequence,
+                                    TimePoint aNow) const
+{
+  return !MayHaveEarlierGrants(aNow) ||
+         (aHolder == m_knownHolder && m_knowsEarlierGrants &&
+          aSequence > m_earlierSequence);
+}
+
 bool
 StartupTrust::MayHaveEarlierGrants(TimePoint aNow) const
 {
--- a/modules/sidecar/src/StartupTrust.h
+++ b/modules/sidecar/src/StartupTrust.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,14 @@
   void OnLeaderView(const wire::FleetSyncReply& aReply);
   // Whether the phase of the lifetime is known, so that it may be used.
   bool KnowsPhase(std::string_view aHolder, TimePoint aNow) const;
+  // Whether a heartbeat with this sequence number is older than one that an
+  // earlier process has received.
+  bool IsOutdated(std::string_view aHolder, uint64_t aSequence) const;
+  // Whether the heartbeat with this sequence number lists all ranges that the
+  // backend server holds and that this process has not granted.
+  bool ListsAllEarlierGrants(std::string_view aHolder,
+                             uint64_t aSequence,
+                             TimePoint aNow) const;
   // Whether a grant of an earlier process may be in force.
   bool MayHaveEarlierGrants(TimePoint aNow) const;
 
@@ -33,6 +42,8 @@
   TimePoint m_processStart;
   // The lifetime that the leader's view is about; empty before the first.
   std::string m_knownHolder;
+  uint64_t m_earlierSequence = 0;
+  bool m_knowsEarlierGrants = false;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -317,7 +317,7 @@
   }
   m_directory.ApplyReply(aReply, aSentAt);
   m_localBackend.OnSyncReply(aReply, aSentAt);
-  m_localBackend.OnHandoversDelivered(aRequest);
+  m_localBackend.OnReportDelivered(aRequest);
   m_quarantine.OnLeaderReply(aReply);
   if (m_onReplyApplied) {
     m_onReplyApplied();
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -23,6 +23,13 @@
   return heartbeat;
 }
 
+Heartbeat
+WithSequence(Heartbeat aHeartbeat, uint64_t aSequence)
+{
+  aHeartbeat.m_sequence = aSequence;
+  return aHeartbeat;
+}
+
 LocalBackend
 MakeBackendOfProcess(TimePoint aProcessStart)
 {
@@ -73,6 +80,17 @@
   return request;
 }
 
+// The leader receives a report and replies to it.
+void
+Sync(LocalBackend& aLocalBackend,
+     const wire::FleetSyncReply& aReply,
+     TimePoint aNow)
+{
+  const wire::FleetSyncRequest report = MakeReport(aLocalBackend, aNow);
+  aLocalBackend.OnSyncReply(aReply, aNow);
+  aLocalBackend.OnReportDelivered(report);
+}
+
 // Returns how long the grants are in force on a clock that runs 2% slow.
 Duration
 HoldOnSlowClock(const HeartbeatResponse& aResponse)
@@ -105,7 +123,7 @@
     range.set_fence(7);
     range.set_handover("token");
   }
-  backend.OnSyncReply(reply, kStart);
+  Sync(backend, reply, kStart);
   CHECK(backend.MakeHeartbeatResponse(kStart, fits).m_grantedRanges.size() ==
         3);
   CHECK(backend.CheckServable(2, true, kStart) == ServeVerdict::kServe);
@@ -115,6 +133,7 @@
   Heartbeat heartbeat = MakeHeartbeat(2);
   heartbeat.m_heldRanges = { { 1, 1, 7 }, { 2, 2, 7 }, { 4, 4, 7 } };
   REQUIRE(backend.OnHeartbeat(heartbeat, kStart + Seconds(1)));
+  backend.OnReportDelivered(MakeReport(backend, kStart + Seconds(1)));
   const HeartbeatResponse response =
     backend.MakeHeartbeatResponse(kStart + Seconds(1), fits);
   REQUIRE(response.m_grantedRanges.size() == 4);
@@ -136,14 +155,14 @@
         ServeVerdict::kAwaitsLeader);
   SECTION("the leader knows of no drain")
   {
-    backend.OnSyncReply(MakePlanReply(1, 1, 0), kStart);
+    Sync(backend, MakePlanReply(1, 1, 0), kStart);
     CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kServe);
   }
   SECTION("the leader knows of a drain")
   {
     wire::FleetSyncReply reply = MakePlanReply(1, 1, 0);
     reply.set_backend_phase(wire::BACKEND_PHASE_GONE);
-    backend.OnSyncReply(reply, kStart);
+    Sync(backend, reply, kStart);
     CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kDraining);
   }
   SECTION("no leader replies until late heartbeats have arrived")
@@ -172,12 +191,12 @@
   CHECK(report.departures(0).phase() == wire::BACKEND_PHASE_GONE);
   wire::FleetSyncReply reply;
   *reply.add_recorded_departures() = report.departures(0);
-  backend.OnSyncReply(reply, kStart);
+  Sync(backend, reply, kStart);
   CHECK(backend.IsDepartureRecorded(holder));
   CHECK(MakeReport(backend, kStart).departures_size() == 0);
 
   CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   CHECK(backend.CheckServable({}, false, kStart) == ServeVerdict::kDraining);
   CHECK(MakeReport(backend, kStart).backend().phase() ==
         wire::BACKEND_PHASE_GONE);
@@ -244,7 +263,7 @@
   LocalBackend backend = MakeLocalBackend();
   backend.OnHeartbeat(MakeHeartbeat(1), kStart);
   CHECK_FALSE(backend.MakeHeartbeatResponse(kStart).m_hasGrants);
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   const HeartbeatResponse response =
     backend.MakeHeartbeatResponse(kStart + Milliseconds(1000));
   REQUIRE(response.m_hasGrants);
@@ -266,7 +285,7 @@
   for (const uint32_t leaseMs : { 600U, 1500U, 3000U, 3060U }) {
     LocalBackend backend = MakeLocalBackend();
     backend.OnHeartbeat(MakeHeartbeat(1), kStart);
-    backend.OnSyncReply(MakePlanReply(1, 0, 99, leaseMs), kStart);
+    Sync(backend, MakePlanReply(1, 0, 99, leaseMs), kStart);
     const HeartbeatResponse response = backend.MakeHeartbeatResponse(kStart);
     REQUIRE(response.m_hasGrants);
     CHECK(HoldOnSlowClock(response).m_ms + 60 <= int64_t{ leaseMs });
@@ -279,7 +298,7 @@
   LocalBackend backend = MakeLocalBackend();
   const TimePoint now = kStart + Seconds(4);
   backend.OnHeartbeat(MakeHeartbeat(1), now);
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), now);
+  Sync(backend, MakePlanReply(1, 0, 99), now);
   const HeartbeatResponse response = backend.MakeHeartbeatResponse(now);
   REQUIRE(response.m_hasGrants);
   const TimePoint holdEnd = now + HoldOnSlowClock(response);
@@ -296,9 +315,9 @@
 {
   LocalBackend backend = MakeLocalBackend();
   backend.OnHeartbeat(MakeHeartbeat(1), kStart);
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   backend.MakeHeartbeatResponse(kStart);
-  backend.OnSyncReply(MakePlanReply(2, 1, 0), kStart);
+  Sync(backend, MakePlanReply(2, 1, 0), kStart);
   CHECK(MakeReport(backend, kStart).possible_holds_size() == 1);
   Heartbeat holding = MakeHeartbeat(2);
   holding.m_heldRanges = { { 0, 99, 7 } };
@@ -319,7 +338,7 @@
   backend.OnHeartbeat(MakeHeartbeat(1), kStart);
   CHECK(backend.ShouldWaitForRanges(true));
   CHECK_FALSE(backend.ShouldWaitForRanges(false));
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   CHECK_FALSE(backend.ShouldWaitForRanges(true));
   backend.MakeHeartbeatResponse(kStart);
   Heartbeat holding = MakeHeartbeat(2);
@@ -327,9 +346,9 @@
   backend.OnHeartbeat(holding, kStart);
   wire::FleetSyncReply smallerPlan = MakePlanReply(2, 0, 50);
   smallerPlan.set_expects_ranges(true);
-  backend.OnSyncReply(smallerPlan, kStart);
+  Sync(backend, smallerPlan, kStart);
   CHECK_FALSE(backend.ShouldWaitForRanges(true));
-  backend.OnSyncReply(MakePlanReply(3, 1, 0), kStart);
+  Sync(backend, MakePlanReply(3, 1, 0), kStart);
   CHECK_FALSE(backend.ShouldWaitForRanges(true));
   backend.OnHeartbeat(MakeHeartbeat(3), kStart);
   CHECK(backend.ShouldWaitForRanges(true));
@@ -346,7 +365,7 @@
   CHECK(backend.ShouldWaitForRanges(std::nullopt));
   CHECK(backend.ShouldWaitForRanges(true));
   CHECK_FALSE(backend.ShouldWaitForRanges(false));
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   CHECK_FALSE(backend.ShouldWaitForRanges(std::nullopt));
 }
 
@@ -356,9 +375,9 @@
   "ranges of a silent backend server are reported until its grants expire")
 {
   LocalBackend backend = MakeLocalBackend();
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   backend.OnHeartbeat(MakeHeartbeat(1), kStart);
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   backend.MakeHeartbeatResponse(kStart);
   CHECK(
     MakeReport(backend, kStart + Milliseconds(2000)).possible_holds_size() ==
@@ -377,12 +396,104 @@
   CHECK(MakeReport(backend, kStart + Milliseconds(4000)).holds_known());
 }
 
+// Guards against ranges that the leader gives away while they are held: the
+// first heartbeat that a restarted sidecar gets may have been sent before the
+// ranges were granted.
+TEST_CASE("a late heartbeat after a restart does not show what is held")
+{
+  LocalBackend backend = MakeRestartedLocalBackend();
+  const TimePoint now = kStart + Milliseconds(500);
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(2), now));
+  CHECK_FALSE(MakeReport(backend, now).holds_known());
+  CHECK(MakeReport(backend, now).heartbeat_sequence() == 2);
+  wire::FleetSyncReply reply = MakePlanReply(1, 1, 0);
+  reply.set_earlier_heartbeat_sequence(5);
+  SECTION("the leader knows later heartbeats")
+  {
+    reply.set_knows_earlier_grants(true);
+    Sync(backend, reply, now);
+    CHECK_FALSE(MakeReport(backend, now).holds_known());
+    CHECK_FALSE(backend.OnHeartbeat(MakeHeartbeat(5), now));
+    Heartbeat newest = MakeHeartbeat(6);
+    newest.m_heldRanges = { { 0, 99, 7 } };
+    CHECK(backend.OnHeartbeat(newest, now));
+    CHECK(MakeReport(backend, now).holds_known());
+    CHECK(MakeReport(backend, now).possible_holds_size() == 1);
+  }
+  SECTION("the leader does not know what an earlier process has granted")
+  {
+    reply.set_earlier_heartbeat_sequence(0);
+    Sync(backend, reply, now);
+    CHECK_FALSE(MakeReport(backend, now).holds_known());
+    CHECK(MakeReport(backend, kStart + Milliseconds(3300)).holds_known());
+  }
+}
+
+// Guards against keys with two holders: another process of the sidecar could
+// take an earlier heartbeat, without the new ranges, for the newest one.
+TEST_CASE("new ranges are offered once the leader knows of the heartbeat")
+{
+  LocalBackend backend = MakeLocalBackend();
+  Heartbeat heartbeat = MakeHeartbeat(1);
+  heartbeat.m_heldRanges = { { 0, 49, 7 } };
+  backend.OnHeartbeat(heartbeat, kStart);
+  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  CHECK(backend.ShouldWaitForRanges(true));
+  CHECK(MakeReport(backend, kStart).awaits_confirmation());
+  const HeartbeatResponse held = backend.MakeHeartbeatResponse(kStart);
+  REQUIRE(held.m_grantedRanges.size() == 1);
+  CHECK(held.m_grantedRanges[0].last() == 49);
+  CHECK(backend.CheckServable(50, true, kStart) == ServeVerdict::kNotOwner);
+
+  backend.OnReportDelivered(MakeReport(backend, kStart));
+  CHECK_FALSE(backend.ShouldWaitForRanges(true));
+  const HeartbeatResponse all = backend.MakeHeartbeatResponse(kStart);
+  REQUIRE(all.m_grantedRanges.size() == 1);
+  CHECK(all.m_grantedRanges[0].last() == 99);
+
+  // Also if another range is to be released in the same response.
+  wire::FleetSyncReply movedPlan = MakePlanReply(2, 20, 120);
+  backend.OnSyncReply(movedPlan, kStart);
+  backend.OnHeartbeat(WithSequence(heartbeat, 2), kStart);
+  CHECK(backend.ShouldWaitForRanges(true));
+  backend.OnReportDelivered(MakeReport(backend, kStart));
+  CHECK_FALSE(backend.ShouldWaitForRanges(true));
+
+  // The next heartbeat has to be known as well, and is reported at once.
+  const uint64_t revision = backend.ReportRevision();
+  backend.OnHeartbeat(WithSequence(heartbeat, 3), kStart);
+  CHECK(backend.ReportRevision() > revision);
+  REQUIRE(backend.MakeHeartbeatResponse(kStart).m_grantedRanges.size() == 1);
+  CHECK(backend.MakeHeartbeatResponse(kStart).m_grantedRanges[0].last() == 49);
+}
+
+// Guards against ranges that count as released because a heartbeat lacks its
+// list of them.
+TEST_CASE("a heartbeat without a list of ranges releases none")
+{
+  LocalBackend backend = MakeLocalBackend();
+  Heartbeat unlisted = MakeHeartbeat(1);
+  unlisted.m_listsHolds = false;
+  backend.OnHeartbeat(unlisted, kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
+  backend.MakeHeartbeatResponse(kStart);
+  Sync(backend, MakePlanReply(2, 1, 0), kStart);
+  unlisted.m_sequence = 2;
+  backend.OnHeartbeat(unlisted, kStart);
+  backend.MakeHeartbeatResponse(kStart);
+  unlisted.m_sequence = 3;
+  backend.OnHeartbeat(unlisted, kStart);
+  CHECK(MakeReport(backend, kStart).possible_holds_size() == 1);
+  backend.OnHeartbeat(MakeHeartbeat(4), kStart);
+  CHECK(MakeReport(backend, kStart).possible_holds_size() == 0);
+}
+
 TEST_CASE("an older plan does not replace a newer one")
 {
   LocalBackend backend = MakeLocalBackend();
   backend.OnHeartbeat(MakeHeartbeat(1), kStart);
-  backend.OnSyncReply(MakePlanReply(5, 0, 9), kStart);
-  backend.OnSyncReply(MakePlanReply(4, 0, 99), kStart);
+  Sync(backend, MakePlanReply(5, 0, 9), kStart);
+  Sync(backend, MakePlanReply(4, 0, 99), kStart);
   REQUIRE(backend.MakeHeartbeatResponse(kStart).m_grantedRanges.size() == 1);
   CHECK(backend.MakeHeartbeatResponse(kStart).m_grantedRanges[0].last() == 9);
 }
@@ -399,7 +510,7 @@
   backend.OnHeartbeat(heartbeat, kStart);
   const wire::FleetSyncRequest report = MakeReport(backend, kStart);
   REQUIRE(report.handovers_size() == 1);
-  backend.OnHandoversDelivered(report);
+  backend.OnReportDelivered(report);
   CHECK(MakeReport(backend, kStart).handovers_size() == 0);
 }
 
@@ -430,14 +541,14 @@
     Heartbeat heartbeat = MakeHeartbeat(1);
     heartbeat.m_draining = true;
     CHECK(backend.OnHeartbeat(heartbeat, kStart));
-    backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+    Sync(backend, MakePlanReply(1, 0, 99), kStart);
   }
   SECTION("only the leader knows of the drain")
   {
     CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
     wire::FleetSyncReply reply = MakePlanReply(1, 0, 99);
     reply.set_backend_phase(wire::BACKEND_PHASE_DRAINING);
-    backend.OnSyncReply(reply, kStart);
+    Sync(backend, reply, kStart);
   }
   backend.MakeHeartbeatResponse(kStart);
   CHECK(backend.CheckServable(5, true, kStart) == ServeVerdict::kDraining);
@@ -451,14 +562,14 @@
 {
   LocalBackend backend = MakeLocalBackend();
   CHECK(backend.OnHeartbeat(MakeHeartbeat(1), kStart));
-  backend.OnSyncReply(MakePlanReply(1, 0, 99), kStart);
+  Sync(backend, MakePlanReply(1, 0, 99), kStart);
   backend.MakeHeartbeatResponse(kStart);
   Heartbeat heartbeat = MakeHeartbeat(2);
   heartbeat.m_draining = true;
   CHECK(backend.OnHeartbeat(heartbeat, kStart));
   wire::FleetSyncReply reply = MakePlanReply(1, 0, 99);
   reply.set_backend_phase(wire::BACKEND_PHASE_DRAINING);
-  backend.OnSyncReply(reply, kStart);
+  Sync(backend, reply, kStart);
   CHECK(backend.CheckServable(5, true, kStart + Seconds(1)) ==
         ServeVerdict::kServe);
   CHECK(backend.CheckServable(5, true, kStart + Milliseconds(1300)) ==
--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -169,6 +169,14 @@
                                 : 1 + static_cast<int64_t>(m_random() % 8);
   }
 
+  // Often seconds, so that a heartbeat may reach a later process of the
+  // sidecar.
+  int64_t RandomHeartbeatDelayMs()
+  {
+    return m_random() % 25 == 0 ? static_cast<int64_t>(m_random() % 7000)
+                                : RandomDelayMs();
+  }
+
   void StartBackend(Node& aNode)
   {
     aNode.m_backend = {};
@@ -266,7 +274,7 @@
     const SentHeartbeat sent{ heartbeat, sentMs, m_nodes[aNode].m_session };
     const int64_t delayMs = UsesCalls()
                               ? std::min(RandomDelayMs(), kHeartbeatTimeoutMs)
-                              : RandomDelayMs();
+                              : RandomHeartbeatDelayMs();
     Schedule(delayMs, [this, aNode, sent] { ReceiveHeartbeat(aNode, sent); });
     Schedule(RealMs(backend, kHeartbeatTimeoutMs),
              [this, aNode, sentMs, startedAtUnixMs, heartbeat] {
@@ -310,12 +318,6 @@
       return;
     }
     const Heartbeat& heartbeat = aSent.m_heartbeat;
-    // A connection that the backend server has closed does not reach a later
-    // process of the sidecar.
-    if (node.m_session != aSent.m_session &&
-        node.m_backend.m_pendingHeartbeat != heartbeat.m_sequence) {
-      return;
-    }
     const bool isAccepted = node.m_localBackend->OnHeartbeat(heartbeat, Now());
     SendRangeCalls(aNode);
     SyncIfChanged(aNode);
@@ -666,16 +668,18 @@
         return;
       }
       const wire::FleetSyncReply reply = m_leader->BuildReply(aRequest, Now());
-      Schedule(RandomDelayMs(), [this, aNode, reply, aSentAt, aSession] {
-        Node& node = m_nodes[aNode];
-        if (node.m_session == aSession &&
-            m_nowMs >= node.m_partitionedUntilMs) {
-          node.m_localBackend->OnSyncReply(reply, aSentAt);
-          SendRangeCalls(aNode);
-          SyncIfChanged(aNode);
-          AnswerHeartbeat(aNode);
-        }
-      });
+      Schedule(RandomDelayMs(),
+               [this, aNode, aRequest, reply, aSentAt, aSession] {
+                 Node& node = m_nodes[aNode];
+                 if (node.m_session == aSession &&
+                     m_nowMs >= node.m_partitionedUntilMs) {
+                   node.m_localBackend->OnSyncReply(reply, aSentAt);
+                   node.m_localBackend->OnReportDelivered(aRequest);
+                   SendRangeCalls(aNode);
+                   SyncIfChanged(aNode);
+                   AnswerHeartbeat(aNode);
+                 }
+               });
     });
   }
 
