Tell departures to the next leader, and confirm none that was dropped

A departure that was told to one leader was not told to the next, so a restart of the sidecar after a change of leader could forget a lifetime of which it had heard no heartbeat. And a departure that had left the bounded list counted as recorded, so that its deregistration would have been confirmed.

Change: a reply of a later term makes all departures unrecorded, and only a departure in the list can count as recorded.

Evidence: "a departure is reported again to the next leader" and "a departure that is not known counts as not recorded" in LocalBackendTest; both states follow from the code before by reading, the tests were not run on it.

--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -460,14 +460,22 @@
 bool
 LocalBackend::IsDepartureRecorded(std::string_view aHolder) const
 {
-  return std::ranges::none_of(m_departures, [&](const LocalDeparture& aItem) {
-    return aItem.m_departure.holder() == aHolder && !aItem.m_isRecorded;
+  return std::ranges::any_of(m_departures, [&](const LocalDeparture& aItem) {
+    return aItem.m_departure.holder() == aHolder && aItem.m_isRecorded;
   });
 }
 
 void
 LocalBackend::OnDeparturesRecorded(const wire::FleetSyncReply& aReply)
 {
+  // The next leader has not recorded what was told to the one before.
+  if (aReply.term() > m_departuresTerm) {
+    m_departuresTerm = aReply.term();
+    for (LocalDeparture& item : m_departures) {
+      item.m_isRecorded = false;
+      ++m_reportRevision;
+    }
+  }
   for (LocalDeparture& item : m_departures) {
     item.m_isRecorded |= std::ranges::any_of(
       aReply.recorded_departures(), [&](const wire::Departure& aRecorded) {
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -197,6 +197,8 @@
   std::vector<wire::HandedOver> m_pendingHandovers;
   // Lifetimes that have begun to leave, oldest first; bounded.
   std::vector<LocalDeparture> m_departures;
+  // Term of the leader that has recorded them.
+  uint64_t m_departuresTerm = 0;
   std::optional<wire::RangeDelivery> m_delivery;
   CallDelivery m_callDelivery;
 };
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -206,6 +206,38 @@
         ServeVerdict::kServe);
 }
 
+// Guards against a departure that is forgotten when the leader changes and the
+// sidecar restarts after that.
+TEST_CASE("a departure is reported again to the next leader")
+{
+  LocalBackend backend = MakeRestartedLocalBackend();
+  const std::string holder = backend.OnDeregistration("i-1", 500, kStart);
+  wire::FleetSyncReply reply;
+  reply.set_term(1);
+  *reply.add_recorded_departures() = MakeReport(backend, kStart).departures(0);
+  backend.OnSyncReply(reply, kStart);
+  CHECK(backend.IsDepartureRecorded(holder));
+  const uint64_t revision = backend.ReportRevision();
+  wire::FleetSyncReply nextLeaderReply;
+  nextLeaderReply.set_term(2);
+  backend.OnSyncReply(nextLeaderReply, kStart);
+  CHECK_FALSE(backend.IsDepartureRecorded(holder));
+  CHECK(backend.ReportRevision() > revision);
+  CHECK(MakeReport(backend, kStart).departures_size() == 1);
+}
+
+// Guards against a confirmation of what was dropped before it was recorded.
+TEST_CASE("a departure that is not known counts as not recorded")
+{
+  LocalBackend backend = MakeRestartedLocalBackend();
+  const std::string holder = backend.OnDeregistration("i-1", 500, kStart);
+  for (int i = 0; i < 16; ++i) {
+    backend.OnDeregistration("i-2", 600 + i, kStart);
+  }
+  CHECK(MakeReport(backend, kStart).departures_size() == 16);
+  CHECK_FALSE(backend.IsDepartureRecorded(holder));
+}
+
 // Guards against a confirmation that binds a lifetime which nobody knows.
 TEST_CASE("a deregistration without its start needs a known lifetime")
 {
