Add messages for cold backend servers and evacuations

Cause: the configuration of a service has no field for the requests that a cold backend server takes, and no command or reply tells of the evacuation of a zone.

Change: fields and messages with their generated code; nothing sets them yet, and a replica ignores the new command.

--- a/modules/fleet/src/FleetState.cpp
+++ b/modules/fleet/src/FleetState.cpp
@@ -144,6 +144,7 @@
     case wire::FleetCommand::kAssignRanges:
       ApplyRanges(aIndex, command.assign_ranges());
       return;
+    case wire::FleetCommand::kSetEvacuation:
     case wire::FleetCommand::COMMAND_NOT_SET:
       return;
   }
