Bound the requests that a cold backend server gets

WorkQueue asks it before an item starts; what cannot start waits or is refused with the time at which there is room. Services without coldPerS are not counted at all.

ColdServerTest passes with and without keys: two stand-ins that return cold together get at most 26 requests in any second and at least 12 in 3 s, also over a restart of the sidecar.

--- a/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
+++ b/modules/sidecar/include/rattanloft/sidecar/BackendProtocol.h
@@ -38,6 +38,8 @@
   std::string m_requestLimit;
   // "1" in the responses of a backend server that is about to stop.
   std::string m_leaving;
+  // Milliseconds for which the backend server stays cold.
+  std::string m_coldRemainingMs;
 };
 
 // A range of keys that a backend server holds.
--- a/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
+++ b/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
@@ -42,6 +42,10 @@
   // requests in the window, plus a constant number of retries.
   double m_retryRatio = 0.2;
   uint32_t m_retrySlack = 0;
+  // Requests that a cold backend server may get in any second: this multiple of
+  // the rate that its service states, plus a fixed number.
+  double m_coldRateFactor = 1;
+  double m_coldExtraRequests = 0;
   // Time from SIGTERM to the end of the process, after which requests that
   // still run are cut off.
   Duration m_stopGrace = Seconds(6);
@@ -50,6 +54,12 @@
   Duration m_drainTimeout = Seconds(2);
 };
 
+// Requests that a cold backend server of the service may get in any second; 0
+// for no bound. aService may be null.
+double
+FindColdBound(const SidecarOptions& aOptions,
+              const wire::ServiceSpec* aService);
+
 struct SidecarError
 {
   std::string m_message;
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -116,11 +116,14 @@
     if (found == m_waiters.end()) {
       // The caller is gone, so its slot goes to the next item.
       if (item.m_mayStart) {
+        m_workQueue.ColdStart().OnNotSent(item.m_id);
         m_workQueue.Finish({}, {});
       }
       continue;
     }
     found->second->m_mayStart = item.m_mayStart;
+    found->second->m_retryAfter =
+      item.m_retryAfter.value_or(kNotServingRetryDelay);
     found->second->m_wakeTimer.cancel();
     m_waiters.erase(found);
   }
@@ -130,19 +133,20 @@
 BackendHandler::Tick()
 {
   m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
+  m_workQueue.ColdStart().Tick(m_clock.Now());
   DequeueWaiting();
 }
 
 // Waits for a slot. Returns the refusal, or nullopt once the request holds a
 // slot.
 asio::awaitable<std::optional<AttemptResult>>
-BackendHandler::AcquireSlot(const RequestAttributes& aAttributes,
+BackendHandler::AcquireSlot(WorkId aId,
+                            const RequestAttributes& aAttributes,
                             std::shared_ptr<http::CancelToken> aCancel)
 {
   const TimePoint now = m_clock.Now();
-  const WorkId id = m_nextWorkId++;
   const SubmitResult submitted =
-    m_workQueue.Submit({ id,
+    m_workQueue.Submit({ aId,
                          aAttributes.m_kind,
                          aAttributes.m_rank,
                          now + aAttributes.m_timeToTarget,
@@ -156,7 +160,7 @@
   }
   const auto waiter = std::make_shared<Waiter>(m_context);
   waiter->m_wakeTimer.expires_at(asio::steady_timer::time_point::max());
-  m_waiters[id] = waiter;
+  m_waiters[aId] = waiter;
   if (aCancel) {
     aCancel->SetCancelCallback([waiter] { waiter->m_wakeTimer.cancel(); });
   }
@@ -165,12 +169,12 @@
     aCancel->SetCancelCallback({});
   }
   if (!waiter->m_mayStart) {
-    m_waiters.erase(id);
-    m_workQueue.Cancel(id);
+    m_waiters.erase(aId);
+    m_workQueue.Cancel(aId);
     co_return MakeNotRunResult("caller-left", {});
   }
   if (!*waiter->m_mayStart) {
-    co_return MakeOverloadedResult(kNotServingRetryDelay);
+    co_return MakeOverloadedResult(waiter->m_retryAfter);
   }
   co_return std::nullopt;
 }
@@ -212,8 +216,9 @@
   if (refusal) {
     co_return std::move(*refusal);
   }
+  const WorkId workId = m_nextWorkId++;
   std::optional<AttemptResult> notStarted =
-    co_await AcquireSlot(aAttributes, aCancel);
+    co_await AcquireSlot(workId, aAttributes, aCancel);
   if (notStarted) {
     LogRefusal(id, aAttributes, *notStarted);
     co_return std::move(*notStarted);
@@ -221,7 +226,8 @@
   const TimePoint startedAt = m_clock.Now();
   Duration serviceTime;
   const FinishGuard finishGuard(
-    [this, &serviceTime, kind = aAttributes.m_kind] {
+    [this, &serviceTime, workId, kind = aAttributes.m_kind] {
+      m_workQueue.ColdStart().ReleaseIfNotSent(workId);
       m_workQueue.Finish(kind, serviceTime);
       DequeueWaiting();
     });
@@ -242,7 +248,8 @@
   }
   quarantine::RunOutcome runOutcome = quarantine::RunOutcome::kNoAnswer;
   const FinishGuard endRunGuard([&] { m_quarantine.End(*run, runOutcome); });
-  AttemptResult result = co_await SendToBackend(std::move(aRequest),
+  AttemptResult result = co_await SendToBackend(workId,
+                                                std::move(aRequest),
                                                 aAttributes,
                                                 fingerprint,
                                                 timeLeft,
@@ -255,7 +262,8 @@
 }
 
 asio::awaitable<AttemptResult>
-BackendHandler::SendToBackend(http::Request aRequest,
+BackendHandler::SendToBackend(WorkId aId,
+                              http::Request aRequest,
                               const RequestAttributes& aAttributes,
                               uint64_t aFingerprint,
                               Duration aTimeLeft,
@@ -268,6 +276,7 @@
     aRequest, names.m_expectedBackend, m_localBackend.View().backend_id());
   SetField(aRequest, names.m_deadlineMs, std::to_string(aTimeLeft.m_ms));
   const std::string holder = m_localBackend.View().holder();
+  m_workQueue.ColdStart().OnSent(aId, m_clock.Now());
   tl::expected<http::Response, http::HttpError> response =
     co_await m_backendClient.Exchange(m_backendAddress,
                                       std::move(aRequest),
@@ -275,17 +284,24 @@
                                       std::move(aCancel));
   const TimePoint now = m_clock.Now();
   if (response) {
+    m_workQueue.ColdStart().OnAnswered(aId, now);
     m_localBackend.OnContactResult(true, now);
     if (holder == m_localBackend.View().holder()) {
       ApplyAnnouncements(*response);
       if (response->result() == status::misdirected_request) {
-        m_localBackend.OnMisdirected(
-          FieldValue(*response, names.m_respondingBackend), aAttributes.m_key);
+        const std::string_view responder =
+          FieldValue(*response, names.m_respondingBackend);
+        if (!responder.empty() &&
+            responder != m_localBackend.View().backend_id()) {
+          m_workQueue.ColdStart().OnConnectionLost(now);
+        }
+        m_localBackend.OnMisdirected(responder, aAttributes.m_key);
       }
     }
     co_return ClassifyResponse(std::move(*response), id);
   }
   const http::HttpError& error = response.error();
+  OnExchangeError(aId, error);
   if (error.m_code == http::HttpErrorCode::kCancelled) {
     co_return error.m_maybeSent ? MakeUnknownResult("caller-left")
                                 : MakeNotRunResult("caller-left", {});
@@ -312,14 +328,35 @@
                                 : "backend-broke-off");
 }
 
+void
+BackendHandler::OnExchangeError(WorkId aId, const http::HttpError& aError)
+{
+  ColdStartLimiter& coldStart = m_workQueue.ColdStart();
+  if (!aError.m_maybeSent) {
+    coldStart.OnNotSent(aId);
+  }
+  if (aError.m_code == http::HttpErrorCode::kConnectFailed ||
+      aError.m_code == http::HttpErrorCode::kConnectionBroken) {
+    coldStart.OnConnectionLost(m_clock.Now());
+  }
+}
+
 // Adopts what the backend server states about itself in a response: that it is
-// about to stop, and its request limit, or that it has none any more.
+// about to stop, that it is cold, and its request limit, or that it has none
+// any more.
 void
 BackendHandler::ApplyAnnouncements(const http::Response& aResponse)
 {
   if (FieldValue(aResponse, m_protocol.Headers().m_leaving) == "1") {
     m_localBackend.OnLeavingAnnounced(m_clock.Now());
   }
+  const Duration coldRemaining = Milliseconds(
+    ParseNumberField(aResponse, m_protocol.Headers().m_coldRemainingMs)
+      .value_or(0));
+  if (coldRemaining > Duration{}) {
+    m_workQueue.ColdStart().OnColdAnnounced(m_clock.Now());
+    m_localBackend.OnColdAnnounced(coldRemaining, m_clock.Now());
+  }
   const std::string& limitName = m_protocol.Headers().m_requestLimit;
   const std::optional<double> limit = ParseDecimalField(aResponse, limitName);
   const std::string_view limitText = FieldValue(aResponse, limitName);
@@ -344,6 +381,7 @@
 BackendHandler::OnNewLifetime()
 {
   m_workQueue.SetRateLimit(std::nullopt, m_clock.Now());
+  m_workQueue.ColdStart().OnNewLifetime(m_clock.Now());
   m_quarantine.OnNewLifetime();
 }
 
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -80,17 +80,23 @@
     boost::asio::steady_timer m_wakeTimer;
     // False if the queue refused the request; empty until it has decided.
     std::optional<bool> m_mayStart;
+    // Set if m_mayStart is false.
+    Duration m_retryAfter;
   };
 
   boost::asio::awaitable<std::optional<AttemptResult>> AcquireSlot(
+    WorkId aId,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
   boost::asio::awaitable<AttemptResult> SendToBackend(
+    WorkId aId,
     http::Request aRequest,
     const RequestAttributes& aAttributes,
     uint64_t aFingerprint,
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
+  // Records what the failure of an exchange tells about the backend server.
+  void OnExchangeError(WorkId aId, const http::HttpError& aError);
   void ApplyAnnouncements(const http::Response& aResponse);
   AttemptResult ClassifyResponse(http::Response aResponse,
                                  const std::string& aRequestId);
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -75,6 +75,8 @@
                      std::optional<uint32_t> aKey);
   // A response of the current lifetime says that it is about to stop.
   void OnLeavingAnnounced(TimePoint aNow);
+  // A response of the current lifetime says that it stays cold for this time.
+  void OnColdAnnounced(Duration aColdRemaining, TimePoint aNow);
   // The backend server shuts down. aStartedAtUnixMs is the start of its
   // lifetime, or 0 if the call did not give it. Returns the name of the
   // lifetime; empty if it is not known which lifetime shuts down, so that the
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -277,6 +277,8 @@
   // server.
   void OnReplyApplied()
   {
+    m_workQueue.ColdStart().SetBound(FindColdBound(m_options, FindOwnService()),
+                                     m_clock.Now());
     m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_rangeCaller.SendDueCalls();
     if (m_endpointsRevision != m_directory.EndpointsRevision() ||
@@ -426,6 +428,12 @@
       m_localHandler.OnNewLifetime();
       m_rangeCaller.OnNewLifetime();
     }
+    if (isAccepted) {
+      m_workQueue.ColdStart().OnHeartbeat(
+        heartbeat->m_sequence, heartbeat->m_coldRemaining, m_clock.Now());
+    }
+    m_workQueue.ColdStart().SetBound(FindColdBound(m_options, FindOwnService()),
+                                     m_clock.Now());
     m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
     OnRangesChanged();
@@ -519,7 +527,9 @@
       "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
       "rattanloft_directory_age_ms {}\nrattanloft_quarantine_entries {}\n"
       "rattanloft_backend_request_limit {}\n"
-      "rattanloft_backend_heartbeats_refused {}\n",
+      "rattanloft_backend_heartbeats_refused {}\n"
+      "rattanloft_backend_cold {}\n"
+      "rattanloft_cold_requests_refused {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -532,7 +542,9 @@
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
       m_workQueue.RateLimit().value_or(0),
-      m_refusedBackendCalls);
+      m_refusedBackendCalls,
+      m_workQueue.ColdStart().IsLimiting(m_clock.Now()) ? 1 : 0,
+      m_workQueue.ColdStart().RefusedCount());
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       response.body() += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
@@ -639,6 +651,15 @@
 
 } // namespace
 
+double
+FindColdBound(const SidecarOptions& aOptions, const wire::ServiceSpec* aService)
+{
+  return aService == nullptr || aService->cold_requests_per_second() <= 0
+           ? 0
+           : aService->cold_requests_per_second() * aOptions.m_coldRateFactor +
+               aOptions.m_coldExtraRequests;
+}
+
 tl::expected<std::unique_ptr<Sidecar>, SidecarError>
 Sidecar::Make(SidecarOptions aOptions, const BackendProtocol& aProtocol)
 {
--- a/modules/sidecar/src/WorkQueue.cpp
+++ b/modules/sidecar/src/WorkQueue.cpp
@@ -18,6 +18,9 @@
 // A backend server that takes no requests at all could not state another limit,
 // so it still gets one now and then.
 constexpr double kMinRateLimit = 0.5;
+// The room of a cold backend server is known for some seconds ahead; later it
+// is probably warm.
+constexpr Duration kMaxColdRetryAfter = Seconds(3);
 constexpr size_t kMaxWaitingItems = 512;
 constexpr size_t kMaxTrackedKinds = 256;
 // Most items take less than the mean service time multiplied by this factor.
@@ -96,9 +99,30 @@
 }
 
 bool
-WorkQueue::TryTakeToken(TimePoint aNow)
+WorkQueue::TryTakeToken(WorkId aId, TimePoint aNow)
 {
-  return !m_rateLimit || m_rateLimit->TryTake(aNow);
+  if (!m_coldStart.TryStart(aId, aNow)) {
+    return false;
+  }
+  if (m_rateLimit && !m_rateLimit->TryTake(aNow)) {
+    m_coldStart.OnNotSent(aId);
+    return false;
+  }
+  return true;
+}
+
+Duration
+WorkQueue::ColdStartWait(uint32_t aRank, TimePoint aNow) const
+{
+  return m_coldStart.TimeUntilRoom(WaitingUpToRank(aRank) + 1, aNow);
+}
+
+Duration
+WorkQueue::RefuseForColdStart(uint32_t aRank, TimePoint aNow)
+{
+  return std::clamp(m_coldStart.Refuse(WaitingUpToRank(aRank) + 1, aNow),
+                    kMinRetryAfter,
+                    kMaxColdRetryAfter);
 }
 
 Duration
@@ -115,7 +139,7 @@
 WorkQueue::Submit(const WorkItem& aItem, TimePoint aNow)
 {
   if (m_runningCount < m_slots && WaitingUpToRank(aItem.m_rank) == 0 &&
-      TryTakeToken(aNow)) {
+      TryTakeToken(aItem.m_id, aNow)) {
     ++m_runningCount;
     return { WorkDecision::kStart, {} };
   }
@@ -125,12 +149,16 @@
     m_assumedServiceMs =
       std::max(m_assumedServiceMs, kAssumedTargetShare * timeLeftMs);
   }
-  const Duration expectedWait =
+  const Duration coldWait = ColdStartWait(aItem.m_rank, aNow);
+  const Duration otherWait =
     std::max(ExpectedWait(aItem.m_rank), RateLimitWait(aItem.m_rank, aNow));
+  const Duration expectedWait = std::max(coldWait, otherWait);
   if (!CanFinishInTime(aItem, expectedWait, aNow) ||
       WaitingCount() >= kMaxWaitingItems) {
     return { WorkDecision::kRefuse,
-             std::clamp(expectedWait, kMinRetryAfter, kMaxRetryAfter) };
+             coldWait > otherWait
+               ? RefuseForColdStart(aItem.m_rank, aNow)
+               : std::clamp(expectedWait, kMinRetryAfter, kMaxRetryAfter) };
   }
   m_waitingByRank[aItem.m_rank].push_back(aItem);
   return { WorkDecision::kWait, {} };
@@ -185,10 +213,10 @@
       // An item that is already too late starts only if no other item waits.
       const bool mayStart =
         CanFinishInTime(items.front(), {}, aNow) || WaitingCount() == 1;
-      if (mayStart && !TryTakeToken(aNow)) {
+      if (mayStart && !TryTakeToken(items.front().m_id, aNow)) {
         break;
       }
-      dequeued.push_back({ items.front().m_id, mayStart });
+      dequeued.push_back({ items.front().m_id, mayStart, std::nullopt });
       items.pop_front();
       m_runningCount += mayStart ? 1 : 0;
     }
@@ -196,7 +224,14 @@
       if (CanFinishInTime(aItem, {}, aNow)) {
         return false;
       }
-      dequeued.push_back({ aItem.m_id, false });
+      const bool waitedForColdStart =
+        m_coldStart.TimeUntilRoom(1, aNow) > Duration{};
+      dequeued.push_back(
+        { aItem.m_id,
+          false,
+          waitedForColdStart
+            ? std::optional(RefuseForColdStart(aItem.m_rank, aNow))
+            : std::nullopt });
       return true;
     });
   }
--- a/modules/sidecar/src/WorkQueue.h
+++ b/modules/sidecar/src/WorkQueue.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "ColdStartLimiter.h"
 #include "rattanloft/base/Time.h"
 #include "rattanloft/base/TokenBucket.h"
 
@@ -63,6 +64,9 @@
   {
     WorkId m_id;
     bool m_mayStart;
+    // Set if the item is refused because the backend server may be cold: delay
+    // after which a new attempt may succeed.
+    std::optional<Duration> m_retryAfter;
   };
   // Each returned item with m_mayStart set takes a slot.
   std::vector<DequeuedWork> Dequeue(TimePoint aNow);
@@ -75,6 +79,10 @@
   // Limits the items that start in a second; nullopt for no limit.
   void SetRateLimit(std::optional<double> aItemsPerSecond, TimePoint aNow);
   std::optional<double> RateLimit() const;
+  // Items also wait for room below the bound of a cold backend server. The
+  // caller reports there which items that started were sent.
+  ColdStartLimiter& ColdStart() { return m_coldStart; }
+  const ColdStartLimiter& ColdStart() const { return m_coldStart; }
   uint32_t RunningCount() const { return m_runningCount; }
   size_t WaitingCount() const;
   // Moving average over all kinds; zero until the first measurement.
@@ -89,8 +97,14 @@
   Duration MeanServiceTime(const std::string& aKind) const;
 
 private:
-  // Takes a token of the rate limit; false if there is none.
-  bool TryTakeToken(TimePoint aNow);
+  // Takes a place below the bound of a cold backend server and a token of the
+  // rate limit; false if either is missing.
+  bool TryTakeToken(WorkId aId, TimePoint aNow);
+  // Time until the bound of a cold backend server allows a new item of this
+  // rank to start.
+  Duration ColdStartWait(uint32_t aRank, TimePoint aNow) const;
+  // Returns the delay after which to try again.
+  Duration RefuseForColdStart(uint32_t aRank, TimePoint aNow);
   // Time until the rate limit allows a new item of this rank to start.
   Duration RateLimitWait(uint32_t aRank, TimePoint aNow) const;
   // Number of waiting items of this rank or a lower one.
@@ -103,6 +117,7 @@
   uint32_t m_slots = 1;
   uint32_t m_runningCount = 0;
   std::optional<TokenBucket> m_rateLimit;
+  ColdStartLimiter m_coldStart;
   double m_meanServiceMs = 0;
   // Used until the first service time is measured.
   double m_assumedServiceMs = 0;
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -21,6 +21,7 @@
 
 BINARY = os.environ["RATTANLOFT_BINARY"]
 HOST = "shop.example"
+HEALTH_PATH = "/h"
 # Lines of each process's log that a failed test prints.
 MAX_PRINTED_LOG_LINES = 30
 
@@ -43,8 +44,11 @@
         self.range_calls, self.late_call_s = [], 0
         # Fields that every answer carries.
         self.answer_headers = {}
-        # When each request arrived, whether it ran or not.
-        self.arrival_times = []
+        # When each request arrived, whether it ran or not, and when those that run
+        # arrived.
+        self.arrival_times, self.run_times = [], []
+        # A lifetime that follows a crash is cold for this time.
+        self.cold_start_s, self.cold_end_s = 0, 0
         # Tuples of attempt id, headers and path.
         self.executed_requests, self.lock, self.stopped = [], threading.Lock(), False
         self.down = False
@@ -119,6 +123,7 @@
             self.backend_id += "r"
             self.born_unix_ms = int(time.time() * 1000)
             self.sequence, self.down = 0, False
+            self.cold_end_s = time.time() + self.cold_start_s
 
     def holds_key(self, key):
         if key is None:
@@ -176,8 +181,9 @@
         if handler.path in ("/v1/grant", "/v1/release"):
             self.handle_range_call(handler, body)
             return
+        arrived_s = time.time()
         with self.lock:
-            self.arrival_times.append(time.time())
+            self.arrival_times.append(arrived_s)
         wrong_instance = headers.get("Expected-Instance") not in (None, self.backend_id)
         if wrong_instance or not self.holds_key(headers.get("Shard-Key")):
             handler.send_response(421)
@@ -189,6 +195,8 @@
         if self.reject_with_a_copy(handler):
             return
         with self.lock:
+            if handler.path != HEALTH_PATH:
+                self.run_times.append(arrived_s)
             self.executed_requests.append((headers["Attempt-Id"], dict(headers),
                                            handler.path))
         if handler.path in self.harmful_paths:
@@ -245,7 +253,7 @@
         return {
             "service": self.service, "address": self.address, "zone": "z",
             "version": "v1", "slots": 4, "state": self.state,
-            "coldRemainingS": 0, "seq": self.sequence, "born": self.born_unix_ms,
+            "coldRemainingS": max(0, self.cold_end_s - time.time()), "seq": self.sequence, "born": self.born_unix_ms,
             "holds": [row[:3] for row in self.held_ranges], "released": [],
         }
 
@@ -314,7 +322,7 @@
 
 
 def configuration(base_version, version, prefix="/p/", grants="heartbeat",
-                  sharded=True):
+                  sharded=True, service_fields=None):
     route = {
         "host": HOST, "pathPrefix": prefix, "routeKind": "idempotent",
         "timeoutS": 2, "targetLatencyS": 1, "priority": 1, "service": "keyed",
@@ -325,9 +333,10 @@
         "version": f"r{version}",
         "baseVersion": f"r{base_version}" if base_version else 0,
         "routes": {"a": route, "b": order},
-        "services": {"keyed": {"healthCheckPath": "/h", "maxConnections": 50,
-                               "sharded": sharded, "warmupS": 1,
-                               "grants": grants}},
+        "services": {"keyed": {"healthCheckPath": HEALTH_PATH,
+                               "maxConnections": 50, "sharded": sharded,
+                               "warmupS": 1, "grants": grants,
+                               **(service_fields or {})}},
         "limits": {},
     })
 
@@ -451,8 +460,9 @@
             headers["Shard-Key"] = str(key)
         return send_request(self.sidecars[site]["caller"], method, path, body, headers)
 
-    def start_service(self, grants="heartbeat", sharded=True):
-        first = configuration(0, 2, grants=grants, sharded=sharded)
+    def start_service(self, grants="heartbeat", sharded=True, service_fields=None):
+        first = configuration(0, 2, grants=grants, sharded=sharded,
+                              service_fields=service_fields)
         wait_for(lambda: self.put_configuration(first) == 200, 10,
                  "the first configuration is accepted")
         for site in range(2):
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -104,6 +104,8 @@
   options.m_coordinators = CoordinatorAddresses(FLAGS_coordinators);
   options.m_retryRatio = aBounds.m_retryRatio;
   options.m_retrySlack = aBounds.m_retrySlack;
+  options.m_coldRateFactor = aBounds.m_coldRateFactor;
+  options.m_coldExtraRequests = aBounds.m_coldExtraRequests;
   options.m_stopGrace = aBounds.m_stopGrace;
   options.m_drainTimeout = aBounds.m_drainTimeout;
   const std::string file = FlagfilePath();
