Keep evacuated zones in the replicated state and plan no keys into them

Cause: an evacuation has to outlive a restart of all coordinators, and the keys of an evacuated zone have to move to other zones.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -164,6 +164,7 @@
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
   bool NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
+  bool NeedsEvacuations(const wire::FleetSyncRequest& aRequest) const;
   void AddChangedRanges(uint64_t aKnownIndex,
                         wire::FleetSyncReply& aReply) const;
   void AddConfiguration(const wire::FleetSyncRequest& aRequest,
--- a/modules/fleet/include/rattanloft/fleet/FleetState.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetState.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,9 +28,23 @@
   kVersionTooLow,
 };
 
+// Zones that may be under evacuation at the same time. Bounds the size of each
+// reply to a sidecar.
+constexpr size_t kMaxEvacuatedZones = 64;
+
+// Result of an order that starts or ends the evacuation of a zone.
+enum class EvacuationOutcome
+{
+  kChanged,
+  // The state is already as ordered.
+  kInForce,
+  // kMaxEvacuatedZones other zones are under evacuation.
+  kTooManyZones,
+};
+
 // The replicated state machine of a fleet: the configuration in force, the
-// versions accepted so far, and the holder of each key range. Driven by the
-// replicated log; used on the control thread only.
+// versions accepted so far, the holder of each key range, and the zones under
+// evacuation. Driven by the replicated log; used on the control thread only.
 class FleetState final : public consensus::StateMachine
 {
 public:
@@ -61,6 +76,13 @@
   }
   // Log index of the last command that changed the ranges; 0 if there is none.
   uint64_t RangesIndex() const { return m_rangesIndex; }
+  // Zones whose backend servers must get no requests, in ascending order.
+  const std::set<std::string>& EvacuatedZones() const
+  {
+    return m_evacuatedZones;
+  }
+  // Returns the outcome that the order would have if it were applied now.
+  EvacuationOutcome EvaluateEvacuation(const wire::SetEvacuation& aOrder) const;
   // Number of commands applied and snapshots restored by this process.
   uint64_t ChangeCount() const { return m_changeCount; }
 
@@ -68,12 +90,14 @@
   void ApplyConfiguration(uint64_t aIndex,
                           const wire::ReplaceConfiguration& aChange);
   void ApplyRanges(uint64_t aIndex, const wire::AssignRanges& aCommand);
+  void ApplyEvacuation(const wire::SetEvacuation& aOrder);
 
   wire::ReplaceConfiguration m_currentChange;
   // Oldest first; the length is bounded.
   std::vector<wire::AcceptedVersion> m_acceptedVersions;
   std::map<std::string, wire::ServiceRanges> m_rangesByService;
   uint64_t m_rangesIndex = 0;
+  std::set<std::string> m_evacuatedZones;
   uint64_t m_changeCount = 0;
   std::map<uint64_t, ChangeOutcome> m_outcomesByIndex;
 };
--- a/modules/fleet/include/rattanloft/fleet/InternalPaths.h
+++ b/modules/fleet/include/rattanloft/fleet/InternalPaths.h
@@ -14,5 +14,8 @@
 constexpr std::string_view kJoinPath = "/join";
 // Calls of operators, forwarded to the leader with their body unchanged.
 constexpr std::string_view kConfigurationPath = "/configuration";
+// Orders of operators that start or end an evacuation, forwarded to the leader
+// as a SetEvacuation message.
+constexpr std::string_view kEvacuationPath = "/evacuation";
 
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -205,6 +205,7 @@
   const wire::BackendView& backend = aSidecar.m_lastRequest.backend();
   return aNow - aSidecar.m_lastHeardAt <= kMaxAliveSilence &&
          !aSidecar.m_lastRequest.stopping() &&
+         !m_state.EvacuatedZones().contains(aSidecar.m_lastRequest.zone()) &&
          backend.phase() == wire::BACKEND_PHASE_READY && backend.reachable();
 }
 
@@ -601,6 +602,14 @@
          m_quarantine.HasUpdateFor(aRequest, m_term);
 }
 
+bool
+FleetLeader::NeedsEvacuations(const wire::FleetSyncRequest& aRequest) const
+{
+  return aRequest.accepts_evacuations() &&
+         !std::ranges::equal(aRequest.evacuated_zones(),
+                             m_state.EvacuatedZones());
+}
+
 bool
 FleetLeader::HasUpdates(const wire::FleetSyncRequest& aRequest) const
 {
@@ -609,7 +618,8 @@
       aRequest.configuration_version() <
         m_state.CurrentChange().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
-      NeedsEndpoints(aRequest) || NeedsQuarantine(aRequest)) {
+      NeedsEndpoints(aRequest) || NeedsQuarantine(aRequest) ||
+      NeedsEvacuations(aRequest)) {
     return true;
   }
   const auto holder = m_holders.find(aRequest.backend().holder());
@@ -685,6 +695,14 @@
   if (NeedsEndpoints(aRequest)) {
     AddEndpoints(aRequest, reply);
   }
+  // In every reply, since a sidecar that has just started must not adopt a
+  // configuration without it.
+  if (aRequest.accepts_evacuations()) {
+    reply.set_has_evacuated_zones(true);
+    for (const std::string& zone : m_state.EvacuatedZones()) {
+      reply.add_evacuated_zones(zone);
+    }
+  }
   // The term tells a sidecar that this leader lacks the entries that were
   // reported to the former one, so it is sent even if the list is empty.
   if (aRequest.accepts_quarantine() &&
--- a/modules/fleet/src/FleetState.cpp
+++ b/modules/fleet/src/FleetState.cpp
@@ -145,6 +145,8 @@
       ApplyRanges(aIndex, command.assign_ranges());
       return;
     case wire::FleetCommand::kSetEvacuation:
+      ApplyEvacuation(command.set_evacuation());
+      return;
     case wire::FleetCommand::COMMAND_NOT_SET:
       return;
   }
@@ -224,6 +226,30 @@
   m_rangesIndex = aIndex;
 }
 
+EvacuationOutcome
+FleetState::EvaluateEvacuation(const wire::SetEvacuation& aOrder) const
+{
+  if (m_evacuatedZones.contains(aOrder.zone()) == aOrder.active()) {
+    return EvacuationOutcome::kInForce;
+  }
+  return aOrder.active() && m_evacuatedZones.size() >= kMaxEvacuatedZones
+           ? EvacuationOutcome::kTooManyZones
+           : EvacuationOutcome::kChanged;
+}
+
+void
+FleetState::ApplyEvacuation(const wire::SetEvacuation& aOrder)
+{
+  if (EvaluateEvacuation(aOrder) != EvacuationOutcome::kChanged) {
+    return;
+  }
+  if (aOrder.active()) {
+    m_evacuatedZones.insert(aOrder.zone());
+  } else {
+    m_evacuatedZones.erase(aOrder.zone());
+  }
+}
+
 std::string
 FleetState::TakeSnapshot() const
 {
@@ -236,6 +262,9 @@
     *snapshot.add_services() = ranges;
   }
   snapshot.set_ranges_index(m_rangesIndex);
+  for (const std::string& zone : m_evacuatedZones) {
+    snapshot.add_evacuated_zones(zone);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -255,6 +284,8 @@
     m_rangesByService[ranges.service()] = ranges;
   }
   m_rangesIndex = snapshot.ranges_index();
+  m_evacuatedZones = { snapshot.evacuated_zones().begin(),
+                       snapshot.evacuated_zones().end() };
   m_outcomesByIndex.clear();
   ++m_changeCount;
   return {};
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -531,4 +531,41 @@
   CHECK(fixture.SendSync(next).backend_phase() == wire::BACKEND_PHASE_READY);
 }
 
+// Guards against a sidecar that adopts a configuration and serves its backend
+// server before it knows that its zone is evacuated, and against held syncs of
+// sidecars of the previous release that are answered again and again.
+TEST_CASE("a sync carries the evacuated zones to sidecars that accept them")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest request = fixture.MakeRequest("n1");
+  CHECK_FALSE(fixture.SendSync(request).has_evacuated_zones());
+  wire::FleetCommand command;
+  command.mutable_set_evacuation()->set_zone("z1");
+  command.mutable_set_evacuation()->set_active(true);
+  fixture.Apply(command);
+  const wire::FleetSyncReply old = fixture.SendSync(request);
+  CHECK_FALSE(old.has_evacuated_zones());
+  request.set_accepts_evacuations(true);
+  const wire::FleetSyncReply reply = fixture.SendSync(request);
+  CHECK(reply.configuration().version() == 1);
+  CHECK(reply.has_evacuated_zones());
+  REQUIRE(reply.evacuated_zones_size() == 1);
+  CHECK(reply.evacuated_zones(0) == "z1");
+
+  request.set_configuration_version(1);
+  request.set_endpoints_term(reply.term());
+  request.set_endpoints_revision(reply.endpoints_revision());
+  request.set_plan_term(reply.term());
+  request.set_plan(reply.plan());
+  request.set_ranges_index(reply.ranges_index());
+  CHECK(fixture.m_leader->HasUpdates(request));
+  request.add_evacuated_zones("z1");
+  CHECK_FALSE(fixture.m_leader->HasUpdates(request));
+  command.mutable_set_evacuation()->set_active(false);
+  fixture.Apply(command);
+  CHECK(fixture.m_leader->HasUpdates(request));
+  request.set_accepts_evacuations(false);
+  CHECK_FALSE(fixture.m_leader->HasUpdates(request));
+}
+
 } // namespace rattanloft::fleet
--- a/modules/fleet/tests/FleetStateTest.cpp
+++ b/modules/fleet/tests/FleetStateTest.cpp
@@ -243,4 +243,41 @@
   }
 }
 
+// Guards against an evacuation that is lost with a snapshot, replicas that
+// differ in the order of the zones, and a set that grows without bound.
+TEST_CASE("evacuations are idempotent, bounded and part of the snapshot")
+{
+  FleetState state;
+  uint64_t index = 0;
+  const auto setEvacuation = [&](const std::string& aZone, bool aActive) {
+    wire::FleetCommand command;
+    command.mutable_set_evacuation()->set_zone(aZone);
+    command.mutable_set_evacuation()->set_active(aActive);
+    const EvacuationOutcome outcome =
+      state.EvaluateEvacuation(command.set_evacuation());
+    state.Apply(++index, command.SerializeAsString());
+    return outcome;
+  };
+  CHECK(setEvacuation("b", false) == EvacuationOutcome::kInForce);
+  CHECK(setEvacuation("b", true) == EvacuationOutcome::kChanged);
+  CHECK(setEvacuation("a", true) == EvacuationOutcome::kChanged);
+  CHECK(setEvacuation("b", true) == EvacuationOutcome::kInForce);
+  CHECK(state.EvacuatedZones() == std::set<std::string>{ "a", "b" });
+  FleetState copy;
+  REQUIRE(copy.RestoreSnapshot(state.TakeSnapshot()));
+  CHECK(copy.EvacuatedZones() == state.EvacuatedZones());
+  CHECK(copy.TakeSnapshot() == state.TakeSnapshot());
+  REQUIRE(copy.RestoreSnapshot(FleetState().TakeSnapshot()));
+  CHECK(copy.EvacuatedZones().empty());
+
+  for (size_t i = 0; state.EvacuatedZones().size() < kMaxEvacuatedZones; ++i) {
+    setEvacuation("c" + std::to_string(i), true);
+  }
+  CHECK(setEvacuation("d", true) == EvacuationOutcome::kTooManyZones);
+  CHECK(state.EvacuatedZones().size() == kMaxEvacuatedZones);
+  CHECK(setEvacuation("a", true) == EvacuationOutcome::kInForce);
+  CHECK(setEvacuation("a", false) == EvacuationOutcome::kChanged);
+  CHECK(setEvacuation("d", true) == EvacuationOutcome::kChanged);
+}
+
 } // namespace rattanloft::fleet
