Confirm orders to evacuate a zone at every coordinator

Cause: operators had no call that starts or ends an evacuation.

Change: EvacuationService beside ConfigurationService. Other coordinators relay to the leader; the relay is now the class LeaderRelay, used by both services.

--- a/modules/coordinator/include/rattanloft/coordinator/OperatorProtocol.h
+++ b/modules/coordinator/include/rattanloft/coordinator/OperatorProtocol.h
@@ -15,6 +15,8 @@
 {
   kReplaceConfiguration,
   kReadConfiguration,
+  kStartEvacuation,
+  kEndEvacuation,
   // Not a known call.
   kOther,
 };
@@ -34,6 +36,10 @@
   // fields, but not whether the configuration makes sense.
   virtual tl::expected<wire::ReplaceConfiguration, fleet::ConfigurationError>
   ParseChange(std::string_view aBody) const = 0;
+  // Decodes the zone that a call of kind kStartEvacuation or kEndEvacuation
+  // names. Checks the encoding, but not the name.
+  virtual tl::expected<std::string, fleet::ConfigurationError>
+  ParseEvacuatedZone(std::string_view aTarget) const = 0;
 };
 
 } // namespace rattanloft::coordinator
--- a/modules/coordinator/src/ConfigurationService.cpp
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -1,55 +1,23 @@
 #include "ConfigurationService.h"
 
-#include <nlohmann/json.hpp>
-
 #include "Compression.h"
-#include "InternalCalls.h"
+#include "OperatorResponses.h"
 #include "rattanloft/base/Hash.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/fleet/InternalPaths.h"
 
 namespace rattanloft::coordinator {
 
 namespace {
 
 namespace asio = boost::asio;
-using boost::beast::http::field;
 using boost::beast::http::status;
 
-// Operators wait for a response for one second, so a relayed call must fail
-// before that.
-constexpr Duration kRelayTimeout = Milliseconds(900);
 // Last path segment of a relayed read. A relayed change has an empty segment
 // and a body instead.
 constexpr std::string_view kReadPathSuffix = "read";
 constexpr size_t kMaxDocumentBytes = 64 * 1024 * 1024;
 
-http::Response
-MakeJsonResponse(status aStatus, std::string aBody)
-{
-  http::Response response = MakeResponse(aStatus, std::move(aBody));
-  response.set(field::content_type, "application/json");
-  return response;
-}
-
-http::Response
-MakeErrorResponse(status aStatus,
-                  std::string_view aField,
-                  std::string_view aReason)
-{
-  const nlohmann::json body = { { "error", aReason }, { "field", aField } };
-  return MakeJsonResponse(
-    aStatus,
-    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-}
-
-http::Response
-MakeUnavailableResponse()
-{
-  return MakeErrorResponse(status::service_unavailable,
-                           "",
-                           "no leader can confirm this now; ask again");
-}
-
 std::string_view
 ResultName(ConfigurationResult aResult)
 {
@@ -69,20 +37,21 @@
 } // namespace
 
 asio::awaitable<http::Response>
-ConfigurationService::OnOperatorRequest(http::Request aRequest)
+ConfigurationService::OnOperatorRequest(OperatorCall aCall,
+                                        http::Request aRequest)
 {
-  const std::string method(aRequest.method_string());
-  const std::string target(aRequest.target());
-  const OperatorCall call = m_protocol.Classify(method, target);
-  if (call == OperatorCall::kOther) {
-    co_return MakeErrorResponse(status::not_found, "path", "unknown call");
-  }
   std::string body = std::move(aRequest.body());
   if (!m_fleetControl.IsLeading()) {
-    http::Response relayed = co_await RelayToLeader(call, std::move(body));
+    std::string path(fleet::kConfigurationPath);
+    path += '/';
+    if (aCall == OperatorCall::kReadConfiguration) {
+      path += kReadPathSuffix;
+    }
+    http::Response relayed =
+      co_await m_relay.Relay(std::move(path), std::move(body));
     co_return relayed;
   }
-  http::Response response = co_await Serve(call, std::move(body));
+  http::Response response = co_await Serve(aCall, std::move(body));
   co_return response;
 }
 
@@ -176,29 +145,4 @@
   co_return MakeJsonResponse(status::ok, std::move(*document));
 }
 
-asio::awaitable<http::Response>
-ConfigurationService::RelayToLeader(OperatorCall aCall, std::string aBody)
-{
-  const std::string leader = m_fleetControl.LeaderAddress();
-  if (leader.empty()) {
-    co_return MakeUnavailableResponse();
-  }
-  std::string path(fleet::kConfigurationPath);
-  path += '/';
-  if (aCall == OperatorCall::kReadConfiguration) {
-    path += kReadPathSuffix;
-  }
-  http::Request request = MakeInternalRequest(path, std::move(aBody));
-  tl::expected<http::Response, http::HttpError> response =
-    co_await m_client.Exchange(leader, std::move(request), kRelayTimeout);
-  if (!response) {
-    LogInfo("config",
-            "event=relay-failed leader={} reason=\"{}\"",
-            leader,
-            response.error().m_message);
-    co_return MakeUnavailableResponse();
-  }
-  co_return std::move(*response);
-}
-
 } // namespace rattanloft::coordinator
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -9,9 +9,12 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "ConfigurationService.h"
+#include "EvacuationService.h"
 #include "FleetControl.h"
 #include "InternalCalls.h"
+#include "LeaderRelay.h"
 #include "MemberTransport.h"
+#include "OperatorResponses.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
@@ -187,8 +190,11 @@
     const size_t voters = 2 * size_t{ m_options.m_toleratedLosses } + 1;
     m_fleetControl = std::make_unique<FleetControl>(
       m_context, m_clock, *m_log, m_fleetState, *m_transport, voters);
+    m_leaderRelay = std::make_unique<LeaderRelay>(*m_fleetControl, *m_client);
     m_configurationService = std::make_unique<ConfigurationService>(
-      *m_fleetControl, m_protocol, *m_client);
+      *m_fleetControl, m_protocol, *m_leaderRelay);
+    m_evacuationService = std::make_unique<EvacuationService>(
+      *m_fleetControl, m_protocol, *m_leaderRelay);
     return {};
   }
 
@@ -230,7 +236,7 @@
       m_options.m_controlAddress,
       kMaxOperatorBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
-        return m_configurationService->OnOperatorRequest(std::move(aRequest));
+        return OnOperatorRequest(std::move(aRequest));
       });
     if (!control) {
       return tl::unexpected(control.error());
@@ -239,6 +245,30 @@
     return {};
   }
 
+  asio::awaitable<http::Response> OnOperatorRequest(http::Request aRequest)
+  {
+    const std::string method(aRequest.method_string());
+    const std::string target(aRequest.target());
+    const OperatorCall call = m_protocol.Classify(method, target);
+    http::Response response;
+    switch (call) {
+      case OperatorCall::kReplaceConfiguration:
+      case OperatorCall::kReadConfiguration:
+        response = co_await m_configurationService->OnOperatorRequest(
+          call, std::move(aRequest));
+        break;
+      case OperatorCall::kStartEvacuation:
+      case OperatorCall::kEndEvacuation:
+        response = co_await m_evacuationService->OnOperatorRequest(
+          call, std::move(aRequest));
+        break;
+      case OperatorCall::kOther:
+        response = MakeErrorResponse(status::not_found, "path", "unknown call");
+        break;
+    }
+    co_return response;
+  }
+
   asio::awaitable<http::Response> OnInternalRequest(http::Request aRequest)
   {
     const std::string path(aRequest.target());
@@ -257,6 +287,11 @@
         co_await m_configurationService->OnRelayedRequest(std::move(aRequest));
       co_return response;
     }
+    if (path == fleet::kEvacuationPath) {
+      http::Response response =
+        co_await m_evacuationService->OnRelayedRequest(std::move(aRequest));
+      co_return response;
+    }
     if (path == "/metrics") {
       co_return MakeResponse(status::ok, FormatMetrics());
     }
@@ -303,7 +338,8 @@
                        "rattanloft_has_leader {}\n"
                        "rattanloft_storage_failed {}\n"
                        "rattanloft_configuration_version {}\n"
-                       "rattanloft_sidecars {}\n",
+                       "rattanloft_sidecars {}\n"
+                       "rattanloft_evacuated_zones {}\n",
                        m_fleetControl->IsLeading() ? 1 : 0,
                        log.m_term,
                        log.m_commitIndex,
@@ -312,7 +348,8 @@
                        log.m_leaderId != 0 ? 1 : 0,
                        log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
-                       m_fleetControl->CountSidecars());
+                       m_fleetControl->CountSidecars(),
+                       m_fleetControl->CountEvacuatedZones());
   }
 
   // Returns the internal addresses of other coordinators, from the seeds and
@@ -417,7 +454,9 @@
   std::unique_ptr<MemberTransport> m_transport;
   std::unique_ptr<consensus::ReplicatedLog> m_log;
   std::unique_ptr<FleetControl> m_fleetControl;
+  std::unique_ptr<LeaderRelay> m_leaderRelay;
   std::unique_ptr<ConfigurationService> m_configurationService;
+  std::unique_ptr<EvacuationService> m_evacuationService;
   std::unique_ptr<http::Server> m_internalServer;
   std::unique_ptr<http::Server> m_operatorServer;
   bool m_stopping = false;
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -351,14 +351,19 @@
 }
 
 asio::awaitable<tl::expected<uint64_t, consensus::RaftError>>
-FleetControl::Propose(std::string aCommand)
+FleetControl::Propose(std::string aCommand, std::function<void()> aOnSettled)
 {
   using Result = tl::expected<uint64_t, consensus::RaftError>;
   const auto pending = std::make_shared<PendingResult<Result>>(m_context);
-  m_log.Propose(std::move(aCommand), m_clock.Now(), [pending](Result aIndex) {
-    pending->m_value = std::move(aIndex);
-    pending->m_condition.NotifyAll();
-  });
+  m_log.Propose(std::move(aCommand),
+                m_clock.Now(),
+                [pending, settled = std::move(aOnSettled)](Result aIndex) {
+                  if (settled) {
+                    settled();
+                  }
+                  pending->m_value = std::move(aIndex);
+                  pending->m_condition.NotifyAll();
+                });
   ScheduleFlush();
   if (!pending->m_value) {
     co_await pending->m_condition.Wait(kAnswerTimeout);
@@ -412,6 +417,57 @@
   co_return ConfigurationResult::kUnavailable;
 }
 
+bool
+FleetControl::IsEvacuationInForce(const wire::SetEvacuation& aOrder) const
+{
+  return m_pendingEvacuations == 0 && m_state.EvaluateEvacuation(aOrder) ==
+                                        fleet::EvacuationOutcome::kInForce;
+}
+
+// Waits for the replicated log only once, so that the operator gets the answer
+// in time: for a read barrier if the order is in force, otherwise for the
+// commit of the command.
+asio::awaitable<EvacuationResult>
+FleetControl::SetEvacuation(wire::SetEvacuation aOrder)
+{
+  if (!CanConfirm()) {
+    co_return EvacuationResult::kUnavailable;
+  }
+  if (IsEvacuationInForce(aOrder)) {
+    const bool leads = co_await PassReadBarrier();
+    const bool inForce = leads && IsEvacuationInForce(aOrder);
+    co_return inForce ? EvacuationResult::kConfirmed
+                      : EvacuationResult::kUnavailable;
+  }
+  if (m_state.EvaluateEvacuation(aOrder) ==
+      fleet::EvacuationOutcome::kTooManyZones) {
+    co_return EvacuationResult::kTooManyZones;
+  }
+  wire::FleetCommand command;
+  *command.mutable_set_evacuation() = aOrder;
+  std::string bytes = command.SerializeAsString();
+  ++m_pendingEvacuations;
+  const tl::expected<uint64_t, consensus::RaftError> index =
+    co_await Propose(std::move(bytes), [this] { --m_pendingEvacuations; });
+  if (!index) {
+    LogWarning("control",
+               "event=evacuation-unconfirmed reason=\"{}\"",
+               index.error().m_message);
+    co_return EvacuationResult::kUnavailable;
+  }
+  LogInfo("control",
+          "event=evacuation zone=\"{}\" active={} index={} evacuated_zones={}",
+          aOrder.zone(),
+          aOrder.active(),
+          *index,
+          m_state.EvacuatedZones().size());
+  // Another order may have taken the last place before this one was applied.
+  const bool refused = m_state.EvaluateEvacuation(aOrder) ==
+                       fleet::EvacuationOutcome::kTooManyZones;
+  co_return refused ? EvacuationResult::kTooManyZones
+                    : EvacuationResult::kConfirmed;
+}
+
 asio::awaitable<ConfigurationResult>
 FleetControl::ConfirmRead()
 {
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -36,6 +36,18 @@
   kInvalidVersion,
 };
 
+// Result of an order that starts or ends an evacuation.
+enum class EvacuationResult
+{
+  // A quorum has confirmed that the order is in force.
+  kConfirmed,
+  // This coordinator cannot confirm the outcome. The order may be or come in
+  // force; the caller may call another coordinator.
+  kUnavailable,
+  // The order is refused, since too many zones are under evacuation.
+  kTooManyZones,
+};
+
 // Drives the replicated log and, on the leader, changes the membership of the
 // group and runs the FleetLeader. Owned by the coordinator and used on its
 // control thread only.
@@ -73,6 +85,10 @@
   // Returns kConfirmed once CurrentChange() is known to be the newest change
   // that was confirmed.
   boost::asio::awaitable<ConfigurationResult> ConfirmRead();
+  // Starts or ends an evacuation. Returns within the time that operators wait.
+  boost::asio::awaitable<EvacuationResult> SetEvacuation(
+    wire::SetEvacuation aOrder);
+  size_t CountEvacuatedZones() const { return m_state.EvacuatedZones().size(); }
   // Returns the change that put the current configuration in force.
   const wire::ReplaceConfiguration& CurrentChange() const
   {
@@ -124,10 +140,15 @@
   // Returns whether a quorum has confirmed in time that this replica is the
   // leader.
   boost::asio::awaitable<bool> PassReadBarrier();
+  // Whether the state is as ordered and no command that may change it is on its
+  // way.
+  bool IsEvacuationInForce(const wire::SetEvacuation& aOrder) const;
   // Appends a serialized command to the replicated log and returns its index
-  // once it is applied.
+  // once it is applied. aOnSettled may be empty; it is called once the outcome
+  // is known, which may be after this call has timed out.
   boost::asio::awaitable<tl::expected<uint64_t, consensus::RaftError>> Propose(
-    std::string aCommand);
+    std::string aCommand,
+    std::function<void()> aOnSettled = {});
   boost::asio::awaitable<void> WaitForUpdates(
     const wire::FleetSyncRequest& aRequest,
     std::shared_ptr<HeldSync> aHeld);
@@ -150,6 +171,8 @@
   bool m_flushScheduled = false;
   // The outcome of a proposed membership change is not known yet.
   bool m_memberChangePending = false;
+  // Proposed SetEvacuation commands whose outcome is not known yet.
+  size_t m_pendingEvacuations = 0;
   // Value of FleetState::ChangeCount() when held requests were last woken for
   // it.
   uint64_t m_seenChangeCount = 0;
