Keep requests from the backend servers of evacuated zones

Cause: sidecars did not know of evacuations.

Change: FleetDirectory keeps the evacuated zones of the newest reply that has them, ordered by term and request. BackendHandler refuses requests while its zone is evacuated, or while no leader has told the zones, checks again after the wait for a slot, and ends the waits when an evacuation starts. EntryHandler and EndpointSelector leave out endpoints of evacuated zones; a keyed request waits for the next owner, and a service whose endpoints are all evacuated is refused at once. Sidecar::OnEvacuationEnded() is the place to tell the cold start limiter.

--- a/modules/sidecar/src/AttemptPolicy.cpp
+++ b/modules/sidecar/src/AttemptPolicy.cpp
@@ -43,13 +43,17 @@
     // Only the owner of the key may run the request.
     return NextStep::kFinish;
   }
-  const bool isMoving = aResult.m_kind == ResultKind::kOwnerMoved;
-  if (isMoving && m_limits.m_leaderSilent) {
-    return NextStep::kFinish;
-  }
-  return WaitOrFinish(isMoving ? m_limits.m_moveWaitDeadline
-                               : m_limits.m_ownerWaitDeadline,
-                      aNow);
+  return aResult.m_kind == ResultKind::kOwnerMoved
+           ? OnOwnerMoving(aNow)
+           : WaitOrFinish(m_limits.m_ownerWaitDeadline, aNow);
+}
+
+NextStep
+AttemptPolicy::OnOwnerMoving(TimePoint aNow) const
+{
+  return m_limits.m_leaderSilent
+           ? NextStep::kFinish
+           : WaitOrFinish(m_limits.m_moveWaitDeadline, aNow);
 }
 
 NextStep
--- a/modules/sidecar/src/AttemptPolicy.h
+++ b/modules/sidecar/src/AttemptPolicy.h
@@ -68,6 +68,9 @@
   // Called before each attempt. aStalled is true if the instance has left
   // several requests unanswered.
   NextStep OnInstanceChosen(bool aStalled) const;
+  // Called instead of an attempt if the owner of the key is known to give it
+  // up.
+  NextStep OnOwnerMoving(TimePoint aNow) const;
   // Called if there is no backend server to send the request to.
   NextStep OnNoEndpoint(TimePoint aNow) const;
 
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -67,6 +67,8 @@
                                LocalBackend& aLocalBackend,
                                WorkQueue& aWorkQueue,
                                BackendQuarantine& aQuarantine,
+                               const FleetDirectory& aDirectory,
+                               std::string aZone,
                                std::string aBackendAddress)
   : m_context(aContext)
   , m_clock(aClock)
@@ -75,6 +77,8 @@
   , m_localBackend(aLocalBackend)
   , m_workQueue(aWorkQueue)
   , m_quarantine(aQuarantine)
+  , m_directory(aDirectory)
+  , m_zone(std::move(aZone))
   , m_backendAddress(std::move(aBackendAddress))
 {
 }
@@ -94,6 +98,14 @@
   if (m_localBackend.View().service() != aAttributes.m_service) {
     return MakeNotRunResult("other-service", kNotServingRetryDelay);
   }
+  if (m_directory.IsEvacuated(m_zone)) {
+    return MakeZoneEvacuatedResult(aAttributes.m_keyed);
+  }
+  // The zone may be under evacuation since before this process started.
+  if (!m_directory.KnowsEvacuations()) {
+    return MakeNotRunResult(ServeVerdictName(ServeVerdict::kAwaitsLeader),
+                            kNotServingRetryDelay);
+  }
   const ServeVerdict verdict = m_localBackend.CheckServable(
     aAttributes.m_key, aAttributes.m_keyed, m_clock.Now());
   if (verdict != ServeVerdict::kServe) {
@@ -133,6 +145,17 @@
   DequeueWaiting();
 }
 
+void
+BackendHandler::OnEvacuationStarted()
+{
+  for (const auto& [id, waiter] : m_waiters) {
+    m_workQueue.Cancel(id);
+    waiter->m_isEvacuated = true;
+    waiter->m_wakeTimer.cancel();
+  }
+  m_waiters.clear();
+}
+
 // Waits for a slot. Returns the refusal, or nullopt once the request holds a
 // slot.
 asio::awaitable<std::optional<AttemptResult>>
@@ -164,6 +187,9 @@
   if (aCancel) {
     aCancel->SetCancelCallback({});
   }
+  if (waiter->m_isEvacuated) {
+    co_return MakeZoneEvacuatedResult(aAttributes.m_keyed);
+  }
   if (!waiter->m_mayStart) {
     m_waiters.erase(id);
     m_workQueue.Cancel(id);
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "BackendQuarantine.h"
+#include "FleetDirectory.h"
 #include "LocalBackend.h"
 #include "PeerHeaders.h"
 #include "WorkQueue.h"
@@ -54,6 +55,8 @@
                  LocalBackend& aLocalBackend,
                  WorkQueue& aWorkQueue,
                  BackendQuarantine& aQuarantine,
+                 const FleetDirectory& aDirectory,
+                 std::string aZone,
                  std::string aBackendAddress);
 
   // aCancel is cancelled when the caller goes away; it may be null.
@@ -66,6 +69,9 @@
   void Tick();
   // Must be called when another lifetime of the backend server runs.
   void OnNewLifetime();
+  // Refuses all waiting requests. Must be called when the evacuation of the own
+  // zone starts; requests that run are not affected.
+  void OnEvacuationStarted();
   ReportedLoad CurrentLoad() const;
 
 private:
@@ -80,6 +86,8 @@
     boost::asio::steady_timer m_wakeTimer;
     // False if the queue refused the request; empty until it has decided.
     std::optional<bool> m_mayStart;
+    // Set if the evacuation of the zone has ended the wait.
+    bool m_isEvacuated = false;
   };
 
   boost::asio::awaitable<std::optional<AttemptResult>> AcquireSlot(
@@ -109,6 +117,8 @@
   LocalBackend& m_localBackend;
   WorkQueue& m_workQueue;
   BackendQuarantine& m_quarantine;
+  const FleetDirectory& m_directory;
+  std::string m_zone;
   std::string m_backendAddress;
   WorkId m_nextWorkId = 1;
   std::map<WorkId, std::shared_ptr<Waiter>> m_waiters;
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -135,7 +135,8 @@
     const wire::BackendView& backend = state.m_endpoint.backend();
     if (backend.service() != aQuery.m_service ||
         aTriedInstances.contains(instance) ||
-        backend.phase() != wire::BACKEND_PHASE_READY) {
+        backend.phase() != wire::BACKEND_PHASE_READY ||
+        m_evacuatedZones.contains(state.m_endpoint.zone())) {
       continue;
     }
     const bool isSuspect = aNow < state.m_suspectUntil ||
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -49,6 +49,11 @@
 
   // Replaces the endpoints. Keeps the state of endpoints that remain.
   void SetEndpoints(std::span<const wire::Endpoint> aEndpoints, TimePoint aNow);
+  // Endpoints in these zones are not chosen.
+  void SetEvacuatedZones(std::set<std::string> aZones)
+  {
+    m_evacuatedZones = std::move(aZones);
+  }
   // Returns null if no endpoint of the service is left that is ready and was
   // not tried. A suspect endpoint is chosen only if there is no other. The
   // pointer is valid until the next SetEndpoints().
@@ -97,6 +102,7 @@
                         TimePoint aNow) const;
 
   std::map<std::string, EndpointState> m_endpointStates;
+  std::set<std::string> m_evacuatedZones;
   std::mt19937_64 m_random;
 };
 
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -199,6 +199,49 @@
   return endpoint == nullptr ? std::string() : endpoint->instance();
 }
 
+bool
+EntryHandler::IsServiceEvacuated(const std::string& aService) const
+{
+  if (m_directory.EvacuatedZones().empty()) {
+    return false;
+  }
+  bool isKnown = false;
+  for (const wire::Endpoint& endpoint : m_directory.Endpoints()) {
+    if (endpoint.backend().service() != aService) {
+      continue;
+    }
+    if (!m_directory.IsEvacuated(endpoint.zone())) {
+      return false;
+    }
+    isKnown = true;
+  }
+  return isKnown;
+}
+
+bool
+EntryHandler::IsInstanceEvacuated(const std::string& aInstance) const
+{
+  const wire::Endpoint* const endpoint =
+    m_endpointSelector.FindEndpoint(aInstance);
+  return endpoint != nullptr && m_directory.IsEvacuated(endpoint->zone());
+}
+
+void
+EntryHandler::ExcludeZoneOf(const std::string& aInstance,
+                            RequestState& aState) const
+{
+  const wire::Endpoint* const refusing =
+    m_endpointSelector.FindEndpoint(aInstance);
+  if (refusing == nullptr) {
+    return;
+  }
+  for (const wire::Endpoint& endpoint : m_directory.Endpoints()) {
+    if (endpoint.zone() == refusing->zone()) {
+      aState.m_triedInstances.insert(endpoint.instance());
+    }
+  }
+}
+
 asio::awaitable<void>
 EntryHandler::Sleep(Duration aDuration)
 {
@@ -253,7 +296,16 @@
     if (aCancel && aCancel->IsCancelled()) {
       break;
     }
+    if (IsServiceEvacuated(aState.m_service)) {
+      last = MakeZoneEvacuatedResult(aState.m_keyed);
+      break;
+    }
     aState.m_instance = ChooseInstance(aState);
+    if (aState.m_keyed && IsInstanceEvacuated(aState.m_instance)) {
+      last = MakeZoneEvacuatedResult(true);
+      step = policy.OnOwnerMoving(m_clock.Now());
+      continue;
+    }
     if (aState.m_instance.empty()) {
       step = policy.OnNoEndpoint(m_clock.Now());
       continue;
@@ -273,6 +325,10 @@
     aState.m_triedInstances.insert(aState.m_instance);
     AttemptResult result = co_await SendToInstance(aRequest, aState, aCancel);
     last = std::move(result);
+    if (last.m_reason == kZoneEvacuatedReason) {
+      // Its sidecar has learned of the evacuation before this one.
+      ExcludeZoneOf(aState.m_instance, aState);
+    }
     if (aState.m_keyed) {
       RecordAcceptance(target, last);
     }
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -93,6 +93,11 @@
     const http::Request& aRequest,
     RequestState& aState,
     std::shared_ptr<http::CancelToken> aCancel);
+  // Whether all known endpoints of the service are in zones under evacuation.
+  bool IsServiceEvacuated(const std::string& aService) const;
+  bool IsInstanceEvacuated(const std::string& aInstance) const;
+  // Keeps the request from further instances in the zone of this one.
+  void ExcludeZoneOf(const std::string& aInstance, RequestState& aState) const;
   // Returns an empty string if there is no suitable instance.
   std::string ChooseInstance(RequestState& aState);
   boost::asio::awaitable<AttemptResult> SendToInstance(
--- a/modules/sidecar/src/FleetDirectory.cpp
+++ b/modules/sidecar/src/FleetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "FleetDirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <unordered_set>
 
@@ -19,6 +20,9 @@
   if (aReply.sidecars() > 0) {
     m_sidecarCount = aReply.sidecars();
   }
+  if (aReply.has_evacuated_zones()) {
+    ApplyEvacuations(aReply);
+  }
   ApplyConfiguration(aReply, silence);
   if (aReply.has_ranges() && aReply.ranges_index() > m_rangesIndex) {
     ApplyRanges(aReply);
@@ -28,6 +32,35 @@
   }
 }
 
+void
+FleetDirectory::ApplyEvacuations(const wire::FleetSyncReply& aReply)
+{
+  const bool isOutdated = aReply.term() != m_evacuationsTerm
+                            ? aReply.term() < m_evacuationsTerm
+                            : aReply.sequence() < m_evacuationsSequence;
+  if (isOutdated) {
+    return;
+  }
+  m_evacuationsTerm = aReply.term();
+  m_evacuationsSequence = aReply.sequence();
+  std::set<std::string> zones(aReply.evacuated_zones().begin(),
+                              aReply.evacuated_zones().end());
+  std::vector<std::string> changed;
+  std::ranges::set_symmetric_difference(
+    zones, m_evacuatedZones, std::back_inserter(changed));
+  m_evacuatedZones = std::move(zones);
+  for (const std::string& zone : changed) {
+    LogInfo("directory",
+            "event=evacuation zone=\"{}\" active={} evacuated_zones={} term={} "
+            "sequence={}",
+            zone,
+            IsEvacuated(zone),
+            m_evacuatedZones.size(),
+            m_evacuationsTerm,
+            m_evacuationsSequence);
+  }
+}
+
 void
 FleetDirectory::ApplyConfiguration(const wire::FleetSyncReply& aReply,
                                    Duration aSilence)
--- a/modules/sidecar/src/FleetDirectory.h
+++ b/modules/sidecar/src/FleetDirectory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,21 @@
   {
     return !m_needsWholeConfiguration;
   }
+  // Zones under evacuation; none until a leader has told them.
+  const std::set<std::string>& EvacuatedZones() const
+  {
+    return m_evacuatedZones;
+  }
+  bool IsEvacuated(const std::string& aZone) const
+  {
+    return m_evacuatedZones.contains(aZone);
+  }
+  // False until a leader has told the zones under evacuation, or one of a
+  // release without evacuations has sent a configuration.
+  bool KnowsEvacuations() const
+  {
+    return m_evacuationsTerm != 0 || m_router != nullptr;
+  }
   // Returns null if the service has no ranges or the key has no owner.
   const wire::OwnedRange* FindOwner(const std::string& aService,
                                     uint32_t aKey) const;
@@ -54,6 +70,9 @@
   // without one.
   void ApplyConfiguration(const wire::FleetSyncReply& aReply,
                           Duration aSilence);
+  // Replaces the zones under evacuation unless they are known from a newer
+  // reply.
+  void ApplyEvacuations(const wire::FleetSyncReply& aReply);
   // Merges the ranges of the reply, which are only those that changed after
   // m_rangesIndex.
   void ApplyRanges(const wire::FleetSyncReply& aReply);
@@ -68,6 +87,11 @@
   std::vector<wire::Endpoint> m_endpoints;
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
+  std::set<std::string> m_evacuatedZones;
+  // Term and sequence of the reply that they come from. Replies may overtake
+  // each other.
+  uint64_t m_evacuationsTerm = 0;
+  uint64_t m_evacuationsSequence = 0;
   uint32_t m_sidecarCount = 1;
   TimePoint m_lastRepliedRequestAt;
 };
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -15,6 +15,11 @@
 namespace beast = boost::beast;
 using beast::http::status;
 
+// The sidecars learn of the end of an evacuation within about this time, and
+// the next owner of a key gets it within about this time: after a heartbeat of
+// the former one, which are 0.87 s apart.
+constexpr Duration kZoneEvacuatedRetryDelay = Milliseconds(1000);
+
 constexpr std::array kPeerFields = {
   kServiceField, kKindField,    kKeyedField,     kTargetMsField,
   kRankField,    kOutcomeField, kReasonField,    kRetryAfterMsField,
@@ -162,6 +167,15 @@
   return result;
 }
 
+AttemptResult
+MakeZoneEvacuatedResult(bool aKeyed)
+{
+  AttemptResult result =
+    MakeNotRunResult(kZoneEvacuatedReason, kZoneEvacuatedRetryDelay);
+  result.m_kind = aKeyed ? ResultKind::kOwnerMoved : ResultKind::kOther;
+  return result;
+}
+
 http::Response
 EncodeAttemptResult(AttemptResult aResult, const ReportedLoad& aLoad)
 {
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -40,6 +40,10 @@
 // Reason of a refusal because no slot of the backend server is free in time.
 constexpr std::string_view kOverloadedReason = "overloaded";
 
+// Reason of a refusal because the zone of the backend server is under
+// evacuation.
+constexpr std::string_view kZoneEvacuatedReason = "zone-evacuated";
+
 enum class AttemptOutcome
 {
   // The backend server answered the request.
@@ -88,6 +92,12 @@
                  Duration aRetryAfter,
                  bool aReachedBackend = false);
 
+// The request was not run because the zone of the backend server is under
+// evacuation. A request with a key waits for the next owner, any other one goes
+// on to another instance.
+AttemptResult
+MakeZoneEvacuatedResult(bool aKeyed);
+
 // Converts between the result of an attempt and the response that a sidecar
 // sends to its peer. A response without an outcome field decodes as kUnknown.
 // The kind of a response without a kind field follows from the reason.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -105,6 +105,8 @@
                      m_localBackend,
                      m_workQueue,
                      m_quarantine,
+                     m_directory,
+                     m_options.m_zone,
                      m_options.m_backendAddress)
     , m_syncClient(m_context,
                    m_clock,
@@ -285,8 +287,33 @@
       m_endpointsTerm = m_directory.EndpointsTerm();
       m_endpointSelector.SetEndpoints(m_directory.Endpoints(), m_clock.Now());
     }
+    ApplyEvacuations();
+  }
+
+  void ApplyEvacuations()
+  {
+    m_endpointSelector.SetEvacuatedZones(m_directory.EvacuatedZones());
+    const bool isEvacuated = m_directory.IsEvacuated(m_options.m_zone);
+    if (isEvacuated == m_isZoneEvacuated) {
+      return;
+    }
+    m_isZoneEvacuated = isEvacuated;
+    LogInfo("sidecar",
+            "event=evacuation zone=\"{}\" active={} running={} waiting={}",
+            m_options.m_zone,
+            isEvacuated,
+            m_workQueue.RunningCount(),
+            m_workQueue.WaitingCount());
+    if (isEvacuated) {
+      m_localHandler.OnEvacuationStarted();
+    } else {
+      OnEvacuationEnded();
+    }
   }
 
+  // The backend server may have become cold during the evacuation.
+  void OnEvacuationEnded() {}
+
   asio::awaitable<http::Response> ServeReady()
   {
     http::Response response;
@@ -461,8 +488,9 @@
   asio::awaitable<void> WaitForRanges(TimePoint aEnd)
   {
     uint64_t planCount = m_localBackend.AdoptedPlanCount();
+    // No ranges are on their way to a zone under evacuation.
     while (m_localBackend.ShouldWaitForRanges(IsServiceKeyed()) &&
-           m_clock.Now() < aEnd) {
+           !m_isZoneEvacuated && m_clock.Now() < aEnd) {
       co_await Sleep(kHeartbeatPollInterval);
       if (m_localBackend.AdoptedPlanCount() != planCount) {
         // Ranges have arrived; waits a little longer for those that follow
@@ -519,7 +547,8 @@
       "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
       "rattanloft_directory_age_ms {}\nrattanloft_quarantine_entries {}\n"
       "rattanloft_backend_request_limit {}\n"
-      "rattanloft_backend_heartbeats_refused {}\n",
+      "rattanloft_backend_heartbeats_refused {}\n"
+      "rattanloft_zone_evacuated {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -532,7 +561,8 @@
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
       m_workQueue.RateLimit().value_or(0),
-      m_refusedBackendCalls);
+      m_refusedBackendCalls,
+      m_isZoneEvacuated ? 1 : 0);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       response.body() += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
@@ -634,6 +664,7 @@
   uint64_t m_endpointsTerm = 0;
   uint64_t m_refusedBackendCalls = 0;
   int m_serversToStop = 0;
+  bool m_isZoneEvacuated = false;
   bool m_stopping = false;
 };
 
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -218,6 +218,10 @@
   request.set_accepts_endpoint_changes(true);
   request.set_accepts_configuration_changes(
     m_directory.AcceptsConfigurationChanges());
+  request.set_accepts_evacuations(true);
+  for (const std::string& zone : m_directory.EvacuatedZones()) {
+    request.add_evacuated_zones(zone);
+  }
   m_localBackend.FillReport(request, m_clock.Now());
   m_reportedRevision = m_localBackend.ReportRevision();
   request.set_service_time_ms(
--- a/modules/sidecar/tests/AttemptPolicyTest.cpp
+++ b/modules/sidecar/tests/AttemptPolicyTest.cpp
@@ -233,4 +233,17 @@
           AllowRetry) == NextStep::kFinish);
 }
 
+// Guards against requests that give up before the keys of an evacuated zone
+// have moved, and against a wait that ends only with the deadline.
+TEST_CASE("a keyed request waits while its owner is evacuated")
+{
+  const AttemptPolicy policy(MakeKeyedLimits());
+  CHECK(policy.OnOwnerMoving(kStart + Milliseconds(700)) ==
+        NextStep::kWaitForOwner);
+  CHECK(policy.OnOwnerMoving(kStart + Milliseconds(790)) == NextStep::kFinish);
+  AttemptLimits limits = MakeKeyedLimits();
+  limits.m_leaderSilent = true;
+  CHECK(AttemptPolicy(limits).OnOwnerMoving(kStart) == NextStep::kFinish);
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/BackendHandlerTest.cpp
+++ b/modules/sidecar/tests/BackendHandlerTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 
 namespace rattanloft::sidecar {
 
@@ -66,6 +67,19 @@
     heartbeat.m_startedAtUnixMs = 500;
     m_localBackend.OnHeartbeat(heartbeat, m_clock.Now());
     m_workQueue.SetSlots(1);
+    TellEvacuations({});
+  }
+
+  // Applies a reply of the leader.
+  void TellEvacuations(const std::set<std::string>& aZones)
+  {
+    wire::FleetSyncReply reply;
+    reply.set_term(1);
+    reply.set_has_evacuated_zones(true);
+    for (const std::string& zone : aZones) {
+      reply.add_evacuated_zones(zone);
+    }
+    m_directory.ApplyReply(reply, m_clock.Now());
   }
 
   AttemptResult Run(const RequestAttributes& aAttributes)
@@ -94,9 +108,11 @@
                                   *m_client,
                                   "10.0.0.1:80",
                                   [] { return "/h"; } };
+  FleetDirectory m_directory;
   BackendHandler m_handler{ m_context,    m_clock,        m_protocol,
                             *m_client,    m_localBackend, m_workQueue,
-                            m_quarantine, "10.0.0.1:80" };
+                            m_quarantine, m_directory,    "z1",
+                            "10.0.0.1:80" };
 };
 
 } // namespace
@@ -142,4 +158,77 @@
   CHECK(result.m_kind == ResultKind::kOther);
 }
 
+// Guards against a request that reaches a backend server in an evacuated zone,
+// and against callers that give up although others can serve them.
+TEST_CASE("requests for a backend server in an evacuated zone are refused")
+{
+  HandlerFixture fixture;
+  fixture.TellEvacuations({ "z1" });
+  RequestAttributes attributes;
+  attributes.m_service = "s";
+  AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_kind == ResultKind::kOther);
+  CHECK(result.m_reason == "zone-evacuated");
+  CHECK(result.m_retryAfter > Milliseconds(0));
+  attributes.m_keyed = true;
+  attributes.m_key = 7;
+  fixture.m_context.restart();
+  result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_kind == ResultKind::kOwnerMoved);
+  CHECK(result.m_reason == "zone-evacuated");
+}
+
+// Guards against requests that were accepted before the evacuation and are sent
+// when a slot is free, and against a refusal only at that time.
+TEST_CASE("requests that wait when an evacuation starts are refused at once")
+{
+  HandlerFixture fixture;
+  const TimePoint now = fixture.m_clock.Now();
+  fixture.m_workQueue.Submit({ 1, "k", 0, now + Seconds(9), now + Seconds(9) },
+                             now);
+  RequestAttributes attributes;
+  attributes.m_service = "s";
+  attributes.m_kind = "k";
+  attributes.m_timeToTarget = attributes.m_timeToDeadline = Seconds(9);
+  // Runs again until the request waits.
+  const std::function<void()> evacuate = [&] {
+    if (fixture.m_workQueue.WaitingCount() == 0) {
+      asio::post(fixture.m_context, evacuate);
+      return;
+    }
+    fixture.TellEvacuations({ "z1" });
+    fixture.m_handler.OnEvacuationStarted();
+  };
+  asio::post(fixture.m_context, evacuate);
+  const AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_reason == "zone-evacuated");
+  CHECK(fixture.m_workQueue.WaitingCount() == 0);
+  CHECK(fixture.m_workQueue.RunningCount() == 1);
+}
+
+// Guards against a sidecar that has just started and serves its backend server
+// although the zone has been under evacuation since before.
+TEST_CASE("nothing is served before the evacuated zones are known")
+{
+  HandlerFixture fixture;
+  fixture.m_directory = {};
+  RequestAttributes attributes;
+  attributes.m_service = "s";
+  const AttemptResult result = fixture.Run(attributes);
+  CHECK(result.m_outcome == AttemptOutcome::kNotRun);
+  CHECK(result.m_reason == "awaits-leader");
+  // A reply that brings a configuration and the zones changes both at once.
+  wire::FleetSyncReply reply;
+  reply.set_term(1);
+  reply.mutable_configuration()->set_version(1);
+  reply.set_has_evacuated_zones(true);
+  reply.add_evacuated_zones("z1");
+  fixture.m_directory.ApplyReply(reply, fixture.m_clock.Now());
+  fixture.m_context.restart();
+  CHECK(fixture.Run(attributes).m_reason == "zone-evacuated");
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/EndpointSelectorTest.cpp
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -181,4 +181,19 @@
   CHECK(CountChoices(selector, TimePoint{ 1100 })["a"] > 50);
 }
 
+// Guards against requests to an evacuated zone, also as the last resort.
+TEST_CASE("endpoints in evacuated zones are not chosen")
+{
+  EndpointSelector selector(1);
+  const std::vector<wire::Endpoint> endpoints = { MakeEndpoint("a", "z1"),
+                                                  MakeEndpoint("b", "z2") };
+  selector.SetEndpoints(endpoints, {});
+  selector.SetEvacuatedZones({ "z1" });
+  selector.OnNoResponse("b", TimePoint{ 1000 });
+  CHECK(CountChoices(selector, TimePoint{ 1100 })["b"] == 300);
+  CHECK(selector.Choose({ "s", "z1", 0, "" }, { "b" }, {}) == nullptr);
+  selector.SetEvacuatedZones({});
+  CHECK(CountChoices(selector, TimePoint{ 1100 })["a"] == 300);
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/tests/FleetDirectoryTest.cpp
+++ b/modules/sidecar/tests/FleetDirectoryTest.cpp
@@ -198,4 +198,49 @@
   CHECK(directory.AcceptsConfigurationChanges());
 }
 
+// Guards against a backend server that is served again since a late reply, or
+// one of a leader of an earlier release, ends the evacuation of its zone.
+TEST_CASE("evacuated zones come from the newest reply that tells them")
+{
+  const auto makeReply = [](uint64_t aTerm,
+                            uint64_t aSequence,
+                            const std::vector<std::string>& aZones) {
+    wire::FleetSyncReply reply;
+    reply.set_term(aTerm);
+    reply.set_sequence(aSequence);
+    reply.set_has_evacuated_zones(true);
+    *reply.mutable_evacuated_zones() = { aZones.begin(), aZones.end() };
+    return reply;
+  };
+  FleetDirectory directory;
+  CHECK_FALSE(directory.KnowsEvacuations());
+  directory.ApplyReply(makeReply(2, 7, { "a", "b" }), kNow);
+  CHECK(directory.KnowsEvacuations());
+  CHECK(directory.IsEvacuated("a"));
+  CHECK_FALSE(directory.IsEvacuated("c"));
+  directory.ApplyReply(makeReply(2, 6, {}), kNow);
+  directory.ApplyReply(makeReply(1, 9, {}), kNow);
+  wire::FleetSyncReply earlierRelease = makeReply(3, 9, {});
+  earlierRelease.set_has_evacuated_zones(false);
+  directory.ApplyReply(earlierRelease, kNow);
+  CHECK(directory.EvacuatedZones() == std::set<std::string>{ "a", "b" });
+  directory.ApplyReply(makeReply(4, 8, { "b" }), kNow);
+  CHECK(directory.EvacuatedZones() == std::set<std::string>{ "b" });
+}
+
+// Guards against a fleet whose leader is of an earlier release and whose
+// sidecars serve nothing.
+TEST_CASE(
+  "a configuration of a leader without evacuations means there are none")
+{
+  FleetDirectory directory;
+  directory.ApplyReply({}, kNow);
+  CHECK_FALSE(directory.KnowsEvacuations());
+  wire::FleetSyncReply reply;
+  reply.mutable_configuration()->set_version(1);
+  directory.ApplyReply(reply, kNow);
+  CHECK(directory.KnowsEvacuations());
+  CHECK(directory.EvacuatedZones().empty());
+}
+
 } // namespace rattanloft::sidecar
--- /dev/null
+++ b/tests/EvacuationTest.py
@@ -0,0 +1,136 @@
+"""Tests evacuations of a zone in a fleet with one site in each of two zones."""
+
+import itertools
+import threading
+import time
+import unittest
+
+from fleet_fixture import FleetTestCase, send_request, wait_for
+
+ZONE = "zone-1"
+# Sent again for at most this time, an order has to be confirmed.
+CONFIRM_LIMIT_S = 4
+# From this time after the confirmation on, nothing reaches the zone.
+EVACUATION_LIMIT_S = 5
+# A refusal that waits for nothing takes less than this.
+REFUSAL_LIMIT_S = 0.3
+KEYS = range(0, 65536, 6553)
+
+
+class EvacuationTest(FleetTestCase):
+    zones = ("zone-0", ZONE)
+
+    def order(self, method, operator, zone=ZONE):
+        return send_request(self.operators[operator], method,
+                            f"/v1/evacuations/{zone}")[0]
+
+    def confirm(self, method, operator, zone=ZONE):
+        wait_for(lambda: self.order(method, operator, zone) == 200, CONFIRM_LIMIT_S,
+                 "the order is confirmed")
+
+    def follower(self):
+        """Returns a coordinator that does not lead, once there is a leader."""
+        wait_for(lambda: any(self.has_metrics(number, "rattanloft_leading 1")
+                             for number in range(3)), 10, "a coordinator leads")
+        return next(number for number in range(3)
+                    if self.has_metrics(number, "rattanloft_leading 0"))
+
+    def start_load(self, keyed):
+        """Sends requests through both sidecars until the test ends."""
+        stopped = threading.Event()
+
+        def send_all(site):
+            for number in itertools.count():
+                if stopped.wait(0.02):
+                    return
+                try:
+                    self.send_through_sidecar(
+                        site, "/p/x", number * 997 % 65536 if keyed else None,
+                        f"l{site}-{number}")
+                except OSError:
+                    pass  # The sidecar restarts.
+
+        threads = [threading.Thread(target=send_all, args=(site,)) for site in (0, 1)]
+        for thread in threads:
+            thread.start()
+            # Cleanups run in reverse order, before the processes are stopped.
+            self.addCleanup(thread.join)
+        self.addCleanup(stopped.set)
+
+    def check_unused(self, duration_s):
+        """Checks that the evacuated zone gets nothing, the rest of the load included."""
+        arrived_before = len(self.backends[1].arrival_times)
+        time.sleep(duration_s)
+        self.assertEqual(len(self.backends[1].arrival_times), arrived_before)
+
+    def is_served_by_other_zone(self, key, attempt):
+        return all(self.send_through_sidecar(site, "/p/y", key, f"{attempt}-{site}")[1]
+                   .startswith("i-0") for site in (0, 1))
+
+    def test_keys_leave_the_zone_until_the_order_is_withdrawn(self):
+        self.start_service()
+        self.start_load(keyed=True)
+        wait_for(lambda: self.backends[1].executed_requests, 5, "both zones serve")
+        self.confirm("POST", self.follower())
+        time.sleep(EVACUATION_LIMIT_S)
+        self.check_unused(2)
+        for key in KEYS:
+            self.assertTrue(self.is_served_by_other_zone(key, f"a{key}"))
+
+        # A restart of everything but the backend servers.
+        for process in self.processes[:3]:
+            process.kill()
+            process.wait()
+        arrived_before = len(self.backends[1].arrival_times)
+        for site in (0, 1):
+            self.restart_sidecar(site)
+        for number in range(3):
+            self.start_coordinator(number, form_group=False)
+        wait_for(lambda: all(self.is_served_by_other_zone(key, f"b{key}")
+                             for key in KEYS), 20, "the other zone serves all keys")
+        self.assertEqual(len(self.backends[1].arrival_times), arrived_before)
+        for number in range(3):
+            wait_for(lambda n=number: self.has_metrics(
+                n, "rattanloft_evacuated_zones 1"), 5, "each coordinator knows it")
+        self.confirm("POST", self.follower())
+        self.check_unused(1)
+
+        self.confirm("DELETE", self.follower())
+        self.confirm("DELETE", self.follower())
+        wait_for(lambda: len(self.backends[1].executed_requests) > 0
+                 and len(self.backends[1].arrival_times) > arrived_before, 20,
+                 "the zone is served again")
+
+    def test_callers_in_the_zone_are_served_elsewhere(self):
+        self.start_service(sharded=False)
+        self.start_load(keyed=False)
+        wait_for(lambda: self.backends[1].executed_requests, 5, "both zones serve")
+        self.confirm("POST", self.follower())
+        time.sleep(EVACUATION_LIMIT_S)
+        self.check_unused(1)
+        for number in range(10):
+            self.assertTrue(self.is_served_by_other_zone(None, f"c{number}"))
+        # Without any zone that may serve, requests are refused at once.
+        self.confirm("POST", self.follower(), self.zones[0])
+        wait_for(lambda: self.send_through_sidecar(0, "/p/y", None, "n")[0] == 503,
+                 EVACUATION_LIMIT_S, "the last zone is evacuated")
+        sent_s = time.time()
+        status, text = self.send_through_sidecar(1, "/p/y", None, "m")
+        self.assertEqual((status, text), (503, "zone-evacuated\n"))
+        self.assertLess(time.time() - sent_s, REFUSAL_LIMIT_S)
+        self.confirm("DELETE", self.follower())
+        wait_for(lambda: self.send_through_sidecar(0, "/p/y", None, "o")[1]
+                 .startswith("i-1"), 10, "the zone is served again")
+
+    def test_invalid_orders_are_refused(self):
+        self.start_service(sharded=False)
+        for zone in ("", "a/b", "z" * 129, "%ff", "%0a", "%zz"):
+            for operator in range(3):
+                self.assertEqual(self.order("POST", operator, zone), 400)
+        self.assertEqual(self.order("POST", 0, "z" * 128), 200)
+        for method in ("GET", "PUT"):
+            self.assertEqual(self.order(method, 0), 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -334,6 +334,8 @@
 
 class FleetTestCase(unittest.TestCase):
     bounds = "retryBudgetSlack=50"
+    # Availability zones of the sites.
+    zones = ("z", "z")
 
     def run(self, result=None):
         result = result or self.defaultTestResult()
@@ -404,7 +406,7 @@
         ports = dict(zip(listeners, reserve_ports(len(listeners))))
         site = {name: f"{ip}:{port}" for name, port in ports.items()}
         site["arguments"] = [
-            "sidecar", "--zone=z", f"--instance=site-{number}",
+            "sidecar", f"--zone={self.zones[number]}", f"--instance=site-{number}",
             "--backend_service=keyed",
             *(f"--{name}_address={site[name]}" for name in ports),
             f"--coordinators={','.join(self.operators)}",
