Decide by load when requests leave their availability zone

Requests of services without keys compared three candidates, those of the own zone first, so they left a zone with three usable backend servers or more only when all had been tried. Two constants weighed the price of traffic.

--- a/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
+++ b/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
@@ -10,6 +10,7 @@
 
 #include "rattanloft/base/Time.h"
 #include "rattanloft/sidecar/BackendProtocol.h"
+#include "rattanloft/sidecar/ZoneRouting.h"
 
 namespace rattanloft::sidecar {
 
@@ -48,6 +49,7 @@
   // A backend server gets no requests any more once it has been draining for
   // this time.
   Duration m_drainTimeout = Seconds(2);
+  ZoneRoutingOptions m_zoneRouting;
 };
 
 struct SidecarError
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -21,13 +21,6 @@
 constexpr double kFailureSmoothing = 0.1;
 // A backend server that always fails adds this multiple of its cost.
 constexpr double kFailureCostFactor = 20;
-// Cost of sending a request to another availability zone, expressed as extra
-// service time, since traffic between zones has a price.
-constexpr double kCrossZoneCostMs = 12;
-// Discount of an endpoint in the own zone for each KiB of the body. Applies
-// only while the endpoint has a free slot, so that a large body does not wait
-// in a queue just to save traffic between zones.
-constexpr double kSameZoneDiscountMsPerKib = 12;
 // Discount of the own instance while it has a free slot. A hop costs processor
 // time and traffic at both instances, several milliseconds on small ones.
 constexpr double kSameInstanceDiscountMs = 20;
@@ -59,6 +52,7 @@
     if (isNewLifetime) {
       state.m_failureRate = 0;
       state.m_load = {};
+      state.m_loadReportedAt = kNeverReported;
     }
     // An endpoint that has not changed was reported earlier, so its remaining
     // time does not start again.
@@ -69,6 +63,10 @@
     state.m_endpoint = endpoint;
   }
   m_endpointStates = std::move(endpointStates);
+  m_instanceCounts.clear();
+  for (const auto& [instance, state] : m_endpointStates) {
+    ++m_instanceCounts[state.m_endpoint.zone()];
+  }
 }
 
 const wire::Endpoint*
@@ -111,19 +109,86 @@
     costMs *= kColdCostFactor;
   }
   costMs *= 1 + kFailureCostFactor * aState.m_failureRate;
-  const bool isSameZone = aState.m_endpoint.zone() == aQuery.m_zone;
-  if (!isSameZone) {
-    costMs += kCrossZoneCostMs;
-  } else if (expectedRequests < slots) {
-    costMs -= kSameZoneDiscountMsPerKib *
-              static_cast<double>(aQuery.m_bodyBytes) / 1024;
-    if (aState.m_endpoint.instance() == aQuery.m_instance) {
-      costMs -= kSameInstanceDiscountMs;
-    }
+  if (expectedRequests < slots &&
+      aState.m_endpoint.instance() == aQuery.m_instance) {
+    costMs -= kSameInstanceDiscountMs;
   }
   return costMs;
 }
 
+EndpointSelector::Usability
+EndpointSelector::Classify(const std::string& aInstance,
+                           const EndpointState& aState,
+                           const std::string& aService,
+                           TimePoint aNow) const
+{
+  const wire::BackendView& backend = aState.m_endpoint.backend();
+  if (backend.service() != aService ||
+      backend.phase() != wire::BACKEND_PHASE_READY) {
+    return Usability::kUnusable;
+  }
+  return aNow < aState.m_suspectUntil || !backend.reachable() ||
+             IsStalled(aInstance, aNow)
+           ? Usability::kSuspect
+           : Usability::kUsable;
+}
+
+void
+EndpointSelector::UpdateZones(const EndpointQuery& aQuery, TimePoint aNow)
+{
+  std::vector<EndpointLoad> loads;
+  for (const auto& [instance, state] : m_endpointStates) {
+    if (Classify(instance, state, aQuery.m_service, aNow) !=
+          Usability::kUsable ||
+        aNow < state.m_coldUntil) {
+      continue;
+    }
+    const bool isLocal = instance == m_localInstance;
+    const ReportedLoad& load = isLocal ? m_localLoad : state.m_load;
+    EndpointLoad& summary = loads.emplace_back();
+    summary.m_zone = state.m_endpoint.zone();
+    summary.m_slots = state.m_endpoint.backend().slots();
+    summary.m_serviceTimeMs = load.m_serviceTimeMs;
+    summary.m_requests =
+      std::max(load.m_runningRequests + load.m_waitingRequests,
+               state.m_inFlightRequests);
+    summary.m_age = aNow - (isLocal ? m_localLoadAt : state.m_loadReportedAt);
+  }
+  m_zoneRouter.Update(
+    aQuery.m_service, aQuery.m_zone, loads, m_instanceCounts, aNow);
+}
+
+void
+EndpointSelector::SelectZone(std::vector<const EndpointState*>& aCandidates,
+                             const EndpointQuery& aQuery,
+                             TimePoint aNow)
+{
+  const auto isIn = [](const std::string& aZone) {
+    return [&aZone](const EndpointState* aState) {
+      return aState->m_endpoint.zone() == aZone;
+    };
+  };
+  const std::string& firstZone = aCandidates.front()->m_endpoint.zone();
+  if (m_zoneRouter.Mode() == ZoneSpilloverMode::kAny ||
+      std::ranges::all_of(aCandidates, isIn(firstZone))) {
+    return;
+  }
+  std::string zone = aQuery.m_zone;
+  if (m_zoneRouter.Mode() == ZoneSpilloverMode::kAdaptive) {
+    if (m_zoneRouter.NeedsUpdate(aQuery.m_service, aNow)) {
+      UpdateZones(aQuery, aNow);
+    }
+    zone = m_zoneRouter.Pick(
+      aQuery.m_service, aQuery.m_bodyBytes, aQuery.m_refusedByOwnZone);
+    if (std::ranges::none_of(aCandidates, isIn(zone))) {
+      zone = aQuery.m_zone;
+    }
+  }
+  if (std::ranges::any_of(aCandidates, isIn(zone))) {
+    std::erase_if(aCandidates, std::not_fn(isIn(zone)));
+  }
+}
+
 const wire::Endpoint*
 EndpointSelector::Choose(const EndpointQuery& aQuery,
                          const std::set<std::string>& aTriedInstances,
@@ -132,27 +197,28 @@
   std::vector<const EndpointState*> healthyCandidates;
   std::vector<const EndpointState*> suspectCandidates;
   for (const auto& [instance, state] : m_endpointStates) {
-    const wire::BackendView& backend = state.m_endpoint.backend();
-    if (backend.service() != aQuery.m_service ||
-        aTriedInstances.contains(instance) ||
-        backend.phase() != wire::BACKEND_PHASE_READY) {
+    if (aTriedInstances.contains(instance)) {
       continue;
     }
-    const bool isSuspect = aNow < state.m_suspectUntil ||
-                           !backend.reachable() || IsStalled(instance, aNow);
-    (isSuspect ? suspectCandidates : healthyCandidates).push_back(&state);
+    switch (Classify(instance, state, aQuery.m_service, aNow)) {
+      case Usability::kUsable:
+        healthyCandidates.push_back(&state);
+        break;
+      case Usability::kSuspect:
+        suspectCandidates.push_back(&state);
+        break;
+      case Usability::kUnusable:
+        break;
+    }
   }
   std::vector<const EndpointState*>& candidates =
     healthyCandidates.empty() ? suspectCandidates : healthyCandidates;
   if (candidates.empty()) {
     return nullptr;
   }
+  SelectZone(candidates, aQuery, aNow);
   std::ranges::shuffle(candidates, m_random);
   // std::ranges::stable_partition does not compile with clang 14.
-  std::stable_partition(
-    candidates.begin(), candidates.end(), [&](const EndpointState* aState) {
-      return aState->m_endpoint.zone() == aQuery.m_zone;
-    });
   std::stable_partition(
     candidates.begin(), candidates.end(), [&](const EndpointState* aState) {
       return aState->m_endpoint.instance() == aQuery.m_instance;
@@ -236,4 +302,14 @@
     aNow + Milliseconds(kFirstSuspectPeriodMs << (state.m_noResponseCount - 1));
 }
 
+void
+EndpointSelector::SetLocalLoad(const std::string& aInstance,
+                               ReportedLoad aLoad,
+                               TimePoint aNow)
+{
+  m_localInstance = aInstance;
+  m_localLoad = aLoad;
+  m_localLoadAt = aNow;
+}
+
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "ZoneRouter.h"
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
 
@@ -31,19 +32,22 @@
   size_t m_bodyBytes = 0;
   // Instance at which the request originated.
   std::string m_instance;
+  // The own zone has refused the request for lack of room.
+  bool m_refusedByOwnZone = false;
 };
 
-// Load balancer for the requests of unkeyed services. Compares a few random
-// candidates, the own instance and those in the own availability zone first,
-// and chooses the one with the lowest estimated cost: the expected response
-// time, plus a penalty for traffic between zones. Takes into account backend
+// Load balancer for the requests of unkeyed services. Lets ZoneRouter pick the
+// availability zone if endpoints are in several. Compares a few random
+// candidates in this zone, the own instance first, and chooses the one with the
+// lowest expected response time. Takes into account backend
 // servers of different speed, cold and failing backend servers, and sidecars
 // that do not respond. Does no I/O; used on the traffic thread.
 class EndpointSelector
 {
 public:
-  explicit EndpointSelector(uint64_t aSeed)
+  explicit EndpointSelector(uint64_t aSeed, ZoneRoutingOptions aOptions = {})
     : m_random(aSeed)
+    , m_zoneRouter(aOptions, aSeed)
   {
   }
 
@@ -74,8 +78,18 @@
   void OnBackendResponse(const std::string& aInstance, bool aFailed);
   // The sidecar did not respond or could not be reached.
   void OnNoResponse(const std::string& aInstance, TimePoint aNow);
+  // Current load of the backend server on the own instance. Used only for the
+  // state of the own zone.
+  void SetLocalLoad(const std::string& aInstance,
+                    ReportedLoad aLoad,
+                    TimePoint aNow);
+
+  ZoneRouter& Zones() { return m_zoneRouter; }
+  const ZoneRouter& Zones() const { return m_zoneRouter; }
 
 private:
+  static constexpr TimePoint kNeverReported{ -1'000'000'000 };
+
   struct EndpointState
   {
     wire::Endpoint m_endpoint;
@@ -85,19 +99,44 @@
     // last load report if that is later.
     TimePoint m_unansweredSince;
     ReportedLoad m_load;
-    TimePoint m_loadReportedAt;
+    TimePoint m_loadReportedAt = kNeverReported;
     // Moving average, from 0 to 1.
     double m_failureRate = 0;
     int m_noResponseCount = 0;
     TimePoint m_suspectUntil;
   };
 
+  enum class Usability
+  {
+    kUnusable,
+    // Used only if there is no other.
+    kSuspect,
+    kUsable,
+  };
+
+  // Whether the endpoint may get requests of the service. Applies to candidates
+  // and to the state of the zones alike.
+  Usability Classify(const std::string& aInstance,
+                     const EndpointState& aState,
+                     const std::string& aService,
+                     TimePoint aNow) const;
+  void UpdateZones(const EndpointQuery& aQuery, TimePoint aNow);
+  // Reduces the candidates to those in the zone that the request goes to.
+  void SelectZone(std::vector<const EndpointState*>& aCandidates,
+                  const EndpointQuery& aQuery,
+                  TimePoint aNow);
   double EstimateCostMs(const EndpointState& aState,
                         const EndpointQuery& aQuery,
                         TimePoint aNow) const;
 
   std::map<std::string, EndpointState> m_endpointStates;
+  // Number of instances in each availability zone.
+  std::map<std::string, uint32_t> m_instanceCounts;
   std::mt19937_64 m_random;
+  ZoneRouter m_zoneRouter;
+  std::string m_localInstance;
+  ReportedLoad m_localLoad;
+  TimePoint m_localLoadAt;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -189,11 +189,14 @@
              ? std::string()
              : owner->holder().substr(0, owner->holder().find('/'));
   }
+  m_endpointSelector.SetLocalLoad(
+    m_options.m_instance, m_localHandler.CurrentLoad(), now);
   const wire::Endpoint* const endpoint =
     m_endpointSelector.Choose({ aState.m_service,
                                 m_options.m_zone,
                                 aState.m_bodyBytes,
-                                m_options.m_instance },
+                                m_options.m_instance,
+                                aState.m_refusedByOwnZone },
                               aState.m_triedInstances,
                               now);
   return endpoint == nullptr ? std::string() : endpoint->instance();
@@ -275,6 +278,8 @@
     last = std::move(result);
     if (aState.m_keyed) {
       RecordAcceptance(target, last);
+    } else {
+      RecordZoneResult(aState, last);
     }
     step = policy.OnResult(
       last, m_clock.Now(), [&] { return TryTakeRetry(aState.m_service); });
@@ -287,6 +292,30 @@
   co_return last;
 }
 
+void
+EntryHandler::RecordZoneResult(RequestState& aState,
+                               const AttemptResult& aResult)
+{
+  const wire::Endpoint* const endpoint =
+    m_endpointSelector.FindEndpoint(aState.m_instance);
+  if (endpoint == nullptr) {
+    return;
+  }
+  ZoneRouter& zones = m_endpointSelector.Zones();
+  zones.OnExchange(aState.m_service,
+                   endpoint->zone(),
+                   aState.m_bodyBytes + aResult.m_response.body().size(),
+                   aState.m_instance == m_options.m_instance);
+  if (endpoint->zone() != m_options.m_zone) {
+    return;
+  }
+  const bool isRefused = aResult.m_kind == ResultKind::kOverloaded;
+  if (isRefused || aResult.m_outcome == AttemptOutcome::kAnswered) {
+    zones.OnOwnZoneResult(aState.m_service, isRefused);
+  }
+  aState.m_refusedByOwnZone = isRefused;
+}
+
 // Refusals for other reasons than load, such as a move of the key, and failures
 // of the backend server say nothing about the load.
 void
@@ -358,6 +387,7 @@
                          std::shared_ptr<http::CancelToken> aCancel)
 {
   const std::string instance = aState.m_instance;
+  const TimePoint sentAt = m_clock.Now();
   SetField(aRequest, kServiceField, aAttributes.m_service);
   SetField(aRequest, kKindField, aAttributes.m_kind);
   SetField(aRequest, kKeyedField, aAttributes.m_keyed ? "1" : "0");
@@ -378,6 +408,14 @@
   if (response) {
     m_endpointSelector.OnLoadReport(
       instance, DecodeReportedLoad(*response), now);
+    const std::optional<int64_t> handlingMs =
+      ParseNumberField(*response, kHandlingMsField);
+    const wire::Endpoint* const endpoint =
+      m_endpointSelector.FindEndpoint(instance);
+    if (handlingMs && endpoint != nullptr) {
+      m_endpointSelector.Zones().OnRoundTrip(
+        endpoint->zone(), now - sentAt, Milliseconds(*handlingMs));
+    }
     AttemptResult result = DecodeAttemptResult(std::move(*response));
     if (result.m_reachedBackend) {
       m_endpointSelector.OnBackendResponse(
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -85,6 +85,8 @@
     uint32_t m_backendAttempts = 0;
     uint32_t m_sidecarAttempts = 0;
     std::set<std::string> m_triedInstances;
+    // An instance in the own zone has refused the request for lack of room.
+    bool m_refusedByOwnZone = false;
   };
 
   std::optional<http::Response> PrepareRequest(const http::Request& aRequest,
@@ -105,6 +107,8 @@
     const std::string& aAddress,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
+  // Tells the choice of zones how the last attempt of an unkeyed request ended.
+  void RecordZoneResult(RequestState& aState, const AttemptResult& aResult);
   void RecordAcceptance(const std::string& aTarget,
                         const AttemptResult& aResult);
   AttemptPolicy MakeAttemptPolicy(const RequestState& aState) const;
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -16,9 +16,9 @@
 using beast::http::status;
 
 constexpr std::array kPeerFields = {
-  kServiceField, kKindField,    kKeyedField,     kTargetMsField,
-  kRankField,    kOutcomeField, kReasonField,    kRetryAfterMsField,
-  kLoadField,    kArrivedField, kResultKindField
+  kServiceField, kKindField,       kKeyedField,   kTargetMsField,
+  kRankField,    kOutcomeField,    kReasonField,  kRetryAfterMsField,
+  kLoadField,    kHandlingMsField, kArrivedField, kResultKindField
 };
 
 beast::string_view
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -33,6 +33,10 @@
 // Running requests, waiting requests, slots and mean service time in
 // milliseconds, separated by commas.
 constexpr std::string_view kLoadField = "Rattanloft-Load";
+// Time from the arrival of the request to its answer at the peer, in
+// milliseconds. The rest of the exchange is the round trip. Peers of the
+// previous release do not send it.
+constexpr std::string_view kHandlingMsField = "Rattanloft-Handling-Ms";
 // Present if the request reached the backend server, which refused it or gave
 // no usable response.
 constexpr std::string_view kArrivedField = "Rattanloft-Arrived";
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -88,7 +88,7 @@
     , m_localBackend(m_options.m_instance,
                      m_options.m_drainTimeout,
                      m_clock.Now())
-    , m_endpointSelector(RandomId())
+    , m_endpointSelector(RandomId(), m_options.m_zoneRouting)
     , m_peerClient(MakePeerClient())
     , m_backendClient(MakeBackendClient())
     , m_controlClient(
@@ -309,6 +309,7 @@
     std::shared_ptr<http::CancelToken> aCancel)
   {
     const RunningRequests::Guard guard(m_runningRequests, aCancel);
+    const TimePoint arrivedAt = m_clock.Now();
     const HeaderNames& names = m_protocol.Headers();
     RequestAttributes attributes;
     attributes.m_service = FieldValue(aRequest, kServiceField);
@@ -326,8 +327,12 @@
     }
     AttemptResult result = co_await m_localHandler.RunRequest(
       std::move(aRequest), attributes, std::move(aCancel));
-    co_return EncodeAttemptResult(std::move(result),
-                                  m_localHandler.CurrentLoad());
+    http::Response response =
+      EncodeAttemptResult(std::move(result), m_localHandler.CurrentLoad());
+    SetField(response,
+             kHandlingMsField,
+             std::to_string((m_clock.Now() - arrivedAt).m_ms));
+    co_return response;
   }
 
   asio::awaitable<http::Response> ServeBackendCall(http::Request aRequest)
@@ -537,6 +542,7 @@
       response.body() += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
     }
+    response.body() += m_endpointSelector.Zones().FormatMetrics();
     co_return response;
   }
 
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -34,11 +35,38 @@
 DEFINE_string(bounds,
               "",
               "time limits and budgets that the platform sets, name=value,...");
+DEFINE_string(zone_spillover,
+              "adaptive",
+              "use of other availability zones: adaptive, any (no preference "
+              "between zones) or never (only if the own zone has no usable "
+              "backend server)");
+DEFINE_double(zone_crossing_cost_ms_per_mb,
+              500,
+              "response time in milliseconds that is given up to save a "
+              "megabyte between availability zones");
 
 namespace rattanloft::tool {
 
 namespace {
 
+// Larger costs have no further effect; the bound detects a wrong unit.
+constexpr double kMaxCrossingCostMsPerMb = 1e6;
+
+std::optional<sidecar::ZoneSpilloverMode>
+ParseSpilloverMode(const std::string& aName)
+{
+  if (aName == "adaptive") {
+    return sidecar::ZoneSpilloverMode::kAdaptive;
+  }
+  if (aName == "any") {
+    return sidecar::ZoneSpilloverMode::kAny;
+  }
+  if (aName == "never") {
+    return sidecar::ZoneSpilloverMode::kNever;
+  }
+  return std::nullopt;
+}
+
 // Returns a message about the first invalid setting; empty if all are valid.
 std::string
 CheckSettings()
@@ -69,6 +97,18 @@
                          address);
     }
   }
+  if (!ParseSpilloverMode(FLAGS_zone_spillover)) {
+    return fmt::format("--zone_spillover: '{}' is not adaptive, any or never",
+                       FLAGS_zone_spillover);
+  }
+  // The negated comparison also refuses a value that is not a number.
+  if (!(FLAGS_zone_crossing_cost_ms_per_mb >= 0 &&
+        FLAGS_zone_crossing_cost_ms_per_mb <= kMaxCrossingCostMsPerMb)) {
+    return fmt::format(
+      "--zone_crossing_cost_ms_per_mb: {} is not between 0 and {}",
+      FLAGS_zone_crossing_cost_ms_per_mb,
+      kMaxCrossingCostMsPerMb);
+  }
   return "";
 }
 
@@ -106,6 +146,9 @@
   options.m_retrySlack = aBounds.m_retrySlack;
   options.m_stopGrace = aBounds.m_stopGrace;
   options.m_drainTimeout = aBounds.m_drainTimeout;
+  options.m_zoneRouting.m_mode = *ParseSpilloverMode(FLAGS_zone_spillover);
+  options.m_zoneRouting.m_crossingCostMsPerMb =
+    FLAGS_zone_crossing_cost_ms_per_mb;
   const std::string file = FlagfilePath();
   if (!file.empty()) {
     options.m_readCoordinators = [file] {
