--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -21,9 +21,9 @@
 constexpr Duration kZoneEvacuatedRetryDelay = Milliseconds(1000);
 
 constexpr std::array kPeerFields = {
-  kServiceField, kKindField,    kKeyedField,     kTargetMsField,
-  kRankField,    kOutcomeField, kReasonField,    kRetryAfterMsField,
-  kLoadField,    kArrivedField, kResultKindField
+  kServiceField, kKindField,       kKeyedField,   kTargetMsField,
+  kRankField,    kOutcomeField,    kReasonField,  kRetryAfterMsField,
+  kLoadField,    kHandlingMsField, kArrivedField, kResultKindField
 };
 
 beast::string_view
