Place ownerless ranges by what cold backend servers take

Cause: the leader gave ranges without an owner to cold backend servers by the capacity that they have when they are warm, and the requests for them were refused.

Change: a cold candidate of a service with coldPerS counts with that rate when ownerless ranges are spread, and takes no piece while others are relieved. It is itself judged by its usual capacity, so that a cold phase of some seconds moves nothing away and back; a restarted backend server still gets its own ranges.

Result: fleet_tests pass, with two new tests of the placement.

--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -136,6 +136,7 @@
                    const RangeTransfer& aTransfer,
                    TimePoint aNow) const;
   bool CanOwnKeys(const Sidecar& aSidecar, TimePoint aNow) const;
+  double FindColdCapacity(const std::string& aService) const;
   std::vector<HolderCandidate> ListCandidates(const std::string& aService,
                                               TimePoint aNow) const;
   bool HaveHoldersReported(TimePoint aNow) const;
--- a/modules/fleet/include/rattanloft/fleet/RangePlacer.h
+++ b/modules/fleet/include/rattanloft/fleet/RangePlacer.h
@@ -50,6 +50,9 @@
   std::string m_holder;
   // Requests per second that it can serve.
   double m_capacity = 1;
+  // Requests per second that it can serve at the moment, if it is cold and its
+  // service states a bound; otherwise 0.
+  double m_coldCapacity = 0;
 };
 
 // A change of the holder of the keys from m_first to m_last, both inclusive.
@@ -77,11 +80,12 @@
                 std::span<const HolderCandidate> aCandidates);
 
 // Decides which ranges get another holder. Ranges whose holder is not a
-// candidate are spread over the candidates by capacity. Otherwise, if
-// aMayRebalance is set, pieces of the most loaded candidate move to the least
-// loaded one where that relieves more overload than the move costs. This
-// handles backend servers of uneven speed, busy neighbouring keys, joins,
-// drains and losses. Pure.
+// candidate are spread over the candidates by capacity, for a cold one by the
+// capacity that it has while it is cold. Otherwise, if aMayRebalance is set,
+// pieces of the most loaded candidate move to the least loaded one that is not
+// cold where that relieves more overload than the move costs. A cold phase of
+// some seconds thus moves no keys away. This handles backend servers of uneven
+// speed, busy neighbouring keys, joins, drains and losses. Pure.
 std::vector<RangeTransfer>
 PlanTransfers(const wire::ServiceRanges& aRanges,
               std::span<const HolderCandidate> aCandidates,
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -208,6 +208,20 @@
          backend.phase() == wire::BACKEND_PHASE_READY && backend.reachable();
 }
 
+// Returns the requests per second that a cold backend server of the service
+// takes; 0 if the service states no bound.
+double
+FleetLeader::FindColdCapacity(const std::string& aService) const
+{
+  for (const wire::ServiceSpec& spec :
+       m_state.CurrentChange().configuration().services()) {
+    if (spec.name() == aService) {
+      return std::max(0.0, spec.cold_requests_per_second());
+    }
+  }
+  return 0;
+}
+
 // Returns the backend servers of the service that can take keys. Their
 // capacities follow from the measured time per request and the limit that the
 // server names; a server without a measurement is assumed to take the mean of
@@ -216,6 +230,7 @@
 FleetLeader::ListCandidates(const std::string& aService, TimePoint aNow) const
 {
   std::vector<HolderCandidate> candidates;
+  const double coldCapacity = FindColdCapacity(aService);
   double serviceTimeSumMs = 0;
   int measuredCount = 0;
   for (const auto& [name, sidecar] : m_sidecars) {
@@ -239,7 +254,10 @@
     if (sidecar.m_lastRequest.request_limit() > 0) {
       capacity = std::min(capacity, sidecar.m_lastRequest.request_limit());
     }
-    candidates.push_back({ backend.holder(), capacity });
+    candidates.push_back(
+      { backend.holder(),
+        capacity,
+        backend.cold_remaining_ms() > 0 ? coldCapacity : 0 });
   }
   return candidates;
 }
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -56,6 +56,9 @@
 {
   double m_load = 0;
   double m_capacity = 1;
+  // Capacity for ranges without an owner.
+  double m_capacityNow = 1;
+  bool m_isCold = false;
   int m_rangeCount = 0;
 
   double Utilization() const { return m_load / m_capacity; }
@@ -71,8 +74,12 @@
 {
   SharesByHolder shares;
   for (const HolderCandidate& candidate : aCandidates) {
-    shares[candidate.m_holder].m_capacity =
-      std::max(candidate.m_capacity, 1e-6);
+    HolderShare& share = shares[candidate.m_holder];
+    share.m_capacity = std::max(candidate.m_capacity, 1e-6);
+    share.m_isCold = candidate.m_coldCapacity > 0;
+    share.m_capacityNow =
+      share.m_isCold ? std::min(share.m_capacity, candidate.m_coldCapacity)
+                     : share.m_capacity;
   }
   for (const wire::OwnedRange& range : aRanges.ranges()) {
     const auto found = shares.find(range.holder());
@@ -122,12 +129,12 @@
   double capacity = 0;
   for (const auto& [holder, share] : aShares) {
     total += share.m_load;
-    capacity += share.m_capacity;
+    capacity += share.m_capacityNow;
   }
   std::vector<std::pair<std::string, double>> missing;
   for (const auto& [holder, share] : aShares) {
     missing.emplace_back(holder,
-                         total * share.m_capacity / capacity - share.m_load);
+                         total * share.m_capacityNow / capacity - share.m_load);
   }
   std::ranges::stable_sort(
     missing, std::greater<>{}, &std::pair<std::string, double>::second);
@@ -332,8 +339,20 @@
   const auto byUtilization = [](const auto& aLeft, const auto& aRight) {
     return aLeft.second.Utilization() < aRight.second.Utilization();
   };
-  const auto [leastLoaded, mostLoaded] =
-    std::minmax_element(aShares.begin(), aShares.end(), byUtilization);
+  const auto mostLoaded =
+    std::minmax_element(aShares.begin(), aShares.end(), byUtilization).second;
+  // A cold backend server takes nothing, since it would refuse requests for it.
+  // It is not relieved because it is cold either: it is warm again before a
+  // move pays off.
+  const auto leastLoaded = std::min_element(
+    aShares.begin(), aShares.end(), [&](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.m_isCold != aRight.second.m_isCold
+               ? aRight.second.m_isCold
+               : byUtilization(aLeft, aRight);
+    });
+  if (leastLoaded->second.m_isCold) {
+    return false;
+  }
   HolderShare& from = mostLoaded->second;
   HolderShare& to = leastLoaded->second;
   if (leastLoaded == mostLoaded || to.m_rangeCount >= kMaxRangesPerHolder) {
--- a/modules/fleet/tests/RangePlacerTest.cpp
+++ b/modules/fleet/tests/RangePlacerTest.cpp
@@ -308,4 +308,52 @@
   CHECK(CountKeysByHolder(ranges)["3/c@1"] / (kLastKey + 1) > 0.3);
 }
 
+// Guards against keys that go to backend servers which are cold while others
+// are warm, and against ones that leave a cold one and return.
+TEST_CASE("a cold holder gets few new keys and keeps its own")
+{
+  TimePoint now{ 10'000 };
+  KeyLoadEstimator load;
+  wire::ServiceRanges ranges = UnownedRanges();
+  ApplyTransfers(ranges,
+                 PlanTransfers(ranges, kThreeCandidates, load, false, now));
+  for (int tenth = 0; tenth < 60; ++tenth) {
+    now = now + Milliseconds(100);
+    for (uint32_t bucket = 0; bucket < kBucketCount; bucket += 64) {
+      load.AddRequests(bucket, 1, now);
+    }
+  }
+  std::vector<HolderCandidate> candidates = kThreeCandidates;
+  candidates[0].m_coldCapacity = 12;
+  CHECK(PlanTransfers(ranges, candidates, load, true, now).empty());
+  // The last holder is lost, and its load of 80 requests/s has to go somewhere.
+  const auto before = CountKeysByHolder(ranges);
+  candidates.pop_back();
+  ApplyTransfers(ranges, PlanTransfers(ranges, candidates, load, true, now));
+  const auto after = CountKeysByHolder(ranges);
+  CHECK(after.at("1/a@1") == before.at("1/a@1"));
+  CHECK(after.at("2/b@1") == before.at("2/b@1") + before.at("3/c@1"));
+}
+
+// Guards against a busy range that moves to a backend server which would refuse
+// the requests for it.
+TEST_CASE("a cold holder takes no load from others")
+{
+  TimePoint now{ 10'000 };
+  KeyLoadEstimator load;
+  wire::ServiceRanges ranges = UnownedRanges();
+  std::vector<HolderCandidate> candidates = { { "1/a@1", 100 } };
+  ApplyTransfers(ranges, PlanTransfers(ranges, candidates, load, false, now));
+  for (int tenth = 0; tenth < 60; ++tenth) {
+    now = now + Milliseconds(100);
+    for (uint32_t bucket = 0; bucket < 16; ++bucket) {
+      load.AddRequests(bucket, 1, now);
+    }
+  }
+  candidates.push_back({ "2/b@1", 100, 12 });
+  CHECK(PlanTransfers(ranges, candidates, load, true, now).empty());
+  candidates.back().m_coldCapacity = 0;
+  CHECK_FALSE(PlanTransfers(ranges, candidates, load, true, now).empty());
+}
+
 } // namespace rattanloft::fleet
