Send cold endpoints no more than a part of their bound

Cause: a zone that returns cold attracts the requests of its entries, and its sidecars refuse most of them while backend servers of other zones are warm.

Change: EndpointSelector asks ColdEndpointShare before it compares candidates. A cold endpoint is a candidate only while this entry has room: twice an even part of the bound, at least one request in 2 s. If all are cold and none has room the request is refused at once (cold-start), each caller with a time of its own. A sidecar that does not know whether its backend server is cold reports it as cold. Services without a bound are chosen as before.

--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -17,6 +17,10 @@
 constexpr double kLoadReportLifetimeMs = 400;
 // A cold backend server takes about twice as long.
 constexpr double kColdCostFactor = 2;
+// A cold endpoint counts as cold for this time after it was expected to be
+// warm, unless it is reported as warm: only the begin and the end of a cold
+// phase are reported. Bounds the error while no leader replies.
+constexpr Duration kColdReportGrace = Seconds(2);
 // Weight of one response in the moving average of the failure rate.
 constexpr double kFailureSmoothing = 0.1;
 // A backend server that always fails adds this multiple of its cost.
@@ -124,6 +128,35 @@
   return costMs;
 }
 
+bool
+EndpointSelector::IsCold(const EndpointState& aState, TimePoint aNow)
+{
+  return aState.m_endpoint.backend().cold_remaining_ms() > 0 &&
+         aNow < aState.m_coldUntil + kColdReportGrace;
+}
+
+void
+EndpointSelector::RemoveColdWithoutRoom(
+  std::vector<const EndpointState*>& aCandidates,
+  const EndpointQuery& aQuery,
+  TimePoint aNow)
+{
+  m_coldRetryAfter.reset();
+  if (aQuery.m_coldBound <= 0 || aCandidates.empty()) {
+    return;
+  }
+  const double rate =
+    ColdEndpointShare::RateFor(aQuery.m_coldBound, aQuery.m_sidecarCount);
+  const double roomRate = rate * static_cast<double>(aCandidates.size());
+  std::erase_if(aCandidates, [&](const EndpointState* aState) {
+    return IsCold(*aState, aNow) &&
+           !m_coldShare.HasRoom(aState->m_endpoint.instance(), rate, aNow);
+  });
+  if (aCandidates.empty()) {
+    m_coldRetryAfter = m_coldShare.NextReturn(roomRate, aNow);
+  }
+}
+
 const wire::Endpoint*
 EndpointSelector::Choose(const EndpointQuery& aQuery,
                          const std::set<std::string>& aTriedInstances,
@@ -144,6 +177,7 @@
   }
   std::vector<const EndpointState*>& candidates =
     healthyCandidates.empty() ? suspectCandidates : healthyCandidates;
+  RemoveColdWithoutRoom(candidates, aQuery, aNow);
   if (candidates.empty()) {
     return nullptr;
   }
@@ -162,6 +196,9 @@
     *std::ranges::min_element(candidates, {}, [&](const EndpointState* aState) {
       return EstimateCostMs(*aState, aQuery, aNow);
     });
+  if (IsCold(*best, aNow)) {
+    m_coldShare.Take(best->m_endpoint.instance(), aNow);
+  }
   return &best->m_endpoint;
 }
 
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "ColdEndpointShare.h"
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
 
@@ -31,6 +33,11 @@
   size_t m_bodyBytes = 0;
   // Instance at which the request originated.
   std::string m_instance;
+  // Requests a second that a cold backend server of the service takes; 0 for no
+  // bound.
+  double m_coldBound = 0;
+  // Number of sidecars that may send to it.
+  uint32_t m_sidecarCount = 1;
 };
 
 // Load balancer for the requests of unkeyed services. Compares a few random
@@ -43,7 +50,8 @@
 {
 public:
   explicit EndpointSelector(uint64_t aSeed)
-    : m_random(aSeed)
+    : m_coldShare(aSeed)
+    , m_random(aSeed)
   {
   }
 
@@ -55,6 +63,10 @@
   const wire::Endpoint* Choose(const EndpointQuery& aQuery,
                                const std::set<std::string>& aTriedInstances,
                                TimePoint aNow);
+  // Set if the last Choose() returned null because the endpoints are cold and
+  // this entry has used its part of their bound: when the caller is to come
+  // back.
+  std::optional<Duration> ColdRetryAfter() const { return m_coldRetryAfter; }
   // Returns null if the instance is unknown.
   const wire::Endpoint* FindEndpoint(const std::string& aInstance) const;
   // Returns true for some time after the instance failed to respond.
@@ -95,8 +107,16 @@
   double EstimateCostMs(const EndpointState& aState,
                         const EndpointQuery& aQuery,
                         TimePoint aNow) const;
+  static bool IsCold(const EndpointState& aState, TimePoint aNow);
+  // Removes cold candidates to which this entry may not send now, and sets
+  // m_coldRetryAfter if that leaves none.
+  void RemoveColdWithoutRoom(std::vector<const EndpointState*>& aCandidates,
+                             const EndpointQuery& aQuery,
+                             TimePoint aNow);
 
   std::map<std::string, EndpointState> m_endpointStates;
+  ColdEndpointShare m_coldShare;
+  std::optional<Duration> m_coldRetryAfter;
   std::mt19937_64 m_random;
 };
 
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -189,11 +189,15 @@
              ? std::string()
              : owner->holder().substr(0, owner->holder().find('/'));
   }
+  const wire::ServiceSpec* const service =
+    aState.m_router->FindService(aState.m_service);
   const wire::Endpoint* const endpoint =
     m_endpointSelector.Choose({ aState.m_service,
                                 m_options.m_zone,
                                 aState.m_bodyBytes,
-                                m_options.m_instance },
+                                m_options.m_instance,
+                                FindColdBound(m_options, service),
+                                m_directory.SidecarCount() },
                               aState.m_triedInstances,
                               now);
   return endpoint == nullptr ? std::string() : endpoint->instance();
@@ -255,6 +259,11 @@
     }
     aState.m_instance = ChooseInstance(aState);
     if (aState.m_instance.empty()) {
+      if (!aState.m_keyed && m_endpointSelector.ColdRetryAfter()) {
+        last =
+          MakeNotRunResult("cold-start", *m_endpointSelector.ColdRetryAfter());
+        break;
+      }
       step = policy.OnNoEndpoint(m_clock.Now());
       continue;
     }
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -37,6 +37,8 @@
 // Delay between two calls. Limits their rate while the state changes often.
 constexpr Duration kMinCallPause = Milliseconds(15);
 constexpr Duration kIdleTimeout = Seconds(20);
+// Two heartbeats of a backend server, which show whether it is cold.
+constexpr uint32_t kPossiblyColdMs = 1740;
 constexpr size_t kMaxCoordinatorAddresses = 32;
 // Once this many buckets have counts, further requests are not counted until
 // the next report.
@@ -219,6 +221,12 @@
   request.set_accepts_configuration_changes(
     m_directory.AcceptsConfigurationChanges());
   m_localBackend.FillReport(request, m_clock.Now());
+  if (m_workQueue.ColdStart().IsLimiting(m_clock.Now())) {
+    // Others count it as cold as well while this is not known.
+    wire::BackendView& backend = *request.mutable_backend();
+    backend.set_cold_remaining_ms(
+      std::max(backend.cold_remaining_ms(), kPossiblyColdMs));
+  }
   m_reportedRevision = m_localBackend.ReportRevision();
   request.set_service_time_ms(
     static_cast<uint32_t>(m_workQueue.MeanServiceTime().m_ms));
--- a/modules/sidecar/tests/EndpointSelectorTest.cpp
+++ b/modules/sidecar/tests/EndpointSelectorTest.cpp
@@ -181,4 +181,70 @@
   CHECK(CountChoices(selector, TimePoint{ 1100 })["a"] > 50);
 }
 
+// Guards against a zone that returns cold and attracts requests which it must
+// refuse while other zones are warm.
+TEST_CASE("cold endpoints get this entry's part of their bound")
+{
+  EndpointSelector selector(1);
+  std::vector<wire::Endpoint> endpoints = { MakeEndpoint("cold-1"),
+                                            MakeEndpoint("cold-2"),
+                                            MakeEndpoint("warm", "z2") };
+  for (size_t number : { 0, 1 }) {
+    endpoints[number].mutable_backend()->set_cold_remaining_ms(3000);
+  }
+  selector.SetEndpoints(endpoints, TimePoint{ 0 });
+  EndpointQuery query{ "s", "z1", 0, "" };
+  query.m_coldBound = 26;
+  query.m_sidecarCount = 52;
+  std::map<std::string, int> chosen;
+  for (int64_t nowMs = 0; nowMs < 3000; nowMs += 10) {
+    // Requests wait there, so that the cold ones would be preferred.
+    selector.OnLoadReport("warm", { 10, 30, 10, 100 }, TimePoint{ nowMs });
+    ++chosen[selector.Choose(query, {}, TimePoint{ nowMs })->instance()];
+  }
+  // Twice 26 / 52 a second for each of them, and one at once.
+  CHECK(chosen["cold-1"] >= 2);
+  CHECK(chosen["cold-1"] <= 4);
+  CHECK(chosen["cold-2"] <= 4);
+  CHECK(chosen["warm"] >= 292);
+  // A service without a bound goes to its own zone.
+  query.m_coldBound = 0;
+  CHECK(selector.Choose(query, {}, TimePoint{ 3000 })->instance() != "warm");
+}
+
+// Guards against callers that are all told to come back at the same time, and
+// against endpoints that stay cold for this entry if no leader replies.
+TEST_CASE("without room at cold endpoints callers are told times of their own")
+{
+  EndpointSelector selector(1);
+  std::vector<wire::Endpoint> endpoints = { MakeEndpoint("cold") };
+  endpoints[0].mutable_backend()->set_cold_remaining_ms(3000);
+  selector.SetEndpoints(endpoints, TimePoint{ 0 });
+  EndpointQuery query{ "s", "z1", 0, "" };
+  query.m_coldBound = 20;
+  query.m_sidecarCount = 20;
+  std::map<int64_t, int> returnsPerSecond;
+  int sent = 0;
+  for (int i = 0; i < 200; ++i) {
+    if (selector.Choose(query, {}, TimePoint{ 10 }) != nullptr) {
+      CHECK_FALSE(selector.ColdRetryAfter());
+      ++sent;
+      continue;
+    }
+    REQUIRE(selector.ColdRetryAfter());
+    CHECK(*selector.ColdRetryAfter() >= Milliseconds(50));
+    CHECK(*selector.ColdRetryAfter() <= Seconds(3));
+    ++returnsPerSecond[selector.ColdRetryAfter()->m_ms / 1000];
+  }
+  CHECK(sent == 2);
+  // There is room for two a second.
+  CHECK(returnsPerSecond[0] <= 2);
+  CHECK(returnsPerSecond[2] > returnsPerSecond[1]);
+  CHECK(selector.Choose(query, { "cold" }, TimePoint{ 10 }) == nullptr);
+  CHECK_FALSE(selector.ColdRetryAfter());
+  for (int i = 0; i < 20; ++i) {
+    CHECK(selector.Choose(query, {}, TimePoint{ 5100 }) != nullptr);
+  }
+}
+
 } // namespace rattanloft::sidecar
