--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 
 #include "rattanloft/fleet/HolderName.h"
 
@@ -60,6 +61,9 @@
 {
   double m_load = 0;
   double m_capacity = 1;
+  // Capacity for ranges without an owner.
+  double m_capacityNow = 1;
+  bool m_isCold = false;
   int m_rangeCount = 0;
 
   double Utilization() const { return m_load / m_capacity; }
@@ -75,8 +79,12 @@
 {
   SharesByHolder shares;
   for (const HolderCandidate& candidate : aCandidates) {
-    shares[candidate.m_holder].m_capacity =
-      std::max(candidate.m_capacity, 1e-6);
+    HolderShare& share = shares[candidate.m_holder];
+    share.m_capacity = std::max(candidate.m_capacity, 1e-6);
+    share.m_isCold = candidate.m_coldCapacity > 0;
+    share.m_capacityNow =
+      share.m_isCold ? std::min(share.m_capacity, candidate.m_coldCapacity)
+                     : share.m_capacity;
   }
   for (const wire::OwnedRange& range : aRanges.ranges()) {
     const auto found = shares.find(range.holder());
@@ -126,12 +134,12 @@
   double capacity = 0;
   for (const auto& [holder, share] : aShares) {
     total += share.m_load;
-    capacity += share.m_capacity;
+    capacity += share.m_capacityNow;
   }
   std::vector<std::pair<std::string, double>> missing;
   for (const auto& [holder, share] : aShares) {
     missing.emplace_back(holder,
-                         total * share.m_capacity / capacity - share.m_load);
+                         total * share.m_capacityNow / capacity - share.m_load);
   }
   std::ranges::stable_sort(
     missing, std::greater<>{}, &std::pair<std::string, double>::second);
@@ -360,14 +368,16 @@
 
 // Returns the holder that gets the next piece: one without ranges, else the one
 // with the most room below the utilization at which answers are late. The least
-// utilized one may be too slow for a busy piece.
+// utilized one may be too slow for a busy piece. A cold one is returned only if
+// all are cold.
 const std::string&
 ChooseReceiver(const SharesByHolder& aShares)
 {
   const auto room = [](const auto& aItem) {
     const HolderShare& share = aItem.second;
-    return std::pair(share.m_rangeCount == 0,
-                     kMaxUtilization * share.m_capacity - share.m_load);
+    return std::tuple(!share.m_isCold,
+                      share.m_rangeCount == 0,
+                      kMaxUtilization * share.m_capacity - share.m_load);
   };
   return std::ranges::max_element(aShares, {}, room)->first;
 }
@@ -384,7 +394,9 @@
 {
   const std::string receiver = ChooseReceiver(aShares);
   HolderShare& to = aShares[receiver];
-  if (to.m_rangeCount >= kMaxRangesPerHolder) {
+  // A cold backend server would refuse requests for the piece. None is relieved
+  // because it is cold either: it is warm again before a move pays off.
+  if (to.m_isCold || to.m_rangeCount >= kMaxRangesPerHolder) {
     return false;
   }
   const bool isJoining = to.m_rangeCount == 0;
--- a/modules/sidecar/src/EndpointSelector.h
+++ b/modules/sidecar/src/EndpointSelector.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "ColdEndpointShare.h"
 #include "ZoneRouter.h"
 #include "fleet.pb.h"
 #include "rattanloft/base/Time.h"
@@ -34,6 +36,11 @@
   std::string m_instance;
   // The own zone has refused the request for lack of room.
   bool m_refusedByOwnZone = false;
+  // Requests a second that a cold backend server of the service takes; 0 for no
+  // bound.
+  double m_coldBound = 0;
+  // Number of sidecars that may send to it.
+  uint32_t m_sidecarCount = 1;
 };
 
 // Load balancer for the requests of unkeyed services. Lets ZoneRouter pick the
@@ -46,7 +53,8 @@
 {
 public:
   explicit EndpointSelector(uint64_t aSeed, ZoneRoutingOptions aOptions = {})
-    : m_random(aSeed)
+    : m_coldShare(aSeed)
+    , m_random(aSeed)
     , m_zoneRouter(aOptions, aSeed)
   {
   }
@@ -64,6 +72,10 @@
   const wire::Endpoint* Choose(const EndpointQuery& aQuery,
                                const std::set<std::string>& aTriedInstances,
                                TimePoint aNow);
+  // Set if the last Choose() returned null because the endpoints are cold and
+  // this entry has used its part of their bound: when the caller is to come
+  // back.
+  std::optional<Duration> ColdRetryAfter() const { return m_coldRetryAfter; }
   // Returns null if the instance is unknown.
   const wire::Endpoint* FindEndpoint(const std::string& aInstance) const;
   // Returns true for some time after the instance failed to respond.
@@ -133,11 +145,19 @@
   double EstimateCostMs(const EndpointState& aState,
                         const EndpointQuery& aQuery,
                         TimePoint aNow) const;
+  static bool IsCold(const EndpointState& aState, TimePoint aNow);
+  // Removes cold candidates to which this entry may not send now, and sets
+  // m_coldRetryAfter if that leaves none.
+  void RemoveColdWithoutRoom(std::vector<const EndpointState*>& aCandidates,
+                             const EndpointQuery& aQuery,
+                             TimePoint aNow);
 
   std::map<std::string, EndpointState> m_endpointStates;
   std::set<std::string> m_evacuatedZones;
   // Number of instances in each availability zone.
   std::map<std::string, uint32_t> m_instanceCounts;
+  ColdEndpointShare m_coldShare;
+  std::optional<Duration> m_coldRetryAfter;
   std::mt19937_64 m_random;
   ZoneRouter m_zoneRouter;
   std::string m_localInstance;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -191,12 +191,16 @@
   }
   m_endpointSelector.SetLocalLoad(
     m_options.m_instance, m_localHandler.CurrentLoad(), now);
+  const wire::ServiceSpec* const service =
+    aState.m_router->FindService(aState.m_service);
   const wire::Endpoint* const endpoint =
     m_endpointSelector.Choose({ aState.m_service,
                                 m_options.m_zone,
                                 aState.m_bodyBytes,
                                 m_options.m_instance,
-                                aState.m_refusedByOwnZone },
+                                aState.m_refusedByOwnZone,
+                                FindColdBound(m_options, service),
+                                m_directory.SidecarCount() },
                               aState.m_triedInstances,
                               now);
   return endpoint == nullptr ? std::string() : endpoint->instance();
@@ -310,6 +314,11 @@
       continue;
     }
     if (aState.m_instance.empty()) {
+      if (!aState.m_keyed && m_endpointSelector.ColdRetryAfter()) {
+        last =
+          MakeNotRunResult("cold-start", *m_endpointSelector.ColdRetryAfter());
+        break;
+      }
       step = policy.OnNoEndpoint(m_clock.Now());
       continue;
     }
