--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -258,7 +258,8 @@
             self.announce_address, "PUT", f"/v1/instances/{self.backend_id}",
             json.dumps(body),
         )
-        grant = json.loads(text or "{}")
+        # A refusal of the connection is plain text.
+        grant = json.loads(text or "{}") if status == 200 else {}
         with self.lock:
             # As on the platform, a larger answer is not accepted.
             is_current = lifetime == self.born_unix_ms and not self.down
@@ -334,6 +335,10 @@
 
 class FleetTestCase(unittest.TestCase):
     bounds = "retryBudgetSlack=50"
+    coordinator_count, site_count, tolerated_losses = 3, 2, 1
+    backend_class = StandInBackend
+    # Environment variables that are added for each program.
+    environments = {}
 
     def run(self, result=None):
         result = result or self.defaultTestResult()
@@ -360,10 +365,11 @@
         self.processes, self.backends, self.sidecars = [], [], []
         self.addCleanup(self.stop_all)
         self.operator_port, self.member_port = reserve_ports(2)
-        self.operators = [f"127.0.0.{n}:{self.operator_port}" for n in (11, 12, 13)]
-        for number in range(3):
+        self.operators = [f"127.0.0.{11 + n}:{self.operator_port}"
+                          for n in range(self.coordinator_count)]
+        for number in range(self.coordinator_count):
             self.start_coordinator(number, form_group=True)
-        for number in range(2):
+        for number in range(self.site_count):
             self.start_site(number)
 
     def stop_all(self):
@@ -383,8 +389,9 @@
     def start(self, *arguments):
         log = open(self.log_path(len(self.processes)), "w")
         # See set_disk_full().
+        environment = {**os.environ, **self.environments.get(arguments[0], {})}
         process = subprocess.Popen([BINARY, *arguments], stdout=log, stderr=log,
-                                   restore_signals=False)
+                                   env=environment, restore_signals=False)
         log.close()
         self.processes.append(process)
         return process
@@ -396,7 +403,8 @@
             f"--operator_address={ip}:{self.operator_port}",
             f"--member_address={ip}:{self.member_port}",
             "--seed_coordinators=" + ",".join(self.operators),
-            f"--form_group={'true' if form_group else 'false'}", "--tolerated_losses=1")
+            f"--form_group={'true' if form_group else 'false'}",
+            f"--tolerated_losses={self.tolerated_losses}")
 
     def start_site(self, number):
         ip = f"127.0.0.{21 + number}"
@@ -411,7 +419,7 @@
             f"--coordinator_port={self.member_port}", f"--bounds={self.bounds}"]
         site["process"] = self.start(*site["arguments"])
         self.sidecars.append(site)
-        self.backends.append(StandInBackend(
+        self.backends.append(self.backend_class(
             ip, ports["backend"], site["announce"], "keyed", f"i-{number}"))
 
     def restart_sidecar(self, number):
