Check ordinary calls beside crowds at every listener

Cause: only the caller listener was checked for calls that are locked out while a crowd stays open. Heartbeats, calls of other sidecars, operators and members can be locked out in the same way.

Change: the two tests of an ordinary call beside unfinished bodies and beside idle connections run at each listener, with what the listener is for. A failed test prints all that was found wrong. Crowds and bounds are unchanged.

--- a/tests/UntrustedClientTest.py
+++ b/tests/UntrustedClientTest.py
@@ -1,4 +1,3 @@
-#!/usr/bin/env python3
 """Sends crowds of untrusted clients to each listener of real processes.
 
 Guards against a process that runs out of memory or file descriptors, hangs or
@@ -101,7 +100,6 @@
         super().setUp()
         # What was found wrong, by process and kind.
         self.problems, self.peaks, self.attempt = {}, {}, 0
-        self.member = f"127.0.0.11:{self.member_port}"
         document = json.loads(configuration(0, 2, sharded=self.sharded))
         for route in document["routes"].values():
             route.update(timeoutS=REQUEST_TIMEOUT_S, targetLatencyS=REQUEST_TIMEOUT_S)
@@ -215,7 +213,7 @@
             crowd.close()
         self.check_served("afterwards")
         self.check_processes("afterwards")
-        self.assertEqual(self.problems, {})
+        self.assertFalse(self.problems)
 
 
 class UnfinishedRequestTests:
@@ -301,6 +299,26 @@
         self.hold_idle_connections()
         self.finish()
 
+    def send_ordinary_call(self):
+        """Sends what the listener is for, and returns the status."""
+        return self.send_ordinary()
+
+    def check_listener_serves(self):
+        try:
+            wait_for(lambda: self.send_ordinary_call() == 200, DEADLINE_S, "")
+        except AssertionError:
+            self.check(False, "listener, open", "no ordinary call is served")
+
+    def test_an_ordinary_call_beside_unfinished_bodies(self):
+        self.hold_bodies(one_by_one=True)
+        self.check_listener_serves()
+        self.finish()
+
+    def test_an_ordinary_call_beside_idle_connections(self):
+        self.hold_idle_connections()
+        self.check_listener_serves()
+        self.finish()
+
 
 class UnreadResponseTests:
     """Responses that are not read, to one listener."""
@@ -339,16 +357,6 @@
 class CallerTest(UnfinishedRequestTests, UnreadResponseTests, UntrustedClientTestCase):
     listener = "caller"
 
-    def test_an_ordinary_request_beside_unfinished_bodies(self):
-        self.hold_bodies(one_by_one=True)
-        self.check_served("open")
-        self.finish()
-
-    def test_an_ordinary_request_beside_idle_connections(self):
-        self.hold_idle_connections()
-        self.check_served("open")
-        self.finish()
-
     # Guards against limits of the listeners that add up to more than the process has.
     def test_idle_connections_on_every_listener(self):
         self.run_crowd(Client(self.sidecars[0][listener], [])
@@ -392,6 +400,9 @@
                 "Rattanloft-Kind": "a", "Rattanloft-Keyed": "0", "Rattanloft-Rank": "1",
                 "Rattanloft-Target-Ms": str(REQUEST_TIMEOUT_S * 1000)}
 
+    def send_ordinary_call(self):
+        return send_request(self.address(), "GET", "/p/x", None, self.fields())[0]
+
 
 class AnnounceTest(UnfinishedRequestTests, UntrustedClientTestCase):
     """The listener for heartbeats; its responses are a few bytes."""
@@ -401,6 +412,9 @@
     # This listener accepts 256 KiB.
     body_bytes, body_clients = 256 * 1024, 800
 
+    def send_ordinary_call(self):
+        return self.backends[0].send_heartbeat()
+
 
 class OperatorTest(UnfinishedRequestTests, UnreadResponseTests,
                    UntrustedClientTestCase):
@@ -415,6 +429,9 @@
     def address(self):
         return self.operators[0]
 
+    def send_ordinary_call(self):
+        return send_request(self.address(), "GET", "/v1/config")[0]
+
     def read_head(self, size):
         return head("GET", "/v1/config", self.fields())
 
@@ -430,7 +447,10 @@
     method, path, body_bytes, body_clients = "POST", "/sync", 12 * MIB, 24
 
     def address(self):
-        return self.member
+        return f"127.0.0.11:{self.member_port}"
+
+    def send_ordinary_call(self):
+        return send_request(self.address(), "GET", "/metrics")[0]
 
     def read_head(self, size):
         return head("POST", "/configuration/read", {**self.fields(),
