--- a/modules/backend/src/Executor.cpp
+++ b/modules/backend/src/Executor.cpp
@@ -87,7 +87,7 @@
   job.m_isWrite = aRequest.method() != beast::http::verb::get &&
                   aRequest.method() != beast::http::verb::head;
   job.m_crashRequested = aRequest["X-Standin-Crash"] == "1";
-  job.m_body = std::move(aRequest.body());
+  job.m_body = aRequest.body().View();
   return job;
 }
 
--- a/modules/backend/src/LoadGenerator.cpp
+++ b/modules/backend/src/LoadGenerator.cpp
@@ -286,7 +286,7 @@
     return attempt;
   }
   attempt.m_status = aResult->result_int();
-  attempt.m_body = aResult->body();
+  attempt.m_body = aResult->body().View();
   const auto header = (*aResult)["Rattanloft-Outcome"];
   attempt.m_outcome = header.empty() ? "unmarked" : std::string(header);
   attempt.m_answered = attempt.m_outcome == "answered";
--- a/modules/control/src/OperatorServer.cpp
+++ b/modules/control/src/OperatorServer.cpp
@@ -121,7 +121,7 @@
       co_return ToHttpResponse(
         aRequest, MakeInvalidFieldResponse("", "malformed target"));
     }
-    request.m_body = std::move(aRequest.body());
+    request.m_body = aRequest.body().View();
     auto pending = std::make_shared<PendingResponse>(m_context);
     m_operatorApi.Handle(request, [pending](ApiResponse aResponse) {
       pending->Set(std::move(aResponse));
--- a/modules/coordinator/include/rattanloft/coordinator/Coordinator.h
+++ b/modules/coordinator/include/rattanloft/coordinator/Coordinator.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "rattanloft/coordinator/OperatorProtocol.h"
+#include "rattanloft/overload/MemoryBudget.h"
 
 namespace rattanloft::coordinator {
 
@@ -35,6 +36,10 @@
   // Number of coordinators that may be lost at the same time, including their
   // disks, without loss of confirmed data.
   uint32_t m_toleratedLosses = 0;
+  // Memory that requests, responses and connections may take in all.
+  size_t m_memoryBudgetBytes = overload::MemoryBudget::kDefaultLimitBytes;
+  // File descriptors that the process may use.
+  size_t m_maxOpenFiles = 4096;
 };
 
 struct CoordinatorError
--- a/modules/coordinator/src/ConfigurationService.cpp
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -77,7 +77,7 @@
   if (call == OperatorCall::kOther) {
     co_return MakeErrorResponse(status::not_found, "path", "unknown call");
   }
-  std::string body = std::move(aRequest.body());
+  std::string body(aRequest.body().View());
   if (!m_fleetControl.IsLeading()) {
     http::Response relayed = co_await RelayToLeader(call, std::move(body));
     co_return relayed;
@@ -96,7 +96,7 @@
     boost::beast::string_view(kReadPathSuffix.data(), kReadPathSuffix.size()));
   const OperatorCall call = read ? OperatorCall::kReadConfiguration
                                  : OperatorCall::kReplaceConfiguration;
-  std::string body = std::move(aRequest.body());
+  std::string body(aRequest.body().View());
   http::Response response = co_await Serve(call, std::move(body));
   co_return response;
 }
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -18,7 +18,10 @@
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/http/Client.h"
 #include "rattanloft/http/Endpoint.h"
+#include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
+#include "rattanloft/overload/ConnectionLimits.h"
+#include "rattanloft/overload/MemoryBudget.h"
 #include "rattanloft/storage/DataFolder.h"
 #include "rattanloft/storage/FileLogStore.h"
 #include "rattanloft/storage/FileSnapshotStore.h"
@@ -46,6 +49,13 @@
 // Above the largest configuration that a command of the log can hold. The
 // parsed form of a document may take 25 times as much.
 constexpr uint64_t kMaxOperatorBodyBytes = 2 * 1024 * 1024;
+// Connections of the listeners and of the client if there are file descriptors
+// enough: the limits of earlier releases.
+constexpr size_t kListenerConnections = 1064;
+constexpr size_t kClientConnections = 512;
+// Names of the listeners in metrics.
+constexpr std::string_view kOperatorListener = "operators";
+constexpr std::string_view kMemberListener = "members";
 
 // Whether this replica votes, that is, is a member and not a learner.
 bool
@@ -68,15 +78,25 @@
 {
 public:
   CoordinatorImpl(CoordinatorOptions aOptions,
-                  const OperatorProtocol& aProtocol)
+                  const OperatorProtocol& aProtocol,
+                  overload::ConnectionLimits aConnections)
     : m_options(std::move(aOptions))
     , m_protocol(aProtocol)
+    , m_connectionLimits(std::move(aConnections))
+    , m_memoryBudget(
+        std::make_shared<overload::MemoryBudget>(m_options.m_memoryBudgetBytes,
+                                                 m_clock))
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
     , m_joinRetryTimer(m_context)
   {
     http::ClientOptions options;
     options.m_connectTimeout = Milliseconds(300);
+    options.m_memoryBudget = m_memoryBudget;
+    options.m_maxTotalConnections = m_connectionLimits.Limit("client");
+    options.m_maxConnectionsPerPeer =
+      std::min(options.m_maxConnectionsPerPeer, options.m_maxTotalConnections);
+    http::LogMemoryStates(*m_memoryBudget);
     m_client = http::Client::Make(m_context, options);
   }
 
@@ -193,6 +213,7 @@
   }
 
   tl::expected<std::unique_ptr<http::Server>, CoordinatorError> Listen(
+    std::string_view aName,
     const std::string& aAddress,
     uint64_t aMaxBodyBytes,
     http::Server::Handler aHandler)
@@ -206,6 +227,12 @@
     options.m_address = endpoint->address().to_string();
     options.m_port = endpoint->port();
     options.m_maxBodyBytes = aMaxBodyBytes;
+    options.m_memoryBudget = m_memoryBudget;
+    const size_t limit = m_connectionLimits.Limit(aName);
+    options.m_maxRejectedConnections =
+      std::min(options.m_maxRejectedConnections, limit / 4);
+    options.m_maxConnections = limit - options.m_maxRejectedConnections;
+    options.m_isControl = aName == kMemberListener;
     auto server =
       http::Server::Make(m_context, std::move(options), std::move(aHandler));
     if (!server) {
@@ -217,6 +244,7 @@
   tl::expected<void, CoordinatorError> OpenListeners()
   {
     auto internal = Listen(
+      kMemberListener,
       m_options.m_internalAddress,
       kMaxBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
@@ -227,6 +255,7 @@
     }
     m_internalServer = std::move(*internal);
     auto control = Listen(
+      kOperatorListener,
       m_options.m_controlAddress,
       kMaxOperatorBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
@@ -263,20 +292,20 @@
     co_return MakeResponse(status::not_found, "unknown call\n");
   }
 
-  http::Response OnRaftBatch(const std::string& aBody)
+  http::Response OnRaftBatch(const http::Body& aBody)
   {
     wire::RaftBatch batch;
-    if (!batch.ParseFromString(aBody)) {
+    if (!http::ParseMessage(aBody, batch)) {
       return MakeResponse(status::bad_request, "unreadable batch\n");
     }
     return MakeResponse(status::ok,
                         m_fleetControl->OnRaftBatch(batch).SerializeAsString());
   }
 
-  asio::awaitable<http::Response> OnSync(const std::string& aBody)
+  asio::awaitable<http::Response> OnSync(const http::Body& aBody)
   {
     wire::FleetSyncRequest request;
-    if (!request.ParseFromString(aBody)) {
+    if (!http::ParseMessage(aBody, request)) {
       co_return MakeResponse(status::bad_request, "unreadable sync\n");
     }
     wire::FleetSyncReply reply =
@@ -284,10 +313,10 @@
     co_return MakeResponse(status::ok, reply.SerializeAsString());
   }
 
-  http::Response OnJoin(const std::string& aBody)
+  http::Response OnJoin(const http::Body& aBody)
   {
     wire::JoinRequest request;
-    if (!request.ParseFromString(aBody) || request.replica_id() == 0) {
+    if (!http::ParseMessage(aBody, request) || request.replica_id() == 0) {
       return MakeResponse(status::bad_request, "unreadable join\n");
     }
     return MakeResponse(status::ok,
@@ -312,7 +341,11 @@
                        log.m_leaderId != 0 ? 1 : 0,
                        log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
-                       m_fleetControl->CountSidecars());
+                       m_fleetControl->CountSidecars()) +
+           http::FormatOverloadMetrics(
+             *m_memoryBudget,
+             { { kOperatorListener, m_operatorServer.get() },
+               { kMemberListener, m_internalServer.get() } });
   }
 
   // Returns the internal addresses of other coordinators, from the seeds and
@@ -367,7 +400,7 @@
       co_await m_client->Exchange(
         aContact, std::move(request), kJoinCallTimeout);
     wire::JoinReply reply;
-    if (!response || !reply.ParseFromString(response->body()) ||
+    if (!response || !http::ParseMessage(response->body(), reply) ||
         reply.leader_address() == aContact) {
       co_return std::string();
     }
@@ -405,6 +438,8 @@
   CoordinatorOptions m_options;
   const OperatorProtocol& m_protocol;
   BootClock m_clock;
+  overload::ConnectionLimits m_connectionLimits;
+  std::shared_ptr<overload::MemoryBudget> m_memoryBudget;
   asio::io_context m_context{ 1 };
   asio::signal_set m_stopSignals;
   asio::signal_set m_reloadSignals;
@@ -429,8 +464,25 @@
 Coordinator::Make(CoordinatorOptions aOptions,
                   const OperatorProtocol& aProtocol)
 {
-  auto coordinator =
-    std::make_unique<CoordinatorImpl>(std::move(aOptions), aProtocol);
+  // One body of the largest size, for which a batch of the log is read.
+  if (overload::MemoryBudget::MaxChargeBytes(aOptions.m_memoryBudgetBytes,
+                                             overload::ChargeKind::kLargeBody) <
+      kMaxBodyBytes) {
+    return tl::unexpected(CoordinatorError{ fmt::format(
+      "a memory budget of {} bytes has no room for a body of {} bytes",
+      aOptions.m_memoryBudgetBytes,
+      kMaxBodyBytes) });
+  }
+  auto connections = overload::ConnectionLimits::Make(
+    aOptions.m_maxOpenFiles,
+    { { std::string(kOperatorListener), kListenerConnections },
+      { std::string(kMemberListener), kListenerConnections },
+      { "client", kClientConnections } });
+  if (!connections) {
+    return tl::unexpected(CoordinatorError{ connections.error() });
+  }
+  auto coordinator = std::make_unique<CoordinatorImpl>(
+    std::move(aOptions), aProtocol, std::move(*connections));
   if (auto opened = coordinator->Open(); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -151,7 +151,7 @@
   tl::expected<http::Response, http::HttpError> response =
     co_await m_client.Exchange(aAddress, std::move(request), kDeliverTimeout);
   wire::DeliverReply reply;
-  const bool ok = response && reply.ParseFromString(response->body());
+  const bool ok = response && http::ParseMessage(response->body(), reply);
   OnDelivered(aReplicaId, ok, reply);
 }
 
--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -11,6 +11,7 @@
 
 #include "rattanloft/base/Time.h"
 #include "rattanloft/http/Types.h"
+#include "rattanloft/overload/MemoryBudget.h"
 
 namespace rattanloft::http {
 
@@ -31,6 +32,9 @@
   // limit also applies to the header of each chunk and to the trailer fields.
   uint32_t m_maxHeaderBytes = 64 * 1024;
   uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
+  // Responses are charged to it as they are read. One that does not fit is a
+  // kConnectionBroken error. If null, the client has one of its own.
+  std::shared_ptr<overload::MemoryBudget> m_memoryBudget;
   // Exchanges that may wait for a connection; further ones fail at once with
   // kPoolFull.
   size_t m_maxWaitingExchanges = 1000;
--- a/modules/http/include/rattanloft/http/Server.h
+++ b/modules/http/include/rattanloft/http/Server.h
@@ -13,6 +13,7 @@
 
 #include "rattanloft/base/Time.h"
 #include "rattanloft/http/Types.h"
+#include "rattanloft/overload/MemoryBudget.h"
 
 namespace rattanloft::http {
 
@@ -21,11 +22,24 @@
   // IP address and port to listen on. Port 0 lets the system choose a free one.
   std::string m_address = "127.0.0.1";
   uint16_t m_port = 0;
-  // Further connections are answered with 503 and closed.
+  // At this limit a new connection takes the place of the one that has made no
+  // progress for longest. If all of them make progress or run a request, the
+  // new one is answered with 503 and closed.
   size_t m_maxConnections = 1000;
+  // Connections above the maximum that may be open at once to deliver their 503
+  // response. Further ones are closed without a response.
+  size_t m_maxRejectedConnections = 64;
+  // Everything that grows with what clients send is charged to it. If null, the
+  // server has one of its own.
+  std::shared_ptr<overload::MemoryBudget> m_memoryBudget;
+  // Serves control calls, whose bodies may use the whole budget.
+  bool m_isControl = false;
   // Also limits the header of each chunk and the trailer fields.
   uint32_t m_maxHeaderBytes = 16 * 1024;
   uint64_t m_maxBodyBytes = 1024 * 1024;
+  // Returns a limit of the body that may change while the server runs; the
+  // lower of the two applies. May be empty.
+  std::function<uint64_t()> m_currentMaxBodyBytes;
   // Limits the time from the first byte of a request to its last.
   Duration m_readTimeout = Seconds(10);
   // Limits how long a connection may be idle. Longer than the 30 s of the
@@ -47,9 +61,21 @@
   std::function<bool(const Response&, int)> m_beforeWrite;
 };
 
+struct ServerCounters
+{
+  // Requests and responses that were given up to free memory.
+  uint64_t m_requestsReclaimed = 0;
+  // Requests that were refused for lack of memory.
+  uint64_t m_bodiesRefused = 0;
+  // Connections that were closed to make room for new ones.
+  uint64_t m_connectionsReclaimed = 0;
+};
+
 // An HTTP/1.1 server, for an io_context that one thread runs. Not thread-safe.
 // Malformed requests are answered with 400, oversize headers with 431, oversize
-// bodies with 413 and requests that are not received in time with 408. None of
+// bodies with 413 and requests that are not received in time with 408. Requests
+// that do not fit into the memory budget are answered with 503, and requests
+// that have stalled may be answered with 408 to make room for others. None of
 // these reaches the handler.
 class Server
 {
@@ -75,6 +101,7 @@
   // The port that the server listens on.
   virtual uint16_t Port() const = 0;
   virtual size_t ConnectionCount() const = 0;
+  virtual const ServerCounters& Counters() const = 0;
   // Stops gracefully. After the grace period it stops accepting connections and
   // closes idle ones. Running requests finish, and their connections are closed
   // after the response. Completes when no connection is left.
--- a/modules/http/include/rattanloft/http/Types.h
+++ b/modules/http/include/rattanloft/http/Types.h
@@ -5,12 +5,13 @@
 #include <string>
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+
+#include "rattanloft/http/Body.h"
 
 namespace rattanloft::http {
 
-using Request = boost::beast::http::request<boost::beast::http::string_body>;
-using Response = boost::beast::http::response<boost::beast::http::string_body>;
+using Request = boost::beast::http::request<BodyType>;
+using Response = boost::beast::http::response<BodyType>;
 
 enum class HttpErrorCode
 {
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -45,7 +45,7 @@
 constexpr size_t kMaxEchoesPerConnection = 1024;
 
 using Fields = beast::http::fields;
-using Parser = beast::http::response_parser<beast::http::string_body>;
+using Parser = beast::http::response_parser<BodyType>;
 
 void
 SetSocketOptions(tcp::socket& aSocket)
@@ -442,7 +442,8 @@
       co_await ReadHeader<false>(m_connection->m_socket,
                                  m_connection->m_buffer,
                                  *aParser,
-                                 m_pool->Options().m_maxHeaderBytes);
+                                 m_pool->Options().m_maxHeaderBytes,
+                                 [](size_t, size_t) { return true; });
     if (error ||
         to_status_class(aParser->get().result()) !=
           status_class::informational ||
@@ -474,6 +475,17 @@
       HttpErrorCode::kConnectionBroken, true, "read from", framingError));
   }
   if (!parser->is_done()) {
+    Body& body = parser->get().body();
+    body.StartCharging(m_pool->Options().m_memoryBudget,
+                       overload::ChargeKind::kControl);
+    const auto length = parser->content_length();
+    if (length && !body.Reserve(*length)) {
+      co_return tl::unexpected(
+        MakeError(HttpErrorCode::kConnectionBroken,
+                  true,
+                  fmt::format("read the body of {} bytes from", *length),
+                  "no memory left"));
+    }
     auto [bodyError, byteCount] =
       co_await beast::http::async_read(m_connection->m_socket,
                                        m_connection->m_buffer,
@@ -596,7 +608,10 @@
 std::unique_ptr<Client>
 Client::Make(asio::io_context& aContext, ClientOptions aOptions)
 {
-  return std::make_unique<ClientImpl>(aContext, aOptions);
+  if (!aOptions.m_memoryBudget) {
+    aOptions.m_memoryBudget = overload::MemoryBudget::MakeDefault();
+  }
+  return std::make_unique<ClientImpl>(aContext, std::move(aOptions));
 }
 
 } // namespace rattanloft::http
--- a/modules/http/src/ConnectionPool.cpp
+++ b/modules/http/src/ConnectionPool.cpp
@@ -30,7 +30,7 @@
 ConnectionPool::ConnectionPool(boost::asio::io_context& aContext,
                                ClientOptions aOptions)
   : m_context(aContext)
-  , m_options(aOptions)
+  , m_options(std::move(aOptions))
   , m_sweepTimer(aContext)
 {
 }
--- a/modules/http/src/ReadHeader.h
+++ b/modules/http/src/ReadHeader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include <boost/asio/as_tuple.hpp>
@@ -18,12 +19,15 @@
 // only to bytes that are not parsed yet, so that a peer that sends the fields
 // one by one is never above it. Fails with header_limit if the header is
 // incomplete after twice aMaxBytes. aMaxBytes is also set as header_limit().
-template<bool kIsRequest>
+// aAdmit(bytes, lines) is called with what was received so far before it is
+// parsed; if it returns false, the result is not_enough_memory.
+template<bool kIsRequest, typename Admit>
 boost::asio::awaitable<boost::beast::error_code>
 ReadHeader(boost::asio::ip::tcp::socket& aSocket,
            boost::beast::flat_buffer& aBuffer,
            boost::beast::http::basic_parser<kIsRequest>& aParser,
-           uint32_t aMaxBytes)
+           uint32_t aMaxBytes,
+           Admit aAdmit)
 {
   namespace asio = boost::asio;
   namespace beast = boost::beast;
@@ -32,9 +36,15 @@
   aParser.header_limit(aMaxBytes);
   const size_t maxTotalBytes = size_t{ 2 } * aMaxBytes;
   size_t parsedBytes = 0;
+  size_t lineCount = 0;
   while (true) {
     beast::error_code result = error::need_more;
     if (aBuffer.size() > 0) {
+      const auto* const input = static_cast<const char*>(aBuffer.data().data());
+      lineCount += std::count(input, input + aBuffer.size(), '\n');
+      if (!aAdmit(parsedBytes + aBuffer.size(), lineCount)) {
+        co_return make_error_code(boost::system::errc::not_enough_memory);
+      }
       const size_t usedBytes = aParser.put(aBuffer.data(), result);
       aBuffer.consume(usedBytes);
       parsedBytes += usedBytes;
--- a/modules/http/src/Server.cpp
+++ b/modules/http/src/Server.cpp
@@ -21,26 +21,32 @@
 
 // Makes operations return their error code instead of throwing.
 constexpr auto kUseAwaitableTuple = asio::as_tuple(asio::use_awaitable);
-// Connections above the maximum that may be open at once to deliver their 503
-// response. Further ones are closed without a response.
-constexpr size_t kMaxRejectedConnections = 64;
 constexpr Duration kMaxDeadlineSweepInterval = Milliseconds(250);
 // Delay after a failed accept.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
+// Time between log lines about failed accepts.
+constexpr Duration kAcceptLogInterval = Seconds(5);
 
 void
 StartSession(const std::shared_ptr<ServerState>& aServerState,
              tcp::socket aSocket)
 {
   const auto executor = aSocket.get_executor();
+  const ServerOptions& options = aServerState->m_options;
   const size_t openCount = aServerState->m_sessions.size();
-  const size_t maxConnections = aServerState->m_options.m_maxConnections;
-  if (openCount >= maxConnections + kMaxRejectedConnections) {
+  const bool isFull =
+    openCount >= options.m_maxConnections && !aServerState->EvictConnection();
+  // Connections that are being closed count as well.
+  if (openCount >=
+      options.m_maxConnections + options.m_maxRejectedConnections) {
     return;
   }
   const auto session =
     std::make_shared<ServerSession>(aServerState, std::move(aSocket));
-  if (openCount >= maxConnections) {
+  if (!session->TryChargeConnection()) {
+    return;
+  }
+  if (isFull) {
     asio::co_spawn(executor, session->RejectConnection(), asio::detached);
     return;
   }
@@ -50,6 +56,7 @@
 asio::awaitable<void>
 AcceptLoop(std::shared_ptr<ServerState> aServerState)
 {
+  TimePoint nextLogAt{};
   while (aServerState->m_acceptor.is_open()) {
     auto [error, socket] =
       co_await aServerState->m_acceptor.async_accept(kUseAwaitableTuple);
@@ -62,7 +69,17 @@
     }
     // The usual cause is too many open files. An immediate retry would fail
     // again and loop without a pause.
-    LogWarning("http", "cannot accept a connection: {}", error.message());
+    const bool isEvicted = aServerState->EvictConnection();
+    const TimePoint now = aServerState->m_clock.Now();
+    if (now >= nextLogAt) {
+      nextLogAt = now + kAcceptLogInterval;
+      LogWarning("http",
+                 "event=accept-failed port={} open={} evicted={} reason=\"{}\"",
+                 aServerState->m_options.m_port,
+                 aServerState->m_sessions.size(),
+                 isEvicted,
+                 error.message());
+    }
     asio::steady_timer retryTimer(aServerState->m_acceptor.get_executor(),
                                   kAcceptRetryDelay);
     co_await retryTimer.async_wait(kUseAwaitableTuple);
@@ -141,6 +158,10 @@
   {
     return m_serverState->m_sessions.size();
   }
+  const ServerCounters& Counters() const override
+  {
+    return m_serverState->m_counters;
+  }
   asio::awaitable<void> Stop() override;
 
 private:
--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -1,7 +1,6 @@
 #include "ServerSession.h"
 
 #include <algorithm>
-
 #include <array>
 #include <cerrno>
 #include <exception>
@@ -12,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <poll.h>
 #include <sys/socket.h>
@@ -38,6 +38,18 @@
 // connection, and the client could lose the response before it has read it.
 constexpr Duration kLingerTimeout = Milliseconds(1000);
 constexpr size_t kMaxLingerBytes = 4 * 1024 * 1024;
+// Sessions of a server that may linger at once; further ones close at once.
+constexpr size_t kMaxLingeringSessions = 256;
+// Charge of an idle connection: its buffer of kReadChunkBytes, the session and
+// the frames of its coroutines.
+constexpr size_t kIdleConnectionBytes = 8 * 1024;
+// Memory for each byte of a header, once in the parsed field and up to twice in
+// a buffer that has grown, and what a parsed field takes besides its text.
+constexpr size_t kHeaderMemoryFactor = 3;
+constexpr size_t kFieldBytes = 96;
+// How long a connection lingers at least before it makes room for another, so
+// that its client can read the response.
+constexpr Duration kMinLingerTime = Milliseconds(100);
 // How long a request whose client has ended its input waits for the reset that
 // a client which has closed the connection replies to an interim response.
 constexpr Duration kResetTimeout = Milliseconds(100);
@@ -98,6 +110,7 @@
                              tcp::socket aSocket)
   : m_serverState(std::move(aServerState))
   , m_socket(std::move(aSocket))
+  , m_charge(m_serverState->m_options.m_memoryBudget)
 {
   beast::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
@@ -121,7 +134,8 @@
 ServerSession::EnterState(State aState, Duration aTimeLimit)
 {
   m_state = aState;
-  m_deadline = m_serverState->m_clock.Now() + aTimeLimit;
+  m_lastProgress = m_serverState->m_clock.Now();
+  m_deadline = m_lastProgress + aTimeLimit;
 }
 
 void
@@ -130,12 +144,108 @@
   if (m_state == State::kRunningHandler || aNow < m_deadline) {
     return;
   }
+  if (m_state == State::kReadingRequest) {
+    AbortRead();
+    return;
+  }
   m_timedOut = true;
+  Close();
+}
+
+void
+ServerSession::AbortRead()
+{
+  // Makes ReadRequest() respond with 408. A cancellation has no effect on a
+  // read whose completion is already queued, so it is repeated in each sweep.
+  m_timedOut = true;
+  m_deadline = std::min(m_deadline, m_serverState->m_clock.Now());
+  beast::error_code ignored;
+  m_socket.cancel(ignored);
+}
+
+bool
+ServerSession::TryChargeConnection()
+{
+  return m_charge.Resize(kIdleConnectionBytes, overload::ChargeKind::kControl);
+}
+
+bool
+ServerSession::AdmitHeader(size_t aBytes, size_t aLines)
+{
+  m_lastProgress = m_serverState->m_clock.Now();
+  return m_charge.Resize(kIdleConnectionBytes + kHeaderMemoryFactor * aBytes +
+                           kFieldBytes * aLines,
+                         overload::ChargeKind::kControl);
+}
+
+void
+ServerSession::ReleaseSpareMemory()
+{
+  if (m_buffer.capacity() > kReadChunkBytes) {
+    m_buffer.shrink_to_fit();
+  }
+  // To shrink a charge always succeeds.
+  (void)m_charge.Resize(kIdleConnectionBytes, overload::ChargeKind::kControl);
+}
+
+size_t
+ServerSession::ReclaimableBytes() const
+{
+  const bool isReading = m_state == State::kReadingRequest && !m_timedOut;
+  if (!m_socket.is_open() || (!isReading && !IsWritingResponse())) {
+    return 0;
+  }
+  return m_charge.Bytes() - std::min(m_charge.Bytes(), kIdleConnectionBytes) +
+         (m_activeBody != nullptr ? m_activeBody->ChargedBytes() : 0);
+}
+
+bool
+ServerSession::TryReclaim()
+{
+  if (IsWritingResponse()) {
+    Close();
+    return true;
+  }
+  // Input that waits in the socket shows that this process is slow, not the
+  // client.
+  if (!IsOpenWithoutInput()) {
+    return false;
+  }
+  if (m_activeBody != nullptr) {
+    m_activeBody->Discard();
+  }
+  AbortRead();
+  return true;
+}
+
+bool
+ServerSession::MayEvict(TimePoint aNow)
+{
+  const Duration stalledFor = aNow - m_lastProgress;
+  if (!m_socket.is_open()) {
+    return false;
+  }
+  switch (m_state) {
+    case State::kLingering:
+      return stalledFor >= kMinLingerTime;
+    case State::kIdle:
+    case State::kReadingRequest:
+      return !m_timedOut &&
+             stalledFor >= overload::ReclaimPolicy::kMinRequestStall &&
+             IsOpenWithoutInput();
+    case State::kWritingResponse:
+      return stalledFor >= overload::ReclaimPolicy::kMinResponseStall;
+    case State::kRunningHandler:
+      return false;
+  }
+  return false;
+}
+
+void
+ServerSession::Evict()
+{
   if (m_state == State::kReadingRequest) {
-    // Makes ReadRequest() respond with 408. A cancellation has no effect on a
-    // read whose completion is already queued, so it is repeated in each sweep.
-    beast::error_code ignored;
-    m_socket.cancel(ignored);
+    AbortRead();
     return;
   }
   Close();
@@ -210,6 +320,7 @@
   if (m_buffer.size() > 0) {
     co_return true;
   }
+  ReleaseSpareMemory();
   EnterState(State::kIdle, m_serverState->m_options.m_idleTimeout);
   if (m_serverState->m_closeIdleSessions && IsOpenWithoutInput()) {
     if (m_hasServedRequest) {
@@ -228,9 +339,15 @@
 {
   EnterState(State::kReadingRequest, m_serverState->m_options.m_readTimeout);
   RequestParser parser;
-  parser.body_limit(m_serverState->m_options.m_maxBodyBytes);
-  beast::error_code error = co_await ReadHeader<true>(
-    m_socket, m_buffer, parser, m_serverState->m_options.m_maxHeaderBytes);
+  parser.body_limit(m_serverState->MaxBodyBytes());
+  beast::error_code error =
+    co_await ReadHeader<true>(m_socket,
+                              m_buffer,
+                              parser,
+                              m_serverState->m_options.m_maxHeaderBytes,
+                              [this](size_t aBytes, size_t aLines) {
+                                return AdmitHeader(aBytes, aLines);
+                              });
   size_t headerFieldCount = 0;
   std::string_view headerError;
   if (!error) {
@@ -239,8 +356,12 @@
     headerFieldCount = CountFields(head);
     headerError = FindHeaderError(head);
     if (headerError.empty() && !parser.is_done() && !m_timedOut) {
-      co_await ContinueIfExpected(head);
-      error = co_await ReadBody(parser);
+      if (AdmitBody(parser)) {
+        co_await ContinueIfExpected(head);
+        error = co_await ReadBody(parser);
+      } else {
+        error = make_error_code(boost::system::errc::not_enough_memory);
+      }
       // The parser adds trailer fields to the header, after the header has been
       // checked.
       if (!error && CountFields(parser.get()) != headerFieldCount) {
@@ -248,10 +369,28 @@
       }
     }
   }
+  m_activeBody = nullptr;
+  if (m_timedOut || error || !headerError.empty()) {
+    parser.get().body().clear();
+  }
   if (m_timedOut && m_socket.is_open()) {
     co_await RefuseRequest(status::request_timeout, "request took too long");
     co_return std::nullopt;
   }
+  if (error == boost::system::errc::not_enough_memory) {
+    ++m_serverState->m_counters.m_bodiesRefused;
+    if (m_serverState->MayLogDecision()) {
+      const bool hasHeader = parser.is_header_done();
+      LogInfo("http",
+              "event=body-refused port={} declared={} charged={} limit={}",
+              m_serverState->m_options.m_port,
+              hasHeader ? parser.content_length().value_or(0) : 0,
+              m_serverState->m_options.m_memoryBudget->ChargedBytes(),
+              m_serverState->m_options.m_memoryBudget->LimitBytes());
+    }
+    co_await RefuseRequest(status::service_unavailable, "no memory left");
+    co_return std::nullopt;
+  }
   if (!headerError.empty()) {
     co_await RefuseRequest(status::bad_request, headerError);
     co_return std::nullopt;
@@ -267,6 +406,20 @@
   co_return parser.release();
 }
 
+bool
+ServerSession::AdmitBody(RequestParser& aParser)
+{
+  const ServerOptions& options = m_serverState->m_options;
+  Body& body = aParser.get().body();
+  body.StartCharging(options.m_memoryBudget,
+                     options.m_isControl
+                       ? std::optional(overload::ChargeKind::kControl)
+                       : std::nullopt);
+  m_activeBody = &body;
+  const auto length = aParser.content_length();
+  return !length || body.Reserve(*length);
+}
+
 // Reads up to the end of the request, an error or the read timeout. Checks the
 // timeout after each read: one that finds input at once is never cancelled by
 // CheckDeadline(), and an operation of Beast that parses goes on reading while
@@ -297,6 +450,7 @@
     auto [readError, byteCount] = co_await m_socket.async_read_some(
       m_buffer.prepare(readSize), kUseAwaitableTuple);
     m_buffer.commit(byteCount);
+    m_lastProgress = m_serverState->m_clock.Now();
     if (readError) {
       co_return readError;
     }
@@ -362,6 +516,16 @@
     Close();
     co_return false;
   }
+  if (!ChargeResponse(response)) {
+    LogInfo("http",
+            "event=response-dropped port={} bytes={} charged={} limit={}",
+            m_serverState->m_options.m_port,
+            response.body().size(),
+            m_serverState->m_options.m_memoryBudget->ChargedBytes(),
+            m_serverState->m_options.m_memoryBudget->LimitBytes());
+    Close();
+    co_return false;
+  }
   const bool isWritten = co_await WriteResponse(response);
   co_return isWritten&& keepAlive;
 }
@@ -399,8 +563,18 @@
 ServerSession::WriteResponse(Response& aResponse)
 {
   EnterState(State::kWritingResponse, m_serverState->m_options.m_writeTimeout);
-  auto [error, byteCount] =
-    co_await beast::http::async_write(m_socket, aResponse, kUseAwaitableTuple);
+  m_activeBody = &aResponse.body();
+  beast::http::response_serializer<BodyType> serializer(aResponse);
+  beast::error_code error;
+  while (!error && !serializer.is_done()) {
+    auto [writeError, byteCount] = co_await beast::http::async_write_some(
+      m_socket, serializer, kUseAwaitableTuple);
+    error = writeError;
+    if (!serializer.is_done()) {
+      m_lastProgress = m_serverState->m_clock.Now();
+    }
+  }
+  m_activeBody = nullptr;
   if (error) {
     LogDebug("http", "response not delivered: {}", error.message());
     Close();
@@ -408,6 +582,17 @@
   co_return !error;
 }
 
+// A response of a Client is charged already. Small ones are covered by the
+// charge of the connection.
+bool
+ServerSession::ChargeResponse(const Response& aResponse)
+{
+  const Body& body = aResponse.body();
+  return body.size() <= kReadChunkBytes || body.ChargedBytes() > 0 ||
+         m_charge.Resize(m_charge.Bytes() + body.size(),
+                         overload::ChargeKind::kControl);
+}
+
 asio::awaitable<void>
 ServerSession::RefuseRequest(status aStatus, std::string_view aReason)
 {
@@ -438,11 +623,17 @@
 asio::awaitable<void>
 ServerSession::LingerBeforeClose()
 {
+  size_t& lingeringCount = m_serverState->m_lingeringCount;
+  if (lingeringCount >= kMaxLingeringSessions) {
+    co_return;
+  }
+  ++lingeringCount;
   EnterState(State::kLingering, kLingerTimeout);
   m_timedOut = false;
   beast::error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   m_buffer.clear();
+  ReleaseSpareMemory();
   size_t discardedBytes = 0;
   while (discardedBytes < kMaxLingerBytes) {
     auto [error, byteCount] = co_await m_socket.async_read_some(
@@ -452,6 +643,7 @@
     }
     discardedBytes += byteCount;
   }
+  --lingeringCount;
 }
 
 void
--- a/modules/http/src/ServerSession.h
+++ b/modules/http/src/ServerSession.h
@@ -2,53 +2,16 @@
 
 #include <memory>
 #include <optional>
-#include <unordered_set>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
-#include "rattanloft/base/Clock.h"
-#include "rattanloft/http/Server.h"
+#include "ServerState.h"
+#include "rattanloft/overload/MemoryCharge.h"
 
 namespace rattanloft::http {
 
-class ServerSession;
-
-// The state that a server shares with its sessions. Kept alive by the server
-// and by each of its coroutines. Used on the server's thread only.
-struct ServerState
-{
-  ServerState(boost::asio::io_context& aContext,
-              ServerOptions aOptions,
-              Server::Handler aHandler)
-    : m_options(std::move(aOptions))
-    , m_handler(std::move(aHandler))
-    , m_acceptor(aContext)
-    , m_sweepTimer(aContext)
-    , m_noSessionsTimer(aContext)
-  {
-  }
-
-  ServerOptions m_options;
-  Server::Handler m_handler;
-  boost::asio::ip::tcp::acceptor m_acceptor;
-  // One timer checks the deadlines of all sessions, so that a request needs no
-  // timer operation of its own.
-  boost::asio::steady_timer m_sweepTimer;
-  // Never expires; cancelled when the last session ends.
-  boost::asio::steady_timer m_noSessionsTimer;
-  // Sessions add and remove themselves.
-  std::unordered_set<ServerSession*> m_sessions;
-  BootClock m_clock;
-  // Stop() was called: responses carry Connection: close.
-  bool m_stopping = false;
-  // The grace period of Stop() is over: idle connections are closed.
-  bool m_closeIdleSessions = false;
-};
-
 // One connection of a server. Reads a request only after it has written the
 // response to the previous one. Used on the server's thread only.
 class ServerSession : public std::enable_shared_from_this<ServerSession>
@@ -60,6 +23,9 @@
   ServerSession(const ServerSession&) = delete;
   ServerSession& operator=(const ServerSession&) = delete;
 
+  // Charges what an idle connection needs. If this fails, the session must not
+  // be run.
+  bool TryChargeConnection();
   // Serves requests until the connection is closed.
   boost::asio::awaitable<void> RunRequestLoop();
   // Responds with 503, without reading a request, and closes the connection.
@@ -71,9 +37,23 @@
   void CloseIfIdle();
   void Close();
 
+  // Bytes that become free if the request that is being received, or the
+  // response that is being sent, is given up.
+  size_t ReclaimableBytes() const;
+  // Gives up the request with 408, or the response by closing the connection.
+  // Returns false if the client has made progress that is not processed yet.
+  bool TryReclaim();
+  // Whether the connection has stalled and may be closed to make room for
+  // another.
+  bool MayEvict(TimePoint aNow);
+  void Evict();
+  // When a byte was last received or sent, or the state was entered.
+  TimePoint LastProgress() const { return m_lastProgress; }
+  bool IsWritingResponse() const { return m_state == State::kWritingResponse; }
+  bool HasServedRequest() const { return m_hasServedRequest; }
+
 private:
-  using RequestParser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using RequestParser = boost::beast::http::request_parser<BodyType>;
 
   enum class State
   {
@@ -93,6 +73,17 @@
   boost::asio::awaitable<std::optional<Request>> ReadRequest();
   boost::asio::awaitable<boost::beast::error_code> ReadBody(
     RequestParser& aParser);
+  // Charges the body, as far as its length is declared. Returns false if it
+  // does not fit.
+  bool AdmitBody(RequestParser& aParser);
+  // Returns false if the received part of the header cannot be charged.
+  bool AdmitHeader(size_t aBytes, size_t aLines);
+  // Returns false if the response cannot be charged.
+  bool ChargeResponse(const Response& aResponse);
+  // Frees what is not needed while the connection is idle.
+  void ReleaseSpareMemory();
+  // Ends the read of a request; it is then answered with 408.
+  void AbortRead();
   boost::asio::awaitable<void> ContinueIfExpected(const Request& aRequest);
   // Returns whether the connection stays open for another request.
   boost::asio::awaitable<bool> ServeRequest(Request aRequest);
@@ -129,6 +120,12 @@
   boost::beast::flat_buffer m_buffer;
   State m_state = State::kIdle;
   TimePoint m_deadline{};
+  TimePoint m_lastProgress{};
+  // For the connection and for the header of its request.
+  overload::MemoryCharge m_charge;
+  // Body of the request that is being received, or of the response that is
+  // being sent.
+  Body* m_activeBody = nullptr;
   // The deadline of the current state has passed.
   bool m_timedOut = false;
   bool m_clientGone = false;
--- a/modules/http/tests/ClientTest.cpp
+++ b/modules/http/tests/ClientTest.cpp
@@ -535,7 +535,7 @@
     {},
     [](Request aRequest,
        std::shared_ptr<CancelToken>) -> asio::awaitable<Response> {
-      const int number = std::stoi(aRequest.body());
+      const int number = std::stoi(std::string(aRequest.body().View()));
       co_await Sleep(Milliseconds(number % 7 == 0 ? 40 : number % 5));
       Response response;
       response.body() = aRequest.body();
--- a/modules/http/tests/EndlessResponseTest.cpp
+++ b/modules/http/tests/EndlessResponseTest.cpp
@@ -322,7 +322,8 @@
     Request request = MakeRequest("/");
     const ExchangeResult result = co_await client->Exchange(
       LoopbackAddress(peer.Port()), std::move(request), Seconds(2));
-    bodies.push_back(result ? result->body() : result.error().m_message);
+    bodies.push_back(result ? std::string(result->body().View())
+                            : result.error().m_message);
   };
   RunTest(context, [&]() -> asio::awaitable<void> {
     asio::co_spawn(context, exchange(), asio::detached);
--- a/modules/http/tests/HttpBench.cpp
+++ b/modules/http/tests/HttpBench.cpp
@@ -52,7 +52,7 @@
     Request request;
     request.method(boost::beast::http::verb::post);
     request.target("/catalogue/stand-17/1");
-    request.body().assign(200, 'x');
+    request.body() = std::string(200, 'x');
     const tl::expected<Response, HttpError> result =
       co_await aBenchRun.m_client.Exchange(
         aBenchRun.m_peer, std::move(request), Seconds(5), nullptr);
--- a/modules/http/tests/ServerTest.cpp
+++ b/modules/http/tests/ServerTest.cpp
@@ -8,7 +8,8 @@
 EchoHandler(Request aRequest, std::shared_ptr<CancelToken>)
 {
   Response response;
-  response.body() = std::string(aRequest.target()) + "|" + aRequest.body();
+  std::string text = std::string(aRequest.target()) + "|";
+  response.body() = text.append(aRequest.body().View());
   co_return response;
 }
 
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -319,7 +319,7 @@
                            request.m_idempotencyKey,
                            { response.result_int(),
                              std::string(response["Content-Type"]),
-                             response.body(),
+                             std::string(response.body().View()),
                              false },
                            m_context.m_clock.Now());
       co_await CopyRecord(run, false);
--- a/modules/node/src/RecordService.cpp
+++ b/modules/node/src/RecordService.cpp
@@ -156,7 +156,7 @@
 RecordService::HandleRecordPut(const http::Request& aRequest)
 {
   wire::RecordPut put;
-  if (!put.ParseFromString(aRequest.body())) {
+  if (!http::ParseMessage(aRequest.body(), put)) {
     return MakePlainResponse(400, "malformed record put");
   }
   const TimePoint now = m_context.m_clock.Now();
@@ -183,7 +183,7 @@
 RecordService::HandleRecordFetch(const http::Request& aRequest)
 {
   wire::RecordFetch fetch;
-  if (!fetch.ParseFromString(aRequest.body()) ||
+  if (!http::ParseMessage(aRequest.body(), fetch) ||
       fetch.shards_size() != fetch.epochs_size()) {
     return MakePlainResponse(400, "malformed record fetch");
   }
@@ -265,7 +265,7 @@
     kRecordFetchTimeout);
   wire::RecordFetchReply records;
   if (!reply || reply->result_int() != 200 ||
-      !records.ParseFromString(reply->body())) {
+      !http::ParseMessage(reply->body(), records)) {
     co_return false;
   }
   for (const wire::IdempotencyRecord& record : records.records()) {
--- a/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
+++ b/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "rattanloft/base/Time.h"
+#include "rattanloft/overload/MemoryBudget.h"
 #include "rattanloft/sidecar/BackendProtocol.h"
 
 namespace rattanloft::sidecar {
@@ -48,6 +49,10 @@
   // A backend server gets no requests any more once it has been draining for
   // this time.
   Duration m_drainTimeout = Seconds(2);
+  // Memory that requests, responses and connections may take in all.
+  size_t m_memoryBudgetBytes = overload::MemoryBudget::kDefaultLimitBytes;
+  // File descriptors that the process may use.
+  size_t m_maxOpenFiles = 4096;
 };
 
 struct SidecarError
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -164,7 +164,8 @@
   if (refusal) {
     AttemptResult result;
     result.m_outcome = AttemptOutcome::kNotRun;
-    result.m_reason = refusal->body().substr(0, refusal->body().size() - 1);
+    result.m_reason =
+      refusal->body().View().substr(0, refusal->body().size() - 1);
     CountNotRun(result.m_reason);
     LogOutcome(state, result, refusal->result_int());
     co_return std::move(*refusal);
@@ -376,8 +377,11 @@
                                    std::move(aCancel));
   const TimePoint now = m_clock.Now();
   if (response) {
-    m_endpointSelector.OnLoadReport(
-      instance, DecodeReportedLoad(*response), now);
+    // A listener that refuses a request does not know the load.
+    if (!FieldValue(*response, kLoadField).empty()) {
+      m_endpointSelector.OnLoadReport(
+        instance, DecodeReportedLoad(*response), now);
+    }
     AttemptResult result = DecodeAttemptResult(std::move(*response));
     if (result.m_reachedBackend) {
       m_endpointSelector.OnBackendResponse(
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -162,6 +162,21 @@
   return result;
 }
 
+std::vector<std::pair<std::string, std::string>>
+MakePeerRefusalFields()
+{
+  // The memory of the peer is in use for about as long as requests run.
+  constexpr Duration kRetryDelay = Milliseconds(200);
+  return {
+    { std::string(kOutcomeField),
+      std::string(AttemptOutcomeName(AttemptOutcome::kNotRun)) },
+    { std::string(kReasonField), "peer-refused" },
+    { std::string(kResultKindField),
+      std::string(ResultKindName(ResultKind::kOverloaded)) },
+    { std::string(kRetryAfterMsField), std::to_string(kRetryDelay.m_ms) },
+  };
+}
+
 http::Response
 EncodeAttemptResult(AttemptResult aResult, const ReportedLoad& aLoad)
 {
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -3,6 +3,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -88,6 +90,11 @@
                  Duration aRetryAfter,
                  bool aReachedBackend = false);
 
+// Header fields of the responses with which a listener refuses a request of a
+// peer before it is served. They state that it has not run.
+std::vector<std::pair<std::string, std::string>>
+MakePeerRefusalFields();
+
 // Converts between the result of an attempt and the response that a sidecar
 // sends to its peer. A response without an outcome field decodes as kUnknown.
 // The kind of a response without a kind field follows from the reason.
--- a/modules/sidecar/src/RangeCaller.cpp
+++ b/modules/sidecar/src/RangeCaller.cpp
@@ -18,20 +18,20 @@
 constexpr uint64_t kMaxAnswerBytes = 64 * 1024;
 
 http::ClientOptions
-MakeClientOptions()
+MakeClientOptions(http::ClientOptions aOptions)
 {
-  http::ClientOptions options;
-  options.m_connectTimeout = kConnectTimeout;
-  options.m_maxSendDelay = CallDelivery::kMaxSendDelay;
-  options.m_idleTimeout = kIdleTimeout;
-  options.m_maxBodyBytes = kMaxAnswerBytes;
-  return options;
+  aOptions.m_connectTimeout = kConnectTimeout;
+  aOptions.m_maxSendDelay = CallDelivery::kMaxSendDelay;
+  aOptions.m_idleTimeout = kIdleTimeout;
+  aOptions.m_maxBodyBytes = kMaxAnswerBytes;
+  return aOptions;
 }
 
 std::unique_ptr<http::Client>
-MakeReleaseClient(asio::io_context& aContext)
+MakeReleaseClient(asio::io_context& aContext,
+                  const http::ClientOptions& aOptions)
 {
-  http::ClientOptions options = MakeClientOptions();
+  http::ClientOptions options = MakeClientOptions(aOptions);
   options.m_maxConnectionAge = {};
   return http::Client::Make(aContext, options);
 }
@@ -59,6 +59,8 @@
                          const BackendProtocol& aProtocol,
                          LocalBackend& aLocalBackend,
                          std::string aBackendAddress,
+                         const http::ClientOptions& aGrantClientOptions,
+                         const http::ClientOptions& aReleaseClientOptions,
                          std::function<void()> aOnEnded)
   : m_context(aContext)
   , m_clock(aClock)
@@ -66,8 +68,9 @@
   , m_localBackend(aLocalBackend)
   , m_backendAddress(std::move(aBackendAddress))
   , m_onEnded(std::move(aOnEnded))
-  , m_grantClient(http::Client::Make(aContext, MakeClientOptions()))
-  , m_releaseClient(MakeReleaseClient(aContext))
+  , m_grantClient(
+      http::Client::Make(aContext, MakeClientOptions(aGrantClientOptions)))
+  , m_releaseClient(MakeReleaseClient(aContext, aReleaseClientOptions))
 {
 }
 
--- a/modules/sidecar/src/RangeCaller.h
+++ b/modules/sidecar/src/RangeCaller.h
@@ -19,12 +19,15 @@
 class RangeCaller
 {
 public:
-  // All references must outlive the caller. aOnEnded is called after each call.
+  // All references must outlive the caller. The options limit the connections
+  // and the memory of the clients. aOnEnded is called after each call.
   RangeCaller(boost::asio::io_context& aContext,
               const Clock& aClock,
               const BackendProtocol& aProtocol,
               LocalBackend& aLocalBackend,
               std::string aBackendAddress,
+              const http::ClientOptions& aGrantClientOptions,
+              const http::ClientOptions& aReleaseClientOptions,
               std::function<void()> aOnEnded);
 
   // Starts the calls that are due. Must be called after each change of the
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -20,12 +20,14 @@
 #include "LocalBackend.h"
 #include "RangeCaller.h"
 #include "RunningRequests.h"
+#include "SidecarLimits.h"
 #include "SyncClient.h"
 #include "WorkQueue.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
 #include "rattanloft/http/Endpoint.h"
+#include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
 
 namespace rattanloft::sidecar {
@@ -61,7 +63,6 @@
 // Requests that still run this long before they would be cut off get an answer
 // that says what is known of them.
 constexpr Duration kFinalAnswerTime = Milliseconds(300);
-constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 // A heartbeat with as many ranges as are accepted takes less.
 constexpr uint64_t kMaxBackendCallBytes = 256 * 1024;
 // Longer than the time for which callers keep idle connections: up to four
@@ -78,9 +79,12 @@
 class SidecarImpl final : public Sidecar
 {
 public:
-  SidecarImpl(SidecarOptions aOptions, const BackendProtocol& aProtocol)
+  SidecarImpl(SidecarOptions aOptions,
+              const BackendProtocol& aProtocol,
+              SidecarLimits aLimits)
     : m_options(std::move(aOptions))
     , m_protocol(aProtocol)
+    , m_limits(std::move(aLimits))
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
     , m_tickTimer(m_context)
@@ -92,7 +96,7 @@
     , m_peerClient(MakePeerClient())
     , m_backendClient(MakeBackendClient())
     , m_controlClient(
-        http::Client::Make(m_context, SyncClient::MakeClientOptions()))
+        MakeClient("control-client", SyncClient::MakeClientOptions()))
     , m_quarantine(m_context,
                    m_clock,
                    *m_backendClient,
@@ -130,8 +134,11 @@
                     m_protocol,
                     m_localBackend,
                     m_options.m_backendAddress,
+                    MakeLimitedOptions("grant-client", {}),
+                    MakeLimitedOptions("release-client", {}),
                     [this] { OnRangesChanged(); })
   {
+    http::LogMemoryStates(m_limits.Budget());
     m_syncClient.SetReplyCallback([this] { OnReplyApplied(); });
   }
 
@@ -140,46 +147,58 @@
   {
     const struct
     {
+      std::string_view m_name;
       const std::string* m_address;
       std::unique_ptr<http::Server>* m_server;
       http::Server::Handler m_handler;
-      uint64_t m_maxBodyBytes = kMaxBodyBytes;
+      uint64_t m_maxBodyBytes;
     } listeners[] = {
-      { &m_options.m_callerAddress,
+      { "callers",
+        &m_options.m_callerAddress,
         &m_callerServer,
         [this](http::Request aRequest,
                std::shared_ptr<http::CancelToken> aCancel) {
           return ServeCaller(std::move(aRequest), std::move(aCancel));
-        } },
-      { &m_options.m_peerAddress,
+        },
+        kMaxBodyBytes },
+      { "peers",
+        &m_options.m_peerAddress,
         &m_peerServer,
         [this](http::Request aRequest,
                std::shared_ptr<http::CancelToken> aCancel) {
           return ServePeer(std::move(aRequest), std::move(aCancel));
-        } },
-      { &m_options.m_readyAddress,
+        },
+        kMaxBodyBytes },
+      { "ready",
+        &m_options.m_readyAddress,
         &m_readyServer,
         [this](http::Request, std::shared_ptr<http::CancelToken>) {
           return ServeReady();
-        } },
-      { &m_options.m_announceAddress,
+        },
+        kMaxBackendCallBytes },
+      { "announce",
+        &m_options.m_announceAddress,
         &m_announceServer,
         [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
           return ServeBackendCall(std::move(aRequest));
         },
         kMaxBackendCallBytes },
-      { &m_options.m_metricsAddress,
+      { "metrics",
+        &m_options.m_metricsAddress,
         &m_metricsServer,
         [this](http::Request, std::shared_ptr<http::CancelToken>) {
           return ServeMetrics();
-        } },
+        },
+        kMaxBackendCallBytes },
     };
     for (const auto& listener : listeners) {
       if (listener.m_address->empty()) {
         continue;
       }
-      auto server = MakeServer(
-        *listener.m_address, listener.m_handler, listener.m_maxBodyBytes);
+      auto server = MakeServer(listener.m_name,
+                               *listener.m_address,
+                               listener.m_handler,
+                               listener.m_maxBodyBytes);
       if (!server) {
         return tl::unexpected(server.error());
       }
@@ -220,7 +239,7 @@
     options.m_connectTimeout = kConnectTimeout;
     options.m_acceptUnframedResponses = true;
     options.m_echoedFieldName = m_protocol.Headers().m_requestId;
-    return http::Client::Make(m_context, options);
+    return MakeClient("backend-client", std::move(options));
   }
 
   std::unique_ptr<http::Client> MakePeerClient()
@@ -228,10 +247,34 @@
     http::ClientOptions options;
     options.m_idleTimeout = kPeerIdleTimeout;
     options.m_connectTimeout = kConnectTimeout;
-    return http::Client::Make(m_context, options);
+    return MakeClient("peer-client", std::move(options));
+  }
+
+  http::ClientOptions MakeLimitedOptions(std::string_view aName,
+                                         http::ClientOptions aOptions) const
+  {
+    m_limits.Apply(aName, aOptions);
+    return aOptions;
+  }
+
+  std::unique_ptr<http::Client> MakeClient(std::string_view aName,
+                                           http::ClientOptions aOptions)
+  {
+    return http::Client::Make(m_context,
+                              MakeLimitedOptions(aName, std::move(aOptions)));
+  }
+
+  // Largest body that callers may send, by the configuration in force.
+  uint64_t ConfiguredMaxBodyBytes() const
+  {
+    const auto& router = m_directory.Router();
+    const uint64_t configured =
+      router ? router->SourceConfiguration().limits().max_body_bytes() : 0;
+    return configured > 0 ? configured : kMaxBodyBytes;
   }
 
   tl::expected<std::unique_ptr<http::Server>, SidecarError> MakeServer(
+    std::string_view aName,
     const std::string& aAddress,
     const http::Server::Handler& aHandler,
     uint64_t aMaxBodyBytes)
@@ -246,6 +289,16 @@
     options.m_port = endpoint->port();
     options.m_maxBodyBytes = aMaxBodyBytes;
     options.m_idleTimeout = kServerIdleTimeout;
+    m_limits.Apply(aName, options);
+    if (aName == "callers") {
+      options.m_currentMaxBodyBytes = [this] {
+        return ConfiguredMaxBodyBytes();
+      };
+    } else if (aName == "peers") {
+      options.m_refusalHeaderFields = MakePeerRefusalFields();
+    } else {
+      options.m_isControl = true;
+    }
     auto server = http::Server::Make(m_context, std::move(options), aHandler);
     if (!server) {
       return tl::unexpected(SidecarError{ server.error().m_message });
@@ -375,7 +428,7 @@
   // Confirms a deregistration only once it can no longer be forgotten: another
   // process of this sidecar may have to answer the late heartbeats.
   asio::awaitable<http::Response> ServeDeregistration(std::string aBackendId,
-                                                      std::string aBody)
+                                                      http::Body aBody)
   {
     const TimePoint end = m_clock.Now() + kMaxHeartbeatHold;
     const std::string holder = m_localBackend.OnDeregistration(
@@ -408,7 +461,7 @@
   }
 
   asio::awaitable<http::Response> ServeHeartbeat(std::string aBackendId,
-                                                 std::string aBody)
+                                                 http::Body aBody)
   {
     const TimePoint end = m_clock.Now() + kMaxHeartbeatHold;
     http::Response response;
@@ -512,7 +565,7 @@
     const ReportedLoad load = m_localHandler.CurrentLoad();
     http::Response response;
     response.result(status::ok);
-    response.body() = fmt::format(
+    std::string text = fmt::format(
       "rattanloft_requests {}\nrattanloft_answered {}\nrattanloft_not_run {}\n"
       "rattanloft_unknown {}\nrattanloft_retries {}\n"
       "rattanloft_backend_running {}\nrattanloft_backend_waiting {}\n"
@@ -534,9 +587,17 @@
       m_workQueue.RateLimit().value_or(0),
       m_refusedBackendCalls);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
-      response.body() += fmt::format(
+      text += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
     }
+    text +=
+      http::FormatOverloadMetrics(m_limits.Budget(),
+                                  { { "callers", m_callerServer.get() },
+                                    { "peers", m_peerServer.get() },
+                                    { "ready", m_readyServer.get() },
+                                    { "announce", m_announceServer.get() },
+                                    { "metrics", m_metricsServer.get() } });
+    response.body() = std::move(text);
     co_return response;
   }
 
@@ -605,6 +666,7 @@
 
   SidecarOptions m_options;
   const BackendProtocol& m_protocol;
+  SidecarLimits m_limits;
   BootClock m_clock;
   asio::io_context m_context{ 1 };
   asio::signal_set m_stopSignals;
@@ -642,7 +704,13 @@
 tl::expected<std::unique_ptr<Sidecar>, SidecarError>
 Sidecar::Make(SidecarOptions aOptions, const BackendProtocol& aProtocol)
 {
-  auto sidecar = std::make_unique<SidecarImpl>(std::move(aOptions), aProtocol);
+  static const BootClock sClock;
+  auto limits = SidecarLimits::Make(aOptions, sClock);
+  if (!limits) {
+    return tl::unexpected(limits.error());
+  }
+  auto sidecar = std::make_unique<SidecarImpl>(
+    std::move(aOptions), aProtocol, std::move(*limits));
   if (auto opened = sidecar->OpenListeners(); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/modules/sidecar/src/SyncClient.cpp
+++ b/modules/sidecar/src/SyncClient.cpp
@@ -259,7 +259,7 @@
     if (aCallNumber == m_newestCallNumber) {
       OnCallFailed(aAddress, response.error().m_message);
     }
-  } else if (!reply.ParseFromString(response->body())) {
+  } else if (!http::ParseMessage(response->body(), reply)) {
     OnCallFailed(aAddress, "sync reply is not a valid FleetSyncReply message");
   } else {
     UpdateCoordinators(reply);
--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -73,7 +73,7 @@
       }
     }
     wire::FleetSyncRequest sync;
-    REQUIRE(sync.ParseFromString(aRequest.body()));
+    REQUIRE(http::ParseMessage(aRequest.body(), sync));
     wire::FleetSyncReply reply;
     if (aPeer == kLeaderAddress) {
       reply = co_await AskLeader(sync);
--- a/tools/rattanloft/CoordinatorCommand.cpp
+++ b/tools/rattanloft/CoordinatorCommand.cpp
@@ -5,6 +5,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "ProcessLimits.h"
 #include "SettingsText.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/coordinator/Coordinator.h"
@@ -32,6 +33,10 @@
 
 namespace {
 
+// Memory for the state of the fleet and its snapshot, and for one parsed
+// configuration, which may take 25 times its size of at most 2 MiB.
+constexpr size_t kStateBytes = 64 * 1024 * 1024;
+
 // Returns a message about the first invalid setting; empty if all are valid.
 std::string
 CheckSettings()
@@ -80,6 +85,11 @@
   if (!settingsError.empty()) {
     return Fail(2, settingsError);
   }
+  ReturnFreedMemory();
+  const auto limits = ReadProcessLimits(kStateBytes);
+  if (!limits) {
+    return Fail(2, limits.error());
+  }
   SetLogOutput(LogOutput::kRateLimitedStandardOutput);
   coordinator::CoordinatorOptions options;
   options.m_dataDir = FLAGS_state_dir;
@@ -89,6 +99,8 @@
   options.m_seedAddresses = SplitCommaList(FLAGS_seed_coordinators);
   options.m_mayFormGroup = FLAGS_form_group;
   options.m_toleratedLosses = FLAGS_tolerated_losses;
+  options.m_memoryBudgetBytes = limits->m_memoryBudgetBytes;
+  options.m_maxOpenFiles = limits->m_maxOpenFiles;
   const std::string file = FlagfilePath();
   if (!file.empty()) {
     options.m_reloadSeedAddresses = [file] {
--- a/tools/rattanloft/Main.cpp
+++ b/tools/rattanloft/Main.cpp
@@ -19,6 +19,12 @@
 
 constexpr std::array<std::string_view, 2> kServerFlags = { "log_level",
                                                            "zone" };
+constexpr std::array<std::string_view, 4> kFleetServerFlags = {
+  "log_level",
+  "zone",
+  "memory_limit_mb",
+  "max_open_files"
+};
 constexpr std::array<std::string_view, 1> kLogFlags = { "log_level" };
 constexpr std::array<std::string_view, 4> kOperatorFlags = { "log_level",
                                                              "control",
@@ -69,12 +75,12 @@
     "",
     "runs a coordinator of a fleet",
     CoordinatorCommand,
-    { "CoordinatorCommand.cpp", kServerFlags } },
+    { "CoordinatorCommand.cpp", kFleetServerFlags } },
   { "sidecar",
     "",
     "runs the sidecar beside a backend server of a fleet",
     SidecarCommand,
-    { "SidecarCommand.cpp", kServerFlags } },
+    { "SidecarCommand.cpp", kFleetServerFlags } },
   { "trace",
     "REQUEST_ID FILE...",
     "shows the log lines of all instances about one request",
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -6,6 +6,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "ProcessLimits.h"
 #include "SettingsText.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
@@ -39,6 +40,10 @@
 
 namespace {
 
+// Memory for the configuration, the directory of the fleet, the log and the
+// fragmentation of the heap.
+constexpr size_t kStateBytes = 24 * 1024 * 1024;
+
 // Returns a message about the first invalid setting; empty if all are valid.
 std::string
 CheckSettings()
@@ -89,7 +94,8 @@
 }
 
 sidecar::SidecarOptions
-MakeOptions(const platform::PlatformBounds& aBounds)
+MakeOptions(const platform::PlatformBounds& aBounds,
+            const ProcessLimits& aLimits)
 {
   sidecar::SidecarOptions options;
   options.m_instance = FLAGS_instance;
@@ -106,6 +112,8 @@
   options.m_retrySlack = aBounds.m_retrySlack;
   options.m_stopGrace = aBounds.m_stopGrace;
   options.m_drainTimeout = aBounds.m_drainTimeout;
+  options.m_memoryBudgetBytes = aLimits.m_memoryBudgetBytes;
+  options.m_maxOpenFiles = aLimits.m_maxOpenFiles;
   const std::string file = FlagfilePath();
   if (!file.empty()) {
     options.m_readCoordinators = [file] {
@@ -131,9 +139,15 @@
   if (!bounds) {
     return Fail(2, "--bounds: " + bounds.error());
   }
+  ReturnFreedMemory();
+  const auto limits = ReadProcessLimits(kStateBytes);
+  if (!limits) {
+    return Fail(2, limits.error());
+  }
   SetLogOutput(LogOutput::kRateLimitedStandardOutput);
   static const platform::PlatformBackendProtocol sProtocol;
-  auto created = sidecar::Sidecar::Make(MakeOptions(*bounds), sProtocol);
+  auto created =
+    sidecar::Sidecar::Make(MakeOptions(*bounds, *limits), sProtocol);
   if (!created) {
     return Fail(1, created.error().m_message);
   }
