--- a/modules/coordinator/src/ConfigurationService.cpp
+++ b/modules/coordinator/src/ConfigurationService.cpp
@@ -40,7 +40,7 @@
 ConfigurationService::OnOperatorRequest(OperatorCall aCall,
                                         http::Request aRequest)
 {
-  std::string body = std::move(aRequest.body());
+  std::string body(aRequest.body().View());
   if (!m_fleetControl.IsLeading()) {
     std::string path(fleet::kConfigurationPath);
     path += '/';
@@ -65,7 +65,7 @@
     boost::beast::string_view(kReadPathSuffix.data(), kReadPathSuffix.size()));
   const OperatorCall call = read ? OperatorCall::kReadConfiguration
                                  : OperatorCall::kReplaceConfiguration;
-  std::string body = std::move(aRequest.body());
+  std::string body(aRequest.body().View());
   http::Response response = co_await Serve(call, std::move(body));
   co_return response;
 }
--- a/modules/coordinator/src/EvacuationService.cpp
+++ b/modules/coordinator/src/EvacuationService.cpp
@@ -67,7 +67,8 @@
     co_return MakeUnavailableResponse();
   }
   wire::SetEvacuation order;
-  if (!order.ParseFromString(aRequest.body())) {
+  if (!order.ParseFromArray(aRequest.body().data(),
+                            static_cast<int>(aRequest.body().size()))) {
     co_return RefuseOrder({ "body", "not a SetEvacuation message" });
   }
   if (const auto checked = fleet::CheckZoneName(order.zone()); !checked) {
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -12,6 +12,7 @@
 #include "ConnectionPool.h"
 #include "HeaderFields.h"
 #include "ReadHeader.h"
+#include "ResponseCharge.h"
 #include "rattanloft/base/Hash.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
@@ -45,7 +46,7 @@
 constexpr size_t kMaxEchoesPerConnection = 1024;
 
 using Fields = beast::http::fields;
-using Parser = beast::http::response_parser<beast::http::string_body>;
+using Parser = beast::http::response_parser<BodyType>;
 
 void
 SetSocketOptions(tcp::socket& aSocket)
@@ -442,7 +443,8 @@
       co_await ReadHeader<false>(m_connection->m_socket,
                                  m_connection->m_buffer,
                                  *aParser,
-                                 m_pool->Options().m_maxHeaderBytes);
+                                 m_pool->Options().m_maxHeaderBytes,
+                                 [](size_t, size_t) { return true; });
     if (error ||
         to_status_class(aParser->get().result()) !=
           status_class::informational ||
@@ -474,6 +476,18 @@
       HttpErrorCode::kConnectionBroken, true, "read from", framingError));
   }
   if (!parser->is_done()) {
+    Body& body = parser->get().body();
+    const auto length = parser->content_length();
+    body.StartCharging(
+      m_pool->Options().m_memoryBudget,
+      KindOfResponse(length.value_or(m_pool->Options().m_maxBodyBytes)));
+    if (length && !body.Reserve(*length)) {
+      co_return tl::unexpected(
+        MakeError(HttpErrorCode::kConnectionBroken,
+                  true,
+                  fmt::format("read the body of {} bytes from", *length),
+                  "no memory left"));
+    }
     auto [bodyError, byteCount] =
       co_await beast::http::async_read(m_connection->m_socket,
                                        m_connection->m_buffer,
@@ -596,7 +610,10 @@
 std::unique_ptr<Client>
 Client::Make(asio::io_context& aContext, ClientOptions aOptions)
 {
-  return std::make_unique<ClientImpl>(aContext, aOptions);
+  if (!aOptions.m_memoryBudget) {
+    aOptions.m_memoryBudget = overload::MemoryBudget::MakeDefault();
+  }
+  return std::make_unique<ClientImpl>(aContext, std::move(aOptions));
 }
 
 } // namespace rattanloft::http
--- a/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
+++ b/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "rattanloft/base/Time.h"
+#include "rattanloft/overload/MemoryBudget.h"
 #include "rattanloft/sidecar/BackendProtocol.h"
 #include "rattanloft/sidecar/ZoneRouting.h"
 
@@ -54,6 +55,10 @@
   // this time.
   Duration m_drainTimeout = Seconds(2);
   ZoneRoutingOptions m_zoneRouting;
+  // Memory that requests, responses and connections may take in all.
+  size_t m_memoryBudgetBytes = overload::MemoryBudget::kDefaultLimitBytes;
+  // File descriptors that the process may use.
+  size_t m_maxOpenFiles = 4096;
 };
 
 // Requests that a cold backend server of the service may get in any second; 0
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -7,6 +7,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "ProcessLimits.h"
 #include "SettingsText.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
@@ -67,6 +68,10 @@
   return std::nullopt;
 }
 
+// Memory for the configuration, the directory of the fleet, the log and the
+// fragmentation of the heap.
+constexpr size_t kStateBytes = 24 * 1024 * 1024;
+
 // Returns a message about the first invalid setting; empty if all are valid.
 std::string
 CheckSettings()
@@ -129,7 +134,8 @@
 }
 
 sidecar::SidecarOptions
-MakeOptions(const platform::PlatformBounds& aBounds)
+MakeOptions(const platform::PlatformBounds& aBounds,
+            const ProcessLimits& aLimits)
 {
   sidecar::SidecarOptions options;
   options.m_instance = FLAGS_instance;
@@ -151,6 +157,8 @@
   options.m_zoneRouting.m_mode = *ParseSpilloverMode(FLAGS_zone_spillover);
   options.m_zoneRouting.m_crossingCostMsPerMb =
     FLAGS_zone_crossing_cost_ms_per_mb;
+  options.m_memoryBudgetBytes = aLimits.m_memoryBudgetBytes;
+  options.m_maxOpenFiles = aLimits.m_maxOpenFiles;
   const std::string file = FlagfilePath();
   if (!file.empty()) {
     options.m_readCoordinators = [file] {
@@ -176,9 +184,15 @@
   if (!bounds) {
     return Fail(2, "--bounds: " + bounds.error());
   }
+  ReturnFreedMemory();
+  const auto limits = ReadProcessLimits(kStateBytes);
+  if (!limits) {
+    return Fail(2, limits.error());
+  }
   SetLogOutput(LogOutput::kRateLimitedStandardOutput);
   static const platform::PlatformBackendProtocol sProtocol;
-  auto created = sidecar::Sidecar::Make(MakeOptions(*bounds), sProtocol);
+  auto created =
+    sidecar::Sidecar::Make(MakeOptions(*bounds, *limits), sProtocol);
   if (!created) {
     return Fail(1, created.error().m_message);
   }
