Ask backend servers with a bound whether they are cold

Cause: a backend server may become cold at any moment, and its next heartbeat may be 0.9 s away.

Change: the sidecar sends a health check every 250 ms to a backend server whose service has a bound, with a client of its own, and starts the limit if the response has Cold-Ms above 0 or the connection is refused. Cold-Ms changes nothing else for services without a bound.

--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -22,6 +22,9 @@
 // Retry delay that is reported if the backend server cannot serve the request
 // at the moment.
 constexpr Duration kNotServingRetryDelay = Milliseconds(200);
+constexpr Duration kHealthCheckTimeout = Milliseconds(500);
+// A backend server that stays cold for longer says so again.
+constexpr double kMaxColdMs = 60'000;
 
 AttemptResult
 MakeUnknownResult(std::string_view aReason)
@@ -301,7 +304,10 @@
     co_return ClassifyResponse(std::move(*response), id);
   }
   const http::HttpError& error = response.error();
-  OnExchangeError(aId, error);
+  if (!error.m_maybeSent) {
+    m_workQueue.ColdStart().OnNotSent(aId);
+  }
+  OnExchangeError(error.m_code);
   if (error.m_code == http::HttpErrorCode::kCancelled) {
     co_return error.m_maybeSent ? MakeUnknownResult("caller-left")
                                 : MakeNotRunResult("caller-left", {});
@@ -328,16 +334,57 @@
                                 : "backend-broke-off");
 }
 
+// Counts a backend server that refused or broke a connection as possibly cold,
+// since it may have restarted under the same id.
+void
+BackendHandler::OnExchangeError(http::HttpErrorCode aError)
+{
+  if (aError == http::HttpErrorCode::kConnectFailed ||
+      aError == http::HttpErrorCode::kConnectionBroken) {
+    m_workQueue.ColdStart().OnConnectionLost(m_clock.Now());
+  }
+}
+
 void
-BackendHandler::OnExchangeError(WorkId aId, const http::HttpError& aError)
+BackendHandler::ApplyColdAnnouncement(const http::Response& aResponse)
 {
-  ColdStartLimiter& coldStart = m_workQueue.ColdStart();
-  if (!aError.m_maybeSent) {
-    coldStart.OnNotSent(aId);
+  const double remainingMs =
+    ParseDecimalField(aResponse, m_protocol.Headers().m_coldRemainingMs)
+      .value_or(0);
+  if (remainingMs <= 0) {
+    return;
   }
-  if (aError.m_code == http::HttpErrorCode::kConnectFailed ||
-      aError.m_code == http::HttpErrorCode::kConnectionBroken) {
-    coldStart.OnConnectionLost(m_clock.Now());
+  m_workQueue.ColdStart().OnColdAnnounced(m_clock.Now());
+  // Without a bound, others learn of cold phases from heartbeats alone.
+  if (m_workQueue.ColdStart().Bound() > 0) {
+    m_localBackend.OnColdAnnounced(
+      Milliseconds(static_cast<int64_t>(std::min(remainingMs, kMaxColdMs))),
+      m_clock.Now());
+  }
+}
+
+asio::awaitable<void>
+BackendHandler::CheckColdState(http::Client& aClient,
+                               std::string aHealthCheckTarget)
+{
+  http::Request request;
+  request.version(11);
+  request.method(boost::beast::http::verb::get);
+  request.target(aHealthCheckTarget);
+  request.prepare_payload();
+  const std::string holder = m_localBackend.View().holder();
+  const tl::expected<http::Response, http::HttpError> response =
+    co_await aClient.Exchange(
+      m_backendAddress, std::move(request), kHealthCheckTimeout);
+  if (!response) {
+    // A broken connection is no sign here: a server that breaks off its health
+    // checks would never count as warm. If it has restarted, the next check is
+    // refused.
+    if (response.error().m_code == http::HttpErrorCode::kConnectFailed) {
+      m_workQueue.ColdStart().OnConnectionLost(m_clock.Now());
+    }
+  } else if (holder == m_localBackend.View().holder()) {
+    ApplyColdAnnouncement(*response);
   }
 }
 
@@ -350,13 +397,7 @@
   if (FieldValue(aResponse, m_protocol.Headers().m_leaving) == "1") {
     m_localBackend.OnLeavingAnnounced(m_clock.Now());
   }
-  const Duration coldRemaining = Milliseconds(
-    ParseNumberField(aResponse, m_protocol.Headers().m_coldRemainingMs)
-      .value_or(0));
-  if (coldRemaining > Duration{}) {
-    m_workQueue.ColdStart().OnColdAnnounced(m_clock.Now());
-    m_localBackend.OnColdAnnounced(coldRemaining, m_clock.Now());
-  }
+  ApplyColdAnnouncement(aResponse);
   const std::string& limitName = m_protocol.Headers().m_requestLimit;
   const std::optional<double> limit = ParseDecimalField(aResponse, limitName);
   const std::string_view limitText = FieldValue(aResponse, limitName);
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -64,6 +64,11 @@
   // Adopts the slot count of the backend server, and starts or refuses waiting
   // requests. Must be called every 25 ms while requests wait.
   void Tick();
+  // Sends a health check and adopts what it shows about whether the backend
+  // server is cold. Responses to health checks need not repeat a request id, so
+  // aClient must not expect that.
+  boost::asio::awaitable<void> CheckColdState(http::Client& aClient,
+                                              std::string aHealthCheckTarget);
   // Must be called when another lifetime of the backend server runs.
   void OnNewLifetime();
   ReportedLoad CurrentLoad() const;
@@ -96,8 +101,9 @@
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
   // Records what the failure of an exchange tells about the backend server.
-  void OnExchangeError(WorkId aId, const http::HttpError& aError);
+  void OnExchangeError(http::HttpErrorCode aError);
   void ApplyAnnouncements(const http::Response& aResponse);
+  void ApplyColdAnnouncement(const http::Response& aResponse);
   AttemptResult ClassifyResponse(http::Response aResponse,
                                  const std::string& aRequestId);
   // Returns the refusal if the backend server may not serve the request now.
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -22,8 +22,6 @@
 // Share of the drain limit in which a draining backend server still serves its
 // keys while they move to other owners.
 constexpr int64_t kDrainServePercent = 60;
-// A backend server that says that it stays cold for longer says so again.
-constexpr Duration kMaxColdTime = Seconds(60);
 constexpr size_t kMaxPendingHandovers = 64;
 // Lifetimes of one instance that end while their late heartbeats may arrive.
 constexpr size_t kMaxDepartures = 16;
@@ -655,9 +653,8 @@
 void
 LocalBackend::OnColdAnnounced(Duration aColdRemaining, TimePoint aNow)
 {
-  const Duration remaining = std::min(aColdRemaining, kMaxColdTime);
   m_reportRevision += aNow < m_coldUntil ? 0 : 1;
-  m_coldUntil = std::max(m_coldUntil, aNow + remaining);
+  m_coldUntil = std::max(m_coldUntil, aNow + aColdRemaining);
 }
 
 Duration
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -40,6 +40,9 @@
 // wait.
 constexpr std::chrono::milliseconds kBusyTickInterval{ 25 };
 constexpr std::chrono::milliseconds kIdleTickInterval{ 100 };
+// Time between two health checks of a backend server that may become cold. At
+// most this part of a second's requests is sent before it is known.
+constexpr Duration kColdCheckInterval = Milliseconds(250);
 // Longest time for which the response to a heartbeat is held back. Backend
 // servers accept a response for one second; some send the next heartbeat only
 // 1.5 s after the last one.
@@ -91,6 +94,7 @@
     , m_endpointSelector(RandomId())
     , m_peerClient(MakePeerClient())
     , m_backendClient(MakeBackendClient())
+    , m_healthClient(MakeHealthClient())
     , m_controlClient(
         http::Client::Make(m_context, SyncClient::MakeClientOptions()))
     , m_quarantine(m_context,
@@ -209,6 +213,7 @@
     WaitForReload();
     ScheduleTick();
     m_syncClient.Start();
+    asio::co_spawn(m_context, CheckColdState(), asio::detached);
     m_context.run();
   }
 
@@ -223,6 +228,16 @@
     return http::Client::Make(m_context, options);
   }
 
+  std::unique_ptr<http::Client> MakeHealthClient()
+  {
+    http::ClientOptions options;
+    options.m_maxConnectionsPerPeer = 1;
+    options.m_idleTimeout = kBackendIdleTimeout;
+    options.m_connectTimeout = kConnectTimeout;
+    options.m_acceptUnframedResponses = true;
+    return http::Client::Make(m_context, options);
+  }
+
   std::unique_ptr<http::Client> MakePeerClient()
   {
     http::ClientOptions options;
@@ -508,6 +523,22 @@
                               : std::optional(service->range_delivery());
   }
 
+  // Asks a backend server whose service has a bound for cold ones whether it is
+  // cold. It may become cold at any moment, and its next heartbeat may be 0.9 s
+  // away.
+  asio::awaitable<void> CheckColdState()
+  {
+    while (!m_stopping) {
+      co_await Sleep(kColdCheckInterval);
+      std::string target = HealthCheckTarget();
+      if (m_workQueue.ColdStart().Bound() > 0 && target.starts_with('/') &&
+          !m_localBackend.View().holder().empty()) {
+        co_await m_localHandler.CheckColdState(*m_healthClient,
+                                               std::move(target));
+      }
+    }
+  }
+
   std::string HealthCheckTarget() const
   {
     const wire::ServiceSpec* const service = FindOwnService();
@@ -630,6 +661,7 @@
   LoadCounter m_loadCounter;
   std::unique_ptr<http::Client> m_peerClient;
   std::unique_ptr<http::Client> m_backendClient;
+  std::unique_ptr<http::Client> m_healthClient;
   std::unique_ptr<http::Client> m_controlClient;
   BackendQuarantine m_quarantine;
   BackendHandler m_localHandler;
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -216,6 +216,9 @@
         handler.send_header("Response-Signature", "signed")
         for name, value in self.answer_headers.items():
             handler.send_header(name, value)
+        if handler.path == HEALTH_PATH:
+            remaining_s = max(0, self.cold_end_s - time.time())
+            handler.send_header("Cold-Ms", str(round(remaining_s * 1000)))
         handler.send_header("Content-Length", str(len(text)))
         handler.end_headers()
         try:
