Let the cold servers of the process test return under the same id

Cause: requests that were meant for the lifetime before are answered 421 if the id is another one, so the test did not show that the bound holds from the crash until the first heartbeat.

Change: the stand-ins of the run without keys keep their id.

--- a/tests/ColdServerTest.py
+++ b/tests/ColdServerTest.py
@@ -53,6 +53,9 @@
         time.sleep(1)
         for backend in self.backends:
             backend.cold_start_s = COLD_START_S
+            # Under the same id, the next lifetime runs requests that were meant
+            # for this one.
+            backend.changes_id = sharded
             backend.crash(DOWN_TIME_S)
         time.sleep(DOWN_TIME_S + 1.2)
         # Its next process does not know what this one has sent.
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -49,6 +49,8 @@
         self.arrival_times, self.run_times = [], []
         # A lifetime that follows a crash is cold for this time.
         self.cold_start_s, self.cold_end_s = 0, 0
+        # Whether a lifetime that follows a crash has another id.
+        self.changes_id = True
         # Tuples of attempt id, headers and path.
         self.executed_requests, self.lock, self.stopped = [], threading.Lock(), False
         self.down = False
@@ -120,7 +122,8 @@
             return
         self.start_server()
         with self.lock:
-            self.backend_id += "r"
+            if self.changes_id:
+                self.backend_id += "r"
             self.born_unix_ms = int(time.time() * 1000)
             self.sequence, self.down = 0, False
             self.cold_end_s = time.time() + self.cold_start_s
