Use the spare room of other zones evenly and only with load reports

In a model of three zones with 90 senders, senders kept unequal parts of the spare room of a zone, refused requests went to zones without any load report because of rounding, and reports of overloaded backend servers stood for their whole zone. Each sender now gives up a tenth of its part in each step, a refused request needs a zone with noticeable room, and waiting requests count in part against the room of a zone.

--- a/modules/locality/include/rattanloft/locality/ZoneSpillover.h
+++ b/modules/locality/include/rattanloft/locality/ZoneSpillover.h
@@ -23,7 +23,8 @@
   // Slots of the backend servers that have reported their load, and the
   // running and waiting requests at them, each weighted with NewsWeight().
   double m_reportedSlots = 0;
-  double m_reportedRequests = 0;
+  double m_reportedRunning = 0;
+  double m_reportedWaiting = 0;
   // Round trip between the zones.
   double m_roundTripMs = 0;
   // Instances outside this zone that may send requests to it.
@@ -99,7 +100,7 @@
   struct RemoteZone
   {
     ZoneState m_state;
-    // Requests for each slot, from the load reports.
+    // Requests for each slot.
     double m_occupancy = 0;
     // Requests a second that the zone can take from all senders together.
     double m_sparePerSecond = 0;
--- a/modules/locality/src/ZoneSpillover.cpp
+++ b/modules/locality/src/ZoneSpillover.cpp
@@ -27,7 +27,11 @@
 constexpr double kStartRefusedShare = 0.1;
 // Occupancy up to which other zones are filled. The rest covers the variation
 // of their own load.
-constexpr double kRemoteTargetOccupancy = 0.9;
+constexpr double kRemoteTargetOccupancy = 0.95;
+// Share of what a sender sends to a zone that it keeps without spare room. As
+// all give up the rest and get equal parts of the spare room, their shares
+// become equal.
+constexpr double kKeptShare = 0.9;
 // Share for each unit of excess occupancy, at once and for each second that it
 // lasts. The waiting requests of an overloaded zone integrate the excess over
 // a service time (about 0.4 s) and are known 0.2 s late, which allows a
@@ -48,13 +52,17 @@
 constexpr double kResultWeight = 0.1;
 constexpr double kSizeWeight = 0.05;
 // A zone above its target gets less by this multiple of the excess.
-constexpr double kOverfullFactor = 4;
+constexpr double kOverfullFactor = 10;
+// Waiting requests for each slot that count against the spare room of a zone.
+constexpr double kCountedWaiting = 0.1;
 // Requests that probe zones without news, as a share of all requests under
 // pressure. 30 senders of 12 requests a second send 7 probes a second, 2
 // percent of a zone's capacity. One probe for each zone is available at once.
 constexpr double kProbeShare = 0.02;
 // A zone with reports on at least this many slots needs no probe.
 constexpr double kEnoughReportedSlots = 6;
+// A refused request goes only to a zone with this share of its capacity free.
+constexpr double kNoticeableRoom = 0.02;
 // Larger bodies are not used as probes.
 constexpr size_t kMaxProbeBytes = 16 * 1024;
 // Requests up to this multiple of the mean size leave according to the share;
@@ -68,13 +76,21 @@
 constexpr double kMaxStepSeconds = 0.5;
 constexpr double kBytesPerMb = 1e6;
 
+// Estimates requests for each slot from those at the slots with reports.
 double
-EstimateOccupancy(const ZoneState& aZone, double aNeutral)
+EstimatePerSlot(const ZoneState& aZone, double aRequests, double aNeutral)
 {
-  return (aZone.m_reportedRequests + aNeutral * kPriorSlots) /
+  return (aRequests + aNeutral * kPriorSlots) /
          (aZone.m_reportedSlots + kPriorSlots);
 }
 
+double
+EstimateOccupancy(const ZoneState& aZone, double aNeutral)
+{
+  return EstimatePerSlot(
+    aZone, aZone.m_reportedRunning + aZone.m_reportedWaiting, aNeutral);
+}
+
 double
 MeanServiceMs(const ZoneState& aZone)
 {
@@ -134,8 +150,14 @@
     }
     zone.m_state = state;
     zone.m_occupancy = EstimateOccupancy(state, kRemoteTargetOccupancy);
+    // Overloaded backend servers report more often, since they refuse requests
+    // at once, so their queues count only in part.
+    const double waiting = std::min(state.m_reportedWaiting,
+                                    kCountedWaiting * state.m_reportedSlots);
+    const double utilization = EstimatePerSlot(
+      state, state.m_reportedRunning + waiting, kRemoteTargetOccupancy);
     zone.m_sparePerSecond =
-      state.m_capacityPerSecond * (kRemoteTargetOccupancy - zone.m_occupancy);
+      state.m_capacityPerSecond * (kRemoteTargetOccupancy - utilization);
     if (aSeconds > 0) {
       zone.m_sentPerSecond +=
         SmoothingFactor(aSeconds, kRateSmoothingSeconds) *
@@ -146,7 +168,7 @@
       zone.m_allowedPerSecond = 0;
     } else if (zone.m_sparePerSecond >= 0) {
       zone.m_allowedPerSecond =
-        zone.m_sentPerSecond +
+        zone.m_sentPerSecond * kKeptShare +
         zone.m_sparePerSecond / std::max(1U, state.m_senders);
     } else {
       zone.m_allowedPerSecond =
@@ -369,8 +391,10 @@
   // Another refusal would cost the caller at least the time of one request.
   const double savedMs = std::max(m_ownWaitMs, m_ownServiceMs);
   RemoteZone* zone = PickWeighted([&](const RemoteZone& aZone) {
-    return IsWorthCrossing(aZone, aBodyBytes, savedMs)
-             ? std::max(0.0, aZone.m_sparePerSecond)
+    const bool hasRoom = aZone.m_sparePerSecond >
+                         kNoticeableRoom * aZone.m_state.m_capacityPerSecond;
+    return hasRoom && IsWorthCrossing(aZone, aBodyBytes, savedMs)
+             ? aZone.m_sparePerSecond
              : 0.0;
   });
   if (zone == nullptr) {
--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -149,9 +149,12 @@
     summary.m_zone = state.m_endpoint.zone();
     summary.m_slots = state.m_endpoint.backend().slots();
     summary.m_serviceTimeMs = load.m_serviceTimeMs;
-    summary.m_requests =
+    // More requests may be in flight to it than it has reported.
+    const uint32_t requests =
       std::max(load.m_runningRequests + load.m_waitingRequests,
                state.m_inFlightRequests);
+    summary.m_running = std::min(requests, summary.m_slots);
+    summary.m_waiting = requests - summary.m_running;
     summary.m_age = aNow - (isLocal ? m_localLoadAt : state.m_loadReportedAt);
   }
   m_zoneRouter.Update(
--- a/modules/sidecar/src/ZoneRouter.cpp
+++ b/modules/sidecar/src/ZoneRouter.cpp
@@ -30,6 +30,8 @@
 // Shares below this are not logged as a start, since single probes and short
 // peaks cause them.
 constexpr double kLoggedStart = 0.02;
+// Shortest time between two lines about one service.
+constexpr Duration kLogInterval = Milliseconds(1000);
 // Bound the labels of the metrics.
 constexpr size_t kMaxZones = 64;
 constexpr size_t kMaxServices = 64;
@@ -97,7 +99,8 @@
       zone.m_slots += slots;
       zone.m_capacityPerSecond += slots * 1000 / serviceMs;
       zone.m_reportedSlots += weight * slots;
-      zone.m_reportedRequests += weight * endpoint.m_requests;
+      zone.m_reportedRunning += weight * endpoint.m_running;
+      zone.m_reportedWaiting += weight * endpoint.m_waiting;
     }
   }
   auto found = m_services.find(aService);
@@ -106,7 +109,7 @@
     options.m_crossingCostMsPerMb = m_options.m_crossingCostMsPerMb;
     options.m_linkBytesPerMs = kSlowestLinkBytesPerMs;
     ServiceState state{
-      locality::ZoneSpillover(aOwnZone, options, m_nextSeed++), {}, 0
+      locality::ZoneSpillover(aOwnZone, options, m_nextSeed++), {}, 0, {}
     };
     found = m_services.emplace(aService, std::move(state)).first;
   }
@@ -123,11 +126,13 @@
   const double share = aState.m_spillover.Share();
   const bool starts = aState.m_loggedShare == 0 && share >= kLoggedStart;
   const bool ends = aState.m_loggedShare > 0 && share == 0;
-  if (!starts && !ends &&
-      std::abs(share - aState.m_loggedShare) <= kLoggedChange) {
+  const bool changes = std::abs(share - aState.m_loggedShare) > kLoggedChange;
+  if ((!starts && !ends && !changes) ||
+      aState.m_updatedAt - aState.m_loggedAt < kLogInterval) {
     return;
   }
   aState.m_loggedShare = share;
+  aState.m_loggedAt = aState.m_updatedAt;
   std::string zones;
   for (const locality::ZoneState& zone : aZones) {
     const auto zoneShare = aState.m_spillover.ZoneShares().find(zone.m_zone);
@@ -138,7 +143,7 @@
                            ? 0.0
                            : zoneShare->second,
                          zone.m_capacityPerSecond,
-                         zone.m_reportedRequests,
+                         zone.m_reportedRunning + zone.m_reportedWaiting,
                          zone.m_reportedSlots,
                          zone.m_roundTripMs);
   }
--- a/modules/sidecar/src/ZoneRouter.h
+++ b/modules/sidecar/src/ZoneRouter.h
@@ -20,7 +20,8 @@
   uint32_t m_slots = 1;
   // 0 if it has not reported one.
   uint32_t m_serviceTimeMs = 0;
-  uint32_t m_requests = 0;
+  uint32_t m_running = 0;
+  uint32_t m_waiting = 0;
   // Age of the load report.
   Duration m_age;
 };
@@ -77,11 +78,12 @@
     locality::ZoneSpillover m_spillover;
     TimePoint m_updatedAt;
     double m_loggedShare = 0;
+    TimePoint m_loggedAt;
   };
 
-  void LogShare(const std::string& aService,
-                ServiceState& aState,
-                std::span<const locality::ZoneState> aZones);
+  static void LogShare(const std::string& aService,
+                       ServiceState& aState,
+                       std::span<const locality::ZoneState> aZones);
 
   ZoneRoutingOptions m_options;
   uint64_t m_nextSeed;
