--- a/modules/locality/src/ZoneSpillover.cpp
+++ b/modules/locality/src/ZoneSpillover.cpp
@@ -23,15 +23,22 @@
 constexpr double kOwnTargetOccupancy = 0.95;
 constexpr double kOwnStartOccupancy = 1.05;
 constexpr double kNearlyFullOccupancy = 0.9;
+// Assumed occupancy of the own zone without load reports. It is below the
+// target, so that a sender that sends nearly everything elsewhere returns and
+// gets reports again.
+constexpr double kUnknownOwnOccupancy = 0.85;
+// Largest share while the own zone has ready backend servers, for the same
+// reason.
+constexpr double kMaxShare = 0.95;
 // Refused share of the requests at which they start to leave as well.
 constexpr double kStartRefusedShare = 0.1;
 // Occupancy up to which other zones are filled. The rest covers the variation
 // of their own load.
-constexpr double kRemoteTargetOccupancy = 0.95;
+constexpr double kRemoteTargetOccupancy = 1;
 // Share of what a sender sends to a zone that it keeps without spare room. As
 // all give up the rest and get equal parts of the spare room, their shares
 // become equal.
-constexpr double kKeptShare = 0.9;
+constexpr double kKeptShare = 0.96;
 // Share for each unit of excess occupancy, at once and for each second that it
 // lasts. The waiting requests of an overloaded zone integrate the excess over
 // a service time (about 0.4 s) and are known 0.2 s late, which allows a
@@ -52,14 +59,14 @@
 constexpr double kResultWeight = 0.1;
 constexpr double kSizeWeight = 0.05;
 // A zone above its target gets less by this multiple of the excess.
-constexpr double kOverfullFactor = 10;
+constexpr double kOverfullFactor = 5;
 // Waiting requests for each slot that count against the spare room of a zone.
 constexpr double kCountedWaiting = 0.1;
 // Requests that probe zones without news, as a share of all requests under
 // pressure. 30 senders of 12 requests a second send 7 probes a second, 2
 // percent of a zone's capacity. One probe for each zone is available at once.
 constexpr double kProbeShare = 0.02;
-// A zone with reports on at least this many slots needs no probe.
+// A zone with reports on at least this many slots is known and needs no probe.
 constexpr double kEnoughReportedSlots = 6;
 // A refused request goes only to a zone with this share of its capacity free.
 constexpr double kNoticeableRoom = 0.02;
@@ -186,7 +193,9 @@
 double
 ZoneSpillover::ComputeWantedShare(const ZoneState& aOwn, double aSeconds)
 {
-  m_ownOccupancy = EstimateOccupancy(aOwn, kOwnTargetOccupancy);
+  const bool hasNews = aOwn.m_reportedSlots >= kEnoughReportedSlots;
+  m_ownOccupancy = EstimateOccupancy(
+    aOwn, hasNews ? kOwnTargetOccupancy : kUnknownOwnOccupancy);
   m_ownServiceMs = MeanServiceMs(aOwn);
   m_ownWaitMs =
     std::max(0.0, m_ownOccupancy - kOwnTargetOccupancy) * m_ownServiceMs;
@@ -226,7 +235,7 @@
   }
   // A sender of few requests may send all of them.
   const double rate = std::max(m_requestsPerSecond, 1.0);
-  const double limit = std::min(1.0, allowed / rate);
+  const double limit = std::min(kMaxShare, allowed / rate);
   const double target = std::min(aWantedShare, limit);
   // The integral must not grow while there is no room for its effect. It
   // follows the limit slowly, since the limit varies with single reports.
