Send cold endpoints of the own zone what they have room for

Cause: after the merge of the cold bound and the zone router, an entry whose zone had only cold endpoints sent everything to other zones, since the router does not count them; the test 'cold endpoints get this entry's part of their bound' failed (0 requests to each, at least 2 expected). A cold endpoint without a bound was not counted either, though it serves, only more slowly.

Change: while all usable endpoints of the own zone are cold and have room under their bound, a request stays there. Without a bound a cold endpoint counts with a longer service time.

--- a/modules/sidecar/src/EndpointSelector.cpp
+++ b/modules/sidecar/src/EndpointSelector.cpp
@@ -143,9 +143,10 @@
 {
   std::vector<EndpointLoad> loads;
   for (const auto& [instance, state] : m_endpointStates) {
+    const bool isCold = aNow < state.m_coldUntil;
     if (Classify(instance, state, aQuery.m_service, aNow) !=
           Usability::kUsable ||
-        aNow < state.m_coldUntil) {
+        (isCold && aQuery.m_coldBound > 0)) {
       continue;
     }
     const bool isLocal = instance == m_localInstance;
@@ -153,7 +154,9 @@
     EndpointLoad& summary = loads.emplace_back();
     summary.m_zone = state.m_endpoint.zone();
     summary.m_slots = state.m_endpoint.backend().slots();
-    summary.m_serviceTimeMs = load.m_serviceTimeMs;
+    summary.m_serviceTimeMs =
+      isCold ? static_cast<uint32_t>(kColdCostFactor * load.m_serviceTimeMs)
+             : load.m_serviceTimeMs;
     // More requests may be in flight to it than it has reported.
     const uint32_t requests =
       std::max(load.m_runningRequests + load.m_waitingRequests,
@@ -188,7 +191,18 @@
     }
     zone = m_zoneRouter.Pick(
       aQuery.m_service, aQuery.m_bodyBytes, aQuery.m_refusedByOwnZone);
-    if (std::ranges::none_of(aCandidates, isIn(zone))) {
+    // The zone router does not count cold endpoints with a bound, so that a
+    // zone which has no others would get none of the requests that they have
+    // room for.
+    const auto isWarmInOwnZone = [&](const EndpointState* aState) {
+      return aState->m_endpoint.zone() == aQuery.m_zone &&
+             !IsCold(*aState, aNow);
+    };
+    const bool hasOnlyColdRoom =
+      aQuery.m_coldBound > 0 &&
+      std::ranges::any_of(aCandidates, isIn(aQuery.m_zone)) &&
+      std::ranges::none_of(aCandidates, isWarmInOwnZone);
+    if (hasOnlyColdRoom || std::ranges::none_of(aCandidates, isIn(zone))) {
       zone = aQuery.m_zone;
     }
   }
