--- a/modules/overload/src/ReclaimPolicy.cpp
+++ b/modules/overload/src/ReclaimPolicy.cpp
@@ -1,6 +1,7 @@
 #include "rattanloft/overload/ReclaimPolicy.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace rattanloft::overload {
 
@@ -23,12 +24,12 @@
 {
   std::vector<ReclaimCandidate> chosen;
   std::ranges::copy_if(aCandidates, std::back_inserter(chosen), MayReclaim);
-  std::ranges::sort(chosen,
-                    [](const ReclaimCandidate& a, const ReclaimCandidate& b) {
-                      return a.m_isSendingResponse != b.m_isSendingResponse
-                               ? b.m_isSendingResponse
-                               : a.m_bytes > b.m_bytes;
-                    });
+  std::ranges::sort(
+    chosen, [](const ReclaimCandidate& aLeft, const ReclaimCandidate& aRight) {
+      return aLeft.m_isSendingResponse != aRight.m_isSendingResponse
+               ? aRight.m_isSendingResponse
+               : aLeft.m_bytes > aRight.m_bytes;
+    });
   size_t freedBytes = 0;
   auto end = chosen.begin();
   while (end != chosen.end() && freedBytes < aMissingBytes) {
