--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -9,16 +9,22 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "ConfigurationService.h"
+#include "EvacuationService.h"
 #include "FleetControl.h"
 #include "InternalCalls.h"
+#include "LeaderRelay.h"
 #include "MemberTransport.h"
+#include "OperatorResponses.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
 #include "rattanloft/fleet/FleetState.h"
 #include "rattanloft/http/Client.h"
 #include "rattanloft/http/Endpoint.h"
+#include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
+#include "rattanloft/overload/ConnectionLimits.h"
+#include "rattanloft/overload/MemoryBudget.h"
 #include "rattanloft/storage/DataFolder.h"
 #include "rattanloft/storage/FileLogStore.h"
 #include "rattanloft/storage/FileSnapshotStore.h"
@@ -46,6 +52,13 @@
 // Above the largest configuration that a command of the log can hold. The
 // parsed form of a document may take 25 times as much.
 constexpr uint64_t kMaxOperatorBodyBytes = 2 * 1024 * 1024;
+// Connections of the listeners and of the client if there are file descriptors
+// enough: the limits of earlier releases.
+constexpr size_t kListenerConnections = 1064;
+constexpr size_t kClientConnections = 512;
+// Names of the listeners in metrics.
+constexpr std::string_view kOperatorListener = "operators";
+constexpr std::string_view kMemberListener = "members";
 
 // Whether this replica votes, that is, is a member and not a learner.
 bool
@@ -68,15 +81,25 @@
 {
 public:
   CoordinatorImpl(CoordinatorOptions aOptions,
-                  const OperatorProtocol& aProtocol)
+                  const OperatorProtocol& aProtocol,
+                  overload::ConnectionLimits aConnections)
     : m_options(std::move(aOptions))
     , m_protocol(aProtocol)
+    , m_connectionLimits(std::move(aConnections))
+    , m_memoryBudget(
+        std::make_shared<overload::MemoryBudget>(m_options.m_memoryBudgetBytes,
+                                                 m_clock))
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
     , m_joinRetryTimer(m_context)
   {
     http::ClientOptions options;
     options.m_connectTimeout = Milliseconds(300);
+    options.m_memoryBudget = m_memoryBudget;
+    options.m_maxTotalConnections = m_connectionLimits.Limit("client");
+    options.m_maxConnectionsPerPeer =
+      std::min(options.m_maxConnectionsPerPeer, options.m_maxTotalConnections);
+    http::LogMemoryStates(*m_memoryBudget);
     m_client = http::Client::Make(m_context, options);
   }
 
@@ -187,12 +210,16 @@
     const size_t voters = 2 * size_t{ m_options.m_toleratedLosses } + 1;
     m_fleetControl = std::make_unique<FleetControl>(
       m_context, m_clock, *m_log, m_fleetState, *m_transport, voters);
+    m_leaderRelay = std::make_unique<LeaderRelay>(*m_fleetControl, *m_client);
     m_configurationService = std::make_unique<ConfigurationService>(
-      *m_fleetControl, m_protocol, *m_client);
+      *m_fleetControl, m_protocol, *m_leaderRelay);
+    m_evacuationService = std::make_unique<EvacuationService>(
+      *m_fleetControl, m_protocol, *m_leaderRelay);
     return {};
   }
 
   tl::expected<std::unique_ptr<http::Server>, CoordinatorError> Listen(
+    std::string_view aName,
     const std::string& aAddress,
     uint64_t aMaxBodyBytes,
     http::Server::Handler aHandler)
@@ -206,6 +233,12 @@
     options.m_address = endpoint->address().to_string();
     options.m_port = endpoint->port();
     options.m_maxBodyBytes = aMaxBodyBytes;
+    options.m_memoryBudget = m_memoryBudget;
+    const size_t limit = m_connectionLimits.Limit(aName);
+    options.m_maxRejectedConnections =
+      std::min(options.m_maxRejectedConnections, limit / 4);
+    options.m_maxConnections = limit - options.m_maxRejectedConnections;
+    options.m_isControl = aName == kMemberListener;
     auto server =
       http::Server::Make(m_context, std::move(options), std::move(aHandler));
     if (!server) {
@@ -217,6 +250,7 @@
   tl::expected<void, CoordinatorError> OpenListeners()
   {
     auto internal = Listen(
+      kMemberListener,
       m_options.m_internalAddress,
       kMaxBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
@@ -227,10 +261,11 @@
     }
     m_internalServer = std::move(*internal);
     auto control = Listen(
+      kOperatorListener,
       m_options.m_controlAddress,
       kMaxOperatorBodyBytes,
       [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
-        return m_configurationService->OnOperatorRequest(std::move(aRequest));
+        return OnOperatorRequest(std::move(aRequest));
       });
     if (!control) {
       return tl::unexpected(control.error());
@@ -239,6 +274,30 @@
     return {};
   }
 
+  asio::awaitable<http::Response> OnOperatorRequest(http::Request aRequest)
+  {
+    const std::string method(aRequest.method_string());
+    const std::string target(aRequest.target());
+    const OperatorCall call = m_protocol.Classify(method, target);
+    http::Response response;
+    switch (call) {
+      case OperatorCall::kReplaceConfiguration:
+      case OperatorCall::kReadConfiguration:
+        response = co_await m_configurationService->OnOperatorRequest(
+          call, std::move(aRequest));
+        break;
+      case OperatorCall::kStartEvacuation:
+      case OperatorCall::kEndEvacuation:
+        response = co_await m_evacuationService->OnOperatorRequest(
+          call, std::move(aRequest));
+        break;
+      case OperatorCall::kOther:
+        response = MakeErrorResponse(status::not_found, "path", "unknown call");
+        break;
+    }
+    co_return response;
+  }
+
   asio::awaitable<http::Response> OnInternalRequest(http::Request aRequest)
   {
     const std::string path(aRequest.target());
@@ -257,26 +316,31 @@
         co_await m_configurationService->OnRelayedRequest(std::move(aRequest));
       co_return response;
     }
+    if (path == fleet::kEvacuationPath) {
+      http::Response response =
+        co_await m_evacuationService->OnRelayedRequest(std::move(aRequest));
+      co_return response;
+    }
     if (path == "/metrics") {
       co_return MakeResponse(status::ok, FormatMetrics());
     }
     co_return MakeResponse(status::not_found, "unknown call\n");
   }
 
-  http::Response OnRaftBatch(const std::string& aBody)
+  http::Response OnRaftBatch(const http::Body& aBody)
   {
     wire::RaftBatch batch;
-    if (!batch.ParseFromString(aBody)) {
+    if (!http::ParseMessage(aBody, batch)) {
       return MakeResponse(status::bad_request, "unreadable batch\n");
     }
     return MakeResponse(status::ok,
                         m_fleetControl->OnRaftBatch(batch).SerializeAsString());
   }
 
-  asio::awaitable<http::Response> OnSync(const std::string& aBody)
+  asio::awaitable<http::Response> OnSync(const http::Body& aBody)
   {
     wire::FleetSyncRequest request;
-    if (!request.ParseFromString(aBody)) {
+    if (!http::ParseMessage(aBody, request)) {
       co_return MakeResponse(status::bad_request, "unreadable sync\n");
     }
     wire::FleetSyncReply reply =
@@ -284,10 +348,10 @@
     co_return MakeResponse(status::ok, reply.SerializeAsString());
   }
 
-  http::Response OnJoin(const std::string& aBody)
+  http::Response OnJoin(const http::Body& aBody)
   {
     wire::JoinRequest request;
-    if (!request.ParseFromString(aBody) || request.replica_id() == 0) {
+    if (!http::ParseMessage(aBody, request) || request.replica_id() == 0) {
       return MakeResponse(status::bad_request, "unreadable join\n");
     }
     return MakeResponse(status::ok,
@@ -303,7 +367,8 @@
                        "rattanloft_has_leader {}\n"
                        "rattanloft_storage_failed {}\n"
                        "rattanloft_configuration_version {}\n"
-                       "rattanloft_sidecars {}\n",
+                       "rattanloft_sidecars {}\n"
+                       "rattanloft_evacuated_zones {}\n",
                        m_fleetControl->IsLeading() ? 1 : 0,
                        log.m_term,
                        log.m_commitIndex,
@@ -312,7 +377,12 @@
                        log.m_leaderId != 0 ? 1 : 0,
                        log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
-                       m_fleetControl->CountSidecars());
+                       m_fleetControl->CountSidecars(),
+                       m_fleetControl->CountEvacuatedZones()) +
+           http::FormatOverloadMetrics(
+             *m_memoryBudget,
+             { { kOperatorListener, m_operatorServer.get() },
+               { kMemberListener, m_internalServer.get() } });
   }
 
   // Returns the internal addresses of other coordinators, from the seeds and
@@ -367,7 +437,7 @@
       co_await m_client->Exchange(
         aContact, std::move(request), kJoinCallTimeout);
     wire::JoinReply reply;
-    if (!response || !reply.ParseFromString(response->body()) ||
+    if (!response || !http::ParseMessage(response->body(), reply) ||
         reply.leader_address() == aContact) {
       co_return std::string();
     }
@@ -405,6 +475,8 @@
   CoordinatorOptions m_options;
   const OperatorProtocol& m_protocol;
   BootClock m_clock;
+  overload::ConnectionLimits m_connectionLimits;
+  std::shared_ptr<overload::MemoryBudget> m_memoryBudget;
   asio::io_context m_context{ 1 };
   asio::signal_set m_stopSignals;
   asio::signal_set m_reloadSignals;
@@ -417,7 +489,9 @@
   std::unique_ptr<MemberTransport> m_transport;
   std::unique_ptr<consensus::ReplicatedLog> m_log;
   std::unique_ptr<FleetControl> m_fleetControl;
+  std::unique_ptr<LeaderRelay> m_leaderRelay;
   std::unique_ptr<ConfigurationService> m_configurationService;
+  std::unique_ptr<EvacuationService> m_evacuationService;
   std::unique_ptr<http::Server> m_internalServer;
   std::unique_ptr<http::Server> m_operatorServer;
   bool m_stopping = false;
@@ -429,8 +503,25 @@
 Coordinator::Make(CoordinatorOptions aOptions,
                   const OperatorProtocol& aProtocol)
 {
-  auto coordinator =
-    std::make_unique<CoordinatorImpl>(std::move(aOptions), aProtocol);
+  // One body of the largest size, for which a batch of the log is read.
+  if (overload::MemoryBudget::MaxChargeBytes(aOptions.m_memoryBudgetBytes,
+                                             overload::ChargeKind::kLargeBody) <
+      kMaxBodyBytes) {
+    return tl::unexpected(CoordinatorError{ fmt::format(
+      "a memory budget of {} bytes has no room for a body of {} bytes",
+      aOptions.m_memoryBudgetBytes,
+      kMaxBodyBytes) });
+  }
+  auto connections = overload::ConnectionLimits::Make(
+    aOptions.m_maxOpenFiles,
+    { { std::string(kOperatorListener), kListenerConnections },
+      { std::string(kMemberListener), kListenerConnections },
+      { "client", kClientConnections } });
+  if (!connections) {
+    return tl::unexpected(CoordinatorError{ connections.error() });
+  }
+  auto coordinator = std::make_unique<CoordinatorImpl>(
+    std::move(aOptions), aProtocol, std::move(*connections));
   if (auto opened = coordinator->Open(); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -136,6 +136,7 @@
                    const RangeTransfer& aTransfer,
                    TimePoint aNow) const;
   bool CanOwnKeys(const Sidecar& aSidecar, TimePoint aNow) const;
+  double FindColdCapacity(const std::string& aService) const;
   std::vector<HolderCandidate> ListCandidates(const std::string& aService,
                                               TimePoint aNow) const;
   bool HaveHoldersReported(TimePoint aNow) const;
@@ -164,6 +165,7 @@
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
   bool NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
+  bool NeedsEvacuations(const wire::FleetSyncRequest& aRequest) const;
   void AddChangedRanges(uint64_t aKnownIndex,
                         wire::FleetSyncReply& aReply) const;
   void AddConfiguration(const wire::FleetSyncRequest& aRequest,
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -33,9 +33,10 @@
 // Whenever a sidecar reports to a new leader for the first time, the leader
 // waits for this time: the reports of others may be in flight.
 constexpr Duration kReportSettleTime = Milliseconds(120);
-// Pause between two rebalancing moves of a service, so that the measured load
-// reflects the previous move.
-constexpr Duration kRebalancePause = Milliseconds(1000);
+// Pause between two rebalancing plans of a service, so that moves that have
+// just ended take effect. The load is measured by key and follows a move at
+// once.
+constexpr Duration kRebalancePause = Milliseconds(500);
 
 // Handover tokens that are kept per backend lifetime until their ranges are
 // transferred.
@@ -205,9 +206,24 @@
   const wire::BackendView& backend = aSidecar.m_lastRequest.backend();
   return aNow - aSidecar.m_lastHeardAt <= kMaxAliveSilence &&
          !aSidecar.m_lastRequest.stopping() &&
+         !m_state.EvacuatedZones().contains(aSidecar.m_lastRequest.zone()) &&
          backend.phase() == wire::BACKEND_PHASE_READY && backend.reachable();
 }
 
+// Returns the requests per second that a cold backend server of the service
+// takes; 0 if the service states no bound.
+double
+FleetLeader::FindColdCapacity(const std::string& aService) const
+{
+  for (const wire::ServiceSpec& spec :
+       m_state.CurrentChange().configuration().services()) {
+    if (spec.name() == aService) {
+      return std::max(0.0, spec.cold_requests_per_second());
+    }
+  }
+  return 0;
+}
+
 // Returns the backend servers of the service that can take keys. Their
 // capacities follow from the measured time per request and the limit that the
 // server names; a server without a measurement is assumed to take the mean of
@@ -216,6 +232,7 @@
 FleetLeader::ListCandidates(const std::string& aService, TimePoint aNow) const
 {
   std::vector<HolderCandidate> candidates;
+  const double coldCapacity = FindColdCapacity(aService);
   double serviceTimeSumMs = 0;
   int measuredCount = 0;
   for (const auto& [name, sidecar] : m_sidecars) {
@@ -239,7 +256,10 @@
     if (sidecar.m_lastRequest.request_limit() > 0) {
       capacity = std::min(capacity, sidecar.m_lastRequest.request_limit());
     }
-    candidates.push_back({ backend.holder(), capacity });
+    candidates.push_back(
+      { backend.holder(),
+        capacity,
+        backend.cold_remaining_ms() > 0 ? coldCapacity : 0 });
   }
   return candidates;
 }
@@ -601,6 +621,14 @@
          m_quarantine.HasUpdateFor(aRequest, m_term);
 }
 
+bool
+FleetLeader::NeedsEvacuations(const wire::FleetSyncRequest& aRequest) const
+{
+  return aRequest.accepts_evacuations() &&
+         !std::ranges::equal(aRequest.evacuated_zones(),
+                             m_state.EvacuatedZones());
+}
+
 bool
 FleetLeader::HasUpdates(const wire::FleetSyncRequest& aRequest) const
 {
@@ -609,7 +637,8 @@
       aRequest.configuration_version() <
         m_state.CurrentChange().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
-      NeedsEndpoints(aRequest) || NeedsQuarantine(aRequest)) {
+      NeedsEndpoints(aRequest) || NeedsQuarantine(aRequest) ||
+      NeedsEvacuations(aRequest)) {
     return true;
   }
   const auto holder = m_holders.find(aRequest.backend().holder());
@@ -685,6 +714,14 @@
   if (NeedsEndpoints(aRequest)) {
     AddEndpoints(aRequest, reply);
   }
+  // In every reply, since a sidecar that has just started must not adopt a
+  // configuration without it.
+  if (aRequest.accepts_evacuations()) {
+    reply.set_has_evacuated_zones(true);
+    for (const std::string& zone : m_state.EvacuatedZones()) {
+      reply.add_evacuated_zones(zone);
+    }
+  }
   // The term tells a sidecar that this leader lacks the entries that were
   // reported to the former one, so it is sent even if the list is empty.
   if (aRequest.accepts_quarantine() &&
--- a/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
+++ b/modules/sidecar/include/rattanloft/sidecar/Sidecar.h
@@ -9,7 +9,9 @@
 #include <tl/expected.hpp>
 
 #include "rattanloft/base/Time.h"
+#include "rattanloft/overload/MemoryBudget.h"
 #include "rattanloft/sidecar/BackendProtocol.h"
+#include "rattanloft/sidecar/ZoneRouting.h"
 
 namespace rattanloft::sidecar {
 
@@ -42,14 +44,29 @@
   // requests in the window, plus a constant number of retries.
   double m_retryRatio = 0.2;
   uint32_t m_retrySlack = 0;
+  // Requests that a cold backend server may get in any second: this multiple of
+  // the rate that its service states, plus a fixed number.
+  double m_coldRateFactor = 1;
+  double m_coldExtraRequests = 0;
   // Time from SIGTERM to the end of the process, after which requests that
   // still run are cut off.
   Duration m_stopGrace = Seconds(6);
   // A backend server gets no requests any more once it has been draining for
   // this time.
   Duration m_drainTimeout = Seconds(2);
+  ZoneRoutingOptions m_zoneRouting;
+  // Memory that requests, responses and connections may take in all.
+  size_t m_memoryBudgetBytes = overload::MemoryBudget::kDefaultLimitBytes;
+  // File descriptors that the process may use.
+  size_t m_maxOpenFiles = 4096;
 };
 
+// Requests that a cold backend server of the service may get in any second; 0
+// for no bound. aService may be null.
+double
+FindColdBound(const SidecarOptions& aOptions,
+              const wire::ServiceSpec* aService);
+
 struct SidecarError
 {
   std::string m_message;
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -22,6 +22,9 @@
 // Retry delay that is reported if the backend server cannot serve the request
 // at the moment.
 constexpr Duration kNotServingRetryDelay = Milliseconds(200);
+constexpr Duration kHealthCheckTimeout = Milliseconds(500);
+// A backend server that stays cold for longer says so again.
+constexpr double kMaxColdMs = 60'000;
 
 AttemptResult
 MakeUnknownResult(std::string_view aReason)
@@ -67,6 +70,8 @@
                                LocalBackend& aLocalBackend,
                                WorkQueue& aWorkQueue,
                                BackendQuarantine& aQuarantine,
+                               const FleetDirectory& aDirectory,
+                               std::string aZone,
                                std::string aBackendAddress)
   : m_context(aContext)
   , m_clock(aClock)
@@ -75,6 +80,8 @@
   , m_localBackend(aLocalBackend)
   , m_workQueue(aWorkQueue)
   , m_quarantine(aQuarantine)
+  , m_directory(aDirectory)
+  , m_zone(std::move(aZone))
   , m_backendAddress(std::move(aBackendAddress))
 {
 }
@@ -94,6 +101,14 @@
   if (m_localBackend.View().service() != aAttributes.m_service) {
     return MakeNotRunResult("other-service", kNotServingRetryDelay);
   }
+  if (m_directory.IsEvacuated(m_zone)) {
+    return MakeZoneEvacuatedResult(aAttributes.m_keyed);
+  }
+  // The zone may be under evacuation since before this process started.
+  if (!m_directory.KnowsEvacuations()) {
+    return MakeNotRunResult(ServeVerdictName(ServeVerdict::kAwaitsLeader),
+                            kNotServingRetryDelay);
+  }
   const ServeVerdict verdict = m_localBackend.CheckServable(
     aAttributes.m_key, aAttributes.m_keyed, m_clock.Now());
   if (verdict != ServeVerdict::kServe) {
@@ -116,11 +131,14 @@
     if (found == m_waiters.end()) {
       // The caller is gone, so its slot goes to the next item.
       if (item.m_mayStart) {
+        m_workQueue.ColdStart().OnNotSent(item.m_id);
         m_workQueue.Finish({}, {});
       }
       continue;
     }
     found->second->m_mayStart = item.m_mayStart;
+    found->second->m_retryAfter =
+      item.m_retryAfter.value_or(kNotServingRetryDelay);
     found->second->m_wakeTimer.cancel();
     m_waiters.erase(found);
   }
@@ -130,19 +148,31 @@
 BackendHandler::Tick()
 {
   m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
+  m_workQueue.ColdStart().Tick(m_clock.Now());
   DequeueWaiting();
 }
 
+void
+BackendHandler::OnEvacuationStarted()
+{
+  for (const auto& [id, waiter] : m_waiters) {
+    m_workQueue.Cancel(id);
+    waiter->m_isEvacuated = true;
+    waiter->m_wakeTimer.cancel();
+  }
+  m_waiters.clear();
+}
+
 // Waits for a slot. Returns the refusal, or nullopt once the request holds a
 // slot.
 asio::awaitable<std::optional<AttemptResult>>
-BackendHandler::AcquireSlot(const RequestAttributes& aAttributes,
+BackendHandler::AcquireSlot(WorkId aId,
+                            const RequestAttributes& aAttributes,
                             std::shared_ptr<http::CancelToken> aCancel)
 {
   const TimePoint now = m_clock.Now();
-  const WorkId id = m_nextWorkId++;
   const SubmitResult submitted =
-    m_workQueue.Submit({ id,
+    m_workQueue.Submit({ aId,
                          aAttributes.m_kind,
                          aAttributes.m_rank,
                          now + aAttributes.m_timeToTarget,
@@ -156,7 +186,7 @@
   }
   const auto waiter = std::make_shared<Waiter>(m_context);
   waiter->m_wakeTimer.expires_at(asio::steady_timer::time_point::max());
-  m_waiters[id] = waiter;
+  m_waiters[aId] = waiter;
   if (aCancel) {
     aCancel->SetCancelCallback([waiter] { waiter->m_wakeTimer.cancel(); });
   }
@@ -164,13 +194,16 @@
   if (aCancel) {
     aCancel->SetCancelCallback({});
   }
+  if (waiter->m_isEvacuated) {
+    co_return MakeZoneEvacuatedResult(aAttributes.m_keyed);
+  }
   if (!waiter->m_mayStart) {
-    m_waiters.erase(id);
-    m_workQueue.Cancel(id);
+    m_waiters.erase(aId);
+    m_workQueue.Cancel(aId);
     co_return MakeNotRunResult("caller-left", {});
   }
   if (!*waiter->m_mayStart) {
-    co_return MakeOverloadedResult(kNotServingRetryDelay);
+    co_return MakeOverloadedResult(waiter->m_retryAfter);
   }
   co_return std::nullopt;
 }
@@ -212,8 +245,9 @@
   if (refusal) {
     co_return std::move(*refusal);
   }
+  const WorkId workId = m_nextWorkId++;
   std::optional<AttemptResult> notStarted =
-    co_await AcquireSlot(aAttributes, aCancel);
+    co_await AcquireSlot(workId, aAttributes, aCancel);
   if (notStarted) {
     LogRefusal(id, aAttributes, *notStarted);
     co_return std::move(*notStarted);
@@ -221,7 +255,8 @@
   const TimePoint startedAt = m_clock.Now();
   Duration serviceTime;
   const FinishGuard finishGuard(
-    [this, &serviceTime, kind = aAttributes.m_kind] {
+    [this, &serviceTime, workId, kind = aAttributes.m_kind] {
+      m_workQueue.ColdStart().ReleaseIfNotSent(workId);
       m_workQueue.Finish(kind, serviceTime);
       DequeueWaiting();
     });
@@ -242,7 +277,8 @@
   }
   quarantine::RunOutcome runOutcome = quarantine::RunOutcome::kNoAnswer;
   const FinishGuard endRunGuard([&] { m_quarantine.End(*run, runOutcome); });
-  AttemptResult result = co_await SendToBackend(std::move(aRequest),
+  AttemptResult result = co_await SendToBackend(workId,
+                                                std::move(aRequest),
                                                 aAttributes,
                                                 fingerprint,
                                                 timeLeft,
@@ -255,7 +291,8 @@
 }
 
 asio::awaitable<AttemptResult>
-BackendHandler::SendToBackend(http::Request aRequest,
+BackendHandler::SendToBackend(WorkId aId,
+                              http::Request aRequest,
                               const RequestAttributes& aAttributes,
                               uint64_t aFingerprint,
                               Duration aTimeLeft,
@@ -268,6 +305,7 @@
     aRequest, names.m_expectedBackend, m_localBackend.View().backend_id());
   SetField(aRequest, names.m_deadlineMs, std::to_string(aTimeLeft.m_ms));
   const std::string holder = m_localBackend.View().holder();
+  m_workQueue.ColdStart().OnSent(aId, m_clock.Now());
   tl::expected<http::Response, http::HttpError> response =
     co_await m_backendClient.Exchange(m_backendAddress,
                                       std::move(aRequest),
@@ -275,17 +313,27 @@
                                       std::move(aCancel));
   const TimePoint now = m_clock.Now();
   if (response) {
+    m_workQueue.ColdStart().OnAnswered(aId, now);
     m_localBackend.OnContactResult(true, now);
     if (holder == m_localBackend.View().holder()) {
       ApplyAnnouncements(*response);
       if (response->result() == status::misdirected_request) {
-        m_localBackend.OnMisdirected(
-          FieldValue(*response, names.m_respondingBackend), aAttributes.m_key);
+        const std::string_view responder =
+          FieldValue(*response, names.m_respondingBackend);
+        if (!responder.empty() &&
+            responder != m_localBackend.View().backend_id()) {
+          m_workQueue.ColdStart().OnConnectionLost(now);
+        }
+        m_localBackend.OnMisdirected(responder, aAttributes.m_key);
       }
     }
     co_return ClassifyResponse(std::move(*response), id);
   }
   const http::HttpError& error = response.error();
+  if (!error.m_maybeSent) {
+    m_workQueue.ColdStart().OnNotSent(aId);
+  }
+  OnExchangeError(error.m_code);
   if (error.m_code == http::HttpErrorCode::kCancelled) {
     co_return error.m_maybeSent ? MakeUnknownResult("caller-left")
                                 : MakeNotRunResult("caller-left", {});
@@ -312,14 +360,70 @@
                                 : "backend-broke-off");
 }
 
+// Counts a backend server that refused or broke a connection as possibly cold,
+// since it may have restarted under the same id.
+void
+BackendHandler::OnExchangeError(http::HttpErrorCode aError)
+{
+  if (aError == http::HttpErrorCode::kConnectFailed ||
+      aError == http::HttpErrorCode::kConnectionBroken) {
+    m_workQueue.ColdStart().OnConnectionLost(m_clock.Now());
+  }
+}
+
+void
+BackendHandler::ApplyColdAnnouncement(const http::Response& aResponse)
+{
+  const double remainingMs =
+    ParseDecimalField(aResponse, m_protocol.Headers().m_coldRemainingMs)
+      .value_or(0);
+  if (remainingMs <= 0) {
+    return;
+  }
+  m_workQueue.ColdStart().OnColdAnnounced(m_clock.Now());
+  // Without a bound, others learn of cold phases from heartbeats alone.
+  if (m_workQueue.ColdStart().Bound() > 0) {
+    m_localBackend.OnColdAnnounced(
+      Milliseconds(static_cast<int64_t>(std::min(remainingMs, kMaxColdMs))),
+      m_clock.Now());
+  }
+}
+
+asio::awaitable<void>
+BackendHandler::CheckColdState(http::Client& aClient,
+                               std::string aHealthCheckTarget)
+{
+  http::Request request;
+  request.version(11);
+  request.method(boost::beast::http::verb::get);
+  request.target(aHealthCheckTarget);
+  request.prepare_payload();
+  const std::string holder = m_localBackend.View().holder();
+  const tl::expected<http::Response, http::HttpError> response =
+    co_await aClient.Exchange(
+      m_backendAddress, std::move(request), kHealthCheckTimeout);
+  if (!response) {
+    // A broken connection is no sign here: a server that breaks off its health
+    // checks would never count as warm. If it has restarted, the next check is
+    // refused.
+    if (response.error().m_code == http::HttpErrorCode::kConnectFailed) {
+      m_workQueue.ColdStart().OnConnectionLost(m_clock.Now());
+    }
+  } else if (holder == m_localBackend.View().holder()) {
+    ApplyColdAnnouncement(*response);
+  }
+}
+
 // Adopts what the backend server states about itself in a response: that it is
-// about to stop, and its request limit, or that it has none any more.
+// about to stop, that it is cold, and its request limit, or that it has none
+// any more.
 void
 BackendHandler::ApplyAnnouncements(const http::Response& aResponse)
 {
   if (FieldValue(aResponse, m_protocol.Headers().m_leaving) == "1") {
     m_localBackend.OnLeavingAnnounced(m_clock.Now());
   }
+  ApplyColdAnnouncement(aResponse);
   const std::string& limitName = m_protocol.Headers().m_requestLimit;
   const std::optional<double> limit = ParseDecimalField(aResponse, limitName);
   const std::string_view limitText = FieldValue(aResponse, limitName);
@@ -344,6 +448,7 @@
 BackendHandler::OnNewLifetime()
 {
   m_workQueue.SetRateLimit(std::nullopt, m_clock.Now());
+  m_workQueue.ColdStart().OnNewLifetime(m_clock.Now());
   m_quarantine.OnNewLifetime();
 }
 
--- a/modules/sidecar/src/BackendHandler.h
+++ b/modules/sidecar/src/BackendHandler.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "BackendQuarantine.h"
+#include "FleetDirectory.h"
 #include "LocalBackend.h"
 #include "PeerHeaders.h"
 #include "WorkQueue.h"
@@ -54,6 +55,8 @@
                  LocalBackend& aLocalBackend,
                  WorkQueue& aWorkQueue,
                  BackendQuarantine& aQuarantine,
+                 const FleetDirectory& aDirectory,
+                 std::string aZone,
                  std::string aBackendAddress);
 
   // aCancel is cancelled when the caller goes away; it may be null.
@@ -64,8 +67,16 @@
   // Adopts the slot count of the backend server, and starts or refuses waiting
   // requests. Must be called every 25 ms while requests wait.
   void Tick();
+  // Sends a health check and adopts what it shows about whether the backend
+  // server is cold. Responses to health checks need not repeat a request id, so
+  // aClient must not expect that.
+  boost::asio::awaitable<void> CheckColdState(http::Client& aClient,
+                                              std::string aHealthCheckTarget);
   // Must be called when another lifetime of the backend server runs.
   void OnNewLifetime();
+  // Refuses all waiting requests. Must be called when the evacuation of the own
+  // zone starts; requests that run are not affected.
+  void OnEvacuationStarted();
   ReportedLoad CurrentLoad() const;
 
 private:
@@ -80,18 +91,27 @@
     boost::asio::steady_timer m_wakeTimer;
     // False if the queue refused the request; empty until it has decided.
     std::optional<bool> m_mayStart;
+    // Set if m_mayStart is false.
+    Duration m_retryAfter;
+    // Set if the evacuation of the zone has ended the wait.
+    bool m_isEvacuated = false;
   };
 
   boost::asio::awaitable<std::optional<AttemptResult>> AcquireSlot(
+    WorkId aId,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
   boost::asio::awaitable<AttemptResult> SendToBackend(
+    WorkId aId,
     http::Request aRequest,
     const RequestAttributes& aAttributes,
     uint64_t aFingerprint,
     Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel);
+  // Records what the failure of an exchange tells about the backend server.
+  void OnExchangeError(http::HttpErrorCode aError);
   void ApplyAnnouncements(const http::Response& aResponse);
+  void ApplyColdAnnouncement(const http::Response& aResponse);
   AttemptResult ClassifyResponse(http::Response aResponse,
                                  const std::string& aRequestId);
   // Returns the refusal if the backend server may not serve the request now.
@@ -109,6 +129,8 @@
   LocalBackend& m_localBackend;
   WorkQueue& m_workQueue;
   BackendQuarantine& m_quarantine;
+  const FleetDirectory& m_directory;
+  std::string m_zone;
   std::string m_backendAddress;
   WorkId m_nextWorkId = 1;
   std::map<WorkId, std::shared_ptr<Waiter>> m_waiters;
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -164,7 +164,8 @@
   if (refusal) {
     AttemptResult result;
     result.m_outcome = AttemptOutcome::kNotRun;
-    result.m_reason = refusal->body().substr(0, refusal->body().size() - 1);
+    result.m_reason =
+      refusal->body().View().substr(0, refusal->body().size() - 1);
     CountNotRun(result.m_reason);
     LogOutcome(state, result, refusal->result_int());
     co_return std::move(*refusal);
@@ -189,16 +190,66 @@
              ? std::string()
              : owner->holder().substr(0, owner->holder().find('/'));
   }
+  m_endpointSelector.SetLocalLoad(
+    m_options.m_instance, m_localHandler.CurrentLoad(), now);
+  const wire::ServiceSpec* const service =
+    aState.m_router->FindService(aState.m_service);
   const wire::Endpoint* const endpoint =
     m_endpointSelector.Choose({ aState.m_service,
                                 m_options.m_zone,
                                 aState.m_bodyBytes,
-                                m_options.m_instance },
+                                m_options.m_instance,
+                                aState.m_refusedByOwnZone,
+                                FindColdBound(m_options, service),
+                                m_directory.SidecarCount() },
                               aState.m_triedInstances,
                               now);
   return endpoint == nullptr ? std::string() : endpoint->instance();
 }
 
+bool
+EntryHandler::IsServiceEvacuated(const std::string& aService) const
+{
+  if (m_directory.EvacuatedZones().empty()) {
+    return false;
+  }
+  bool isKnown = false;
+  for (const wire::Endpoint& endpoint : m_directory.Endpoints()) {
+    if (endpoint.backend().service() != aService) {
+      continue;
+    }
+    if (!m_directory.IsEvacuated(endpoint.zone())) {
+      return false;
+    }
+    isKnown = true;
+  }
+  return isKnown;
+}
+
+bool
+EntryHandler::IsInstanceEvacuated(const std::string& aInstance) const
+{
+  const wire::Endpoint* const endpoint =
+    m_endpointSelector.FindEndpoint(aInstance);
+  return endpoint != nullptr && m_directory.IsEvacuated(endpoint->zone());
+}
+
+void
+EntryHandler::ExcludeZoneOf(const std::string& aInstance,
+                            RequestState& aState) const
+{
+  const wire::Endpoint* const refusing =
+    m_endpointSelector.FindEndpoint(aInstance);
+  if (refusing == nullptr) {
+    return;
+  }
+  for (const wire::Endpoint& endpoint : m_directory.Endpoints()) {
+    if (endpoint.zone() == refusing->zone()) {
+      aState.m_triedInstances.insert(endpoint.instance());
+    }
+  }
+}
+
 asio::awaitable<void>
 EntryHandler::Sleep(Duration aDuration)
 {
@@ -253,8 +304,22 @@
     if (aCancel && aCancel->IsCancelled()) {
       break;
     }
+    if (IsServiceEvacuated(aState.m_service)) {
+      last = MakeZoneEvacuatedResult(aState.m_keyed);
+      break;
+    }
     aState.m_instance = ChooseInstance(aState);
+    if (aState.m_keyed && IsInstanceEvacuated(aState.m_instance)) {
+      last = MakeZoneEvacuatedResult(true);
+      step = policy.OnOwnerMoving(m_clock.Now());
+      continue;
+    }
     if (aState.m_instance.empty()) {
+      if (!aState.m_keyed && m_endpointSelector.ColdRetryAfter()) {
+        last =
+          MakeNotRunResult("cold-start", *m_endpointSelector.ColdRetryAfter());
+        break;
+      }
       step = policy.OnNoEndpoint(m_clock.Now());
       continue;
     }
@@ -273,8 +338,14 @@
     aState.m_triedInstances.insert(aState.m_instance);
     AttemptResult result = co_await SendToInstance(aRequest, aState, aCancel);
     last = std::move(result);
+    if (last.m_reason == kZoneEvacuatedReason) {
+      // Its sidecar has learned of the evacuation before this one.
+      ExcludeZoneOf(aState.m_instance, aState);
+    }
     if (aState.m_keyed) {
       RecordAcceptance(target, last);
+    } else {
+      RecordZoneResult(aState, last);
     }
     step = policy.OnResult(
       last, m_clock.Now(), [&] { return TryTakeRetry(aState.m_service); });
@@ -287,6 +358,30 @@
   co_return last;
 }
 
+void
+EntryHandler::RecordZoneResult(RequestState& aState,
+                               const AttemptResult& aResult)
+{
+  const wire::Endpoint* const endpoint =
+    m_endpointSelector.FindEndpoint(aState.m_instance);
+  if (endpoint == nullptr) {
+    return;
+  }
+  ZoneRouter& zones = m_endpointSelector.Zones();
+  zones.OnExchange(aState.m_service,
+                   endpoint->zone(),
+                   aState.m_bodyBytes + aResult.m_response.body().size(),
+                   aState.m_instance == m_options.m_instance);
+  if (endpoint->zone() != m_options.m_zone) {
+    return;
+  }
+  const bool isRefused = aResult.m_kind == ResultKind::kOverloaded;
+  if (isRefused || aResult.m_outcome == AttemptOutcome::kAnswered) {
+    zones.OnOwnZoneResult(aState.m_service, isRefused);
+  }
+  aState.m_refusedByOwnZone = isRefused;
+}
+
 // Refusals for other reasons than load, such as a move of the key, and failures
 // of the backend server say nothing about the load.
 void
@@ -358,6 +453,7 @@
                          std::shared_ptr<http::CancelToken> aCancel)
 {
   const std::string instance = aState.m_instance;
+  const TimePoint sentAt = m_clock.Now();
   SetField(aRequest, kServiceField, aAttributes.m_service);
   SetField(aRequest, kKindField, aAttributes.m_kind);
   SetField(aRequest, kKeyedField, aAttributes.m_keyed ? "1" : "0");
@@ -376,8 +472,19 @@
                                    std::move(aCancel));
   const TimePoint now = m_clock.Now();
   if (response) {
-    m_endpointSelector.OnLoadReport(
-      instance, DecodeReportedLoad(*response), now);
+    // A listener that refuses a request does not know the load.
+    if (!FieldValue(*response, kLoadField).empty()) {
+      m_endpointSelector.OnLoadReport(
+        instance, DecodeReportedLoad(*response), now);
+    }
+    const std::optional<int64_t> handlingMs =
+      ParseNumberField(*response, kHandlingMsField);
+    const wire::Endpoint* const endpoint =
+      m_endpointSelector.FindEndpoint(instance);
+    if (handlingMs && endpoint != nullptr) {
+      m_endpointSelector.Zones().OnRoundTrip(
+        endpoint->zone(), now - sentAt, Milliseconds(*handlingMs));
+    }
     AttemptResult result = DecodeAttemptResult(std::move(*response));
     if (result.m_reachedBackend) {
       m_endpointSelector.OnBackendResponse(
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -650,6 +650,13 @@
   return ServeVerdict::kNotOwner;
 }
 
+void
+LocalBackend::OnColdAnnounced(Duration aColdRemaining, TimePoint aNow)
+{
+  m_reportRevision += aNow < m_coldUntil ? 0 : 1;
+  m_coldUntil = std::max(m_coldUntil, aNow + aColdRemaining);
+}
+
 Duration
 LocalBackend::ColdRemaining(TimePoint aNow) const
 {
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -15,10 +15,15 @@
 namespace beast = boost::beast;
 using beast::http::status;
 
+// The sidecars learn of the end of an evacuation within about this time, and
+// the next owner of a key gets it within about this time: after a heartbeat of
+// the former one, which are 0.87 s apart.
+constexpr Duration kZoneEvacuatedRetryDelay = Milliseconds(1000);
+
 constexpr std::array kPeerFields = {
-  kServiceField, kKindField,    kKeyedField,     kTargetMsField,
-  kRankField,    kOutcomeField, kReasonField,    kRetryAfterMsField,
-  kLoadField,    kArrivedField, kResultKindField
+  kServiceField, kKindField,       kKeyedField,   kTargetMsField,
+  kRankField,    kOutcomeField,    kReasonField,  kRetryAfterMsField,
+  kLoadField,    kHandlingMsField, kArrivedField, kResultKindField
 };
 
 beast::string_view
@@ -162,6 +167,30 @@
   return result;
 }
 
+AttemptResult
+MakeZoneEvacuatedResult(bool aKeyed)
+{
+  AttemptResult result =
+    MakeNotRunResult(kZoneEvacuatedReason, kZoneEvacuatedRetryDelay);
+  result.m_kind = aKeyed ? ResultKind::kOwnerMoved : ResultKind::kOther;
+  return result;
+}
+
+std::vector<std::pair<std::string, std::string>>
+MakePeerRefusalFields()
+{
+  // The memory of the peer is in use for about as long as requests run.
+  constexpr Duration kRetryDelay = Milliseconds(200);
+  return {
+    { std::string(kOutcomeField),
+      std::string(AttemptOutcomeName(AttemptOutcome::kNotRun)) },
+    { std::string(kReasonField), "peer-refused" },
+    { std::string(kResultKindField),
+      std::string(ResultKindName(ResultKind::kOverloaded)) },
+    { std::string(kRetryAfterMsField), std::to_string(kRetryDelay.m_ms) },
+  };
+}
+
 http::Response
 EncodeAttemptResult(AttemptResult aResult, const ReportedLoad& aLoad)
 {
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -3,6 +3,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -33,6 +35,10 @@
 // Running requests, waiting requests, slots and mean service time in
 // milliseconds, separated by commas.
 constexpr std::string_view kLoadField = "Rattanloft-Load";
+// Time from the arrival of the request to its answer at the peer, in
+// milliseconds. The rest of the exchange is the round trip. Peers of the
+// previous release do not send it.
+constexpr std::string_view kHandlingMsField = "Rattanloft-Handling-Ms";
 // Present if the request reached the backend server, which refused it or gave
 // no usable response.
 constexpr std::string_view kArrivedField = "Rattanloft-Arrived";
@@ -40,6 +46,10 @@
 // Reason of a refusal because no slot of the backend server is free in time.
 constexpr std::string_view kOverloadedReason = "overloaded";
 
+// Reason of a refusal because the zone of the backend server is under
+// evacuation.
+constexpr std::string_view kZoneEvacuatedReason = "zone-evacuated";
+
 enum class AttemptOutcome
 {
   // The backend server answered the request.
@@ -88,6 +98,17 @@
                  Duration aRetryAfter,
                  bool aReachedBackend = false);
 
+// The request was not run because the zone of the backend server is under
+// evacuation. A request with a key waits for the next owner, any other one goes
+// on to another instance.
+AttemptResult
+MakeZoneEvacuatedResult(bool aKeyed);
+
+// Header fields of the responses with which a listener refuses a request of a
+// peer before it is served. They state that it has not run.
+std::vector<std::pair<std::string, std::string>>
+MakePeerRefusalFields();
+
 // Converts between the result of an attempt and the response that a sidecar
 // sends to its peer. A response without an outcome field decodes as kUnknown.
 // The kind of a response without a kind field follows from the reason.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -20,12 +20,14 @@
 #include "LocalBackend.h"
 #include "RangeCaller.h"
 #include "RunningRequests.h"
+#include "SidecarLimits.h"
 #include "SyncClient.h"
 #include "WorkQueue.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
 #include "rattanloft/http/Endpoint.h"
+#include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
 
 namespace rattanloft::sidecar {
@@ -40,6 +42,9 @@
 // wait.
 constexpr std::chrono::milliseconds kBusyTickInterval{ 25 };
 constexpr std::chrono::milliseconds kIdleTickInterval{ 100 };
+// Time between two health checks of a backend server that may become cold. At
+// most this part of a second's requests is sent before it is known.
+constexpr Duration kColdCheckInterval = Milliseconds(250);
 // Longest time for which the response to a heartbeat is held back. Backend
 // servers accept a response for one second; some send the next heartbeat only
 // 1.5 s after the last one.
@@ -61,7 +66,6 @@
 // Requests that still run this long before they would be cut off get an answer
 // that says what is known of them.
 constexpr Duration kFinalAnswerTime = Milliseconds(300);
-constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 // A heartbeat with as many ranges as are accepted takes less.
 constexpr uint64_t kMaxBackendCallBytes = 256 * 1024;
 // Longer than the time for which callers keep idle connections: up to four
@@ -78,9 +82,12 @@
 class SidecarImpl final : public Sidecar
 {
 public:
-  SidecarImpl(SidecarOptions aOptions, const BackendProtocol& aProtocol)
+  SidecarImpl(SidecarOptions aOptions,
+              const BackendProtocol& aProtocol,
+              SidecarLimits aLimits)
     : m_options(std::move(aOptions))
     , m_protocol(aProtocol)
+    , m_limits(std::move(aLimits))
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_reloadSignals(m_context, SIGHUP)
     , m_tickTimer(m_context)
@@ -88,11 +95,12 @@
     , m_localBackend(m_options.m_instance,
                      m_options.m_drainTimeout,
                      m_clock.Now())
-    , m_endpointSelector(RandomId())
+    , m_endpointSelector(RandomId(), m_options.m_zoneRouting)
     , m_peerClient(MakePeerClient())
     , m_backendClient(MakeBackendClient())
+    , m_healthClient(MakeHealthClient())
     , m_controlClient(
-        http::Client::Make(m_context, SyncClient::MakeClientOptions()))
+        MakeClient("control-client", SyncClient::MakeClientOptions()))
     , m_quarantine(m_context,
                    m_clock,
                    *m_backendClient,
@@ -105,6 +113,8 @@
                      m_localBackend,
                      m_workQueue,
                      m_quarantine,
+                     m_directory,
+                     m_options.m_zone,
                      m_options.m_backendAddress)
     , m_syncClient(m_context,
                    m_clock,
@@ -130,8 +140,11 @@
                     m_protocol,
                     m_localBackend,
                     m_options.m_backendAddress,
+                    MakeLimitedOptions("grant-client", {}),
+                    MakeLimitedOptions("release-client", {}),
                     [this] { OnRangesChanged(); })
   {
+    http::LogMemoryStates(m_limits.Budget());
     m_syncClient.SetReplyCallback([this] { OnReplyApplied(); });
   }
 
@@ -140,46 +153,58 @@
   {
     const struct
     {
+      std::string_view m_name;
       const std::string* m_address;
       std::unique_ptr<http::Server>* m_server;
       http::Server::Handler m_handler;
-      uint64_t m_maxBodyBytes = kMaxBodyBytes;
+      uint64_t m_maxBodyBytes;
     } listeners[] = {
-      { &m_options.m_callerAddress,
+      { "callers",
+        &m_options.m_callerAddress,
         &m_callerServer,
         [this](http::Request aRequest,
                std::shared_ptr<http::CancelToken> aCancel) {
           return ServeCaller(std::move(aRequest), std::move(aCancel));
-        } },
-      { &m_options.m_peerAddress,
+        },
+        kMaxBodyBytes },
+      { "peers",
+        &m_options.m_peerAddress,
         &m_peerServer,
         [this](http::Request aRequest,
                std::shared_ptr<http::CancelToken> aCancel) {
           return ServePeer(std::move(aRequest), std::move(aCancel));
-        } },
-      { &m_options.m_readyAddress,
+        },
+        kMaxBodyBytes },
+      { "ready",
+        &m_options.m_readyAddress,
         &m_readyServer,
         [this](http::Request, std::shared_ptr<http::CancelToken>) {
           return ServeReady();
-        } },
-      { &m_options.m_announceAddress,
+        },
+        kMaxBackendCallBytes },
+      { "announce",
+        &m_options.m_announceAddress,
         &m_announceServer,
         [this](http::Request aRequest, std::shared_ptr<http::CancelToken>) {
           return ServeBackendCall(std::move(aRequest));
         },
         kMaxBackendCallBytes },
-      { &m_options.m_metricsAddress,
+      { "metrics",
+        &m_options.m_metricsAddress,
         &m_metricsServer,
         [this](http::Request, std::shared_ptr<http::CancelToken>) {
           return ServeMetrics();
-        } },
+        },
+        kMaxBackendCallBytes },
     };
     for (const auto& listener : listeners) {
       if (listener.m_address->empty()) {
         continue;
       }
-      auto server = MakeServer(
-        *listener.m_address, listener.m_handler, listener.m_maxBodyBytes);
+      auto server = MakeServer(listener.m_name,
+                               *listener.m_address,
+                               listener.m_handler,
+                               listener.m_maxBodyBytes);
       if (!server) {
         return tl::unexpected(server.error());
       }
@@ -209,6 +234,7 @@
     WaitForReload();
     ScheduleTick();
     m_syncClient.Start();
+    asio::co_spawn(m_context, CheckColdState(), asio::detached);
     m_context.run();
   }
 
@@ -220,6 +246,16 @@
     options.m_connectTimeout = kConnectTimeout;
     options.m_acceptUnframedResponses = true;
     options.m_echoedFieldName = m_protocol.Headers().m_requestId;
+    return MakeClient("backend-client", std::move(options));
+  }
+
+  std::unique_ptr<http::Client> MakeHealthClient()
+  {
+    http::ClientOptions options;
+    options.m_maxConnectionsPerPeer = 1;
+    options.m_idleTimeout = kBackendIdleTimeout;
+    options.m_connectTimeout = kConnectTimeout;
+    options.m_acceptUnframedResponses = true;
     return http::Client::Make(m_context, options);
   }
 
@@ -228,10 +264,34 @@
     http::ClientOptions options;
     options.m_idleTimeout = kPeerIdleTimeout;
     options.m_connectTimeout = kConnectTimeout;
-    return http::Client::Make(m_context, options);
+    return MakeClient("peer-client", std::move(options));
+  }
+
+  http::ClientOptions MakeLimitedOptions(std::string_view aName,
+                                         http::ClientOptions aOptions) const
+  {
+    m_limits.Apply(aName, aOptions);
+    return aOptions;
+  }
+
+  std::unique_ptr<http::Client> MakeClient(std::string_view aName,
+                                           http::ClientOptions aOptions)
+  {
+    return http::Client::Make(m_context,
+                              MakeLimitedOptions(aName, std::move(aOptions)));
+  }
+
+  // Largest body that callers may send, by the configuration in force.
+  uint64_t ConfiguredMaxBodyBytes() const
+  {
+    const auto& router = m_directory.Router();
+    const uint64_t configured =
+      router ? router->SourceConfiguration().limits().max_body_bytes() : 0;
+    return configured > 0 ? configured : kMaxBodyBytes;
   }
 
   tl::expected<std::unique_ptr<http::Server>, SidecarError> MakeServer(
+    std::string_view aName,
     const std::string& aAddress,
     const http::Server::Handler& aHandler,
     uint64_t aMaxBodyBytes)
@@ -246,6 +306,16 @@
     options.m_port = endpoint->port();
     options.m_maxBodyBytes = aMaxBodyBytes;
     options.m_idleTimeout = kServerIdleTimeout;
+    m_limits.Apply(aName, options);
+    if (aName == "callers") {
+      options.m_currentMaxBodyBytes = [this] {
+        return ConfiguredMaxBodyBytes();
+      };
+    } else if (aName == "peers") {
+      options.m_refusalHeaderFields = MakePeerRefusalFields();
+    } else {
+      options.m_isControl = true;
+    }
     auto server = http::Server::Make(m_context, std::move(options), aHandler);
     if (!server) {
       return tl::unexpected(SidecarError{ server.error().m_message });
@@ -277,6 +347,8 @@
   // server.
   void OnReplyApplied()
   {
+    m_workQueue.ColdStart().SetBound(FindColdBound(m_options, FindOwnService()),
+                                     m_clock.Now());
     m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_rangeCaller.SendDueCalls();
     if (m_endpointsRevision != m_directory.EndpointsRevision() ||
@@ -285,6 +357,34 @@
       m_endpointsTerm = m_directory.EndpointsTerm();
       m_endpointSelector.SetEndpoints(m_directory.Endpoints(), m_clock.Now());
     }
+    ApplyEvacuations();
+  }
+
+  void ApplyEvacuations()
+  {
+    m_endpointSelector.SetEvacuatedZones(m_directory.EvacuatedZones());
+    const bool isEvacuated = m_directory.IsEvacuated(m_options.m_zone);
+    if (isEvacuated == m_isZoneEvacuated) {
+      return;
+    }
+    m_isZoneEvacuated = isEvacuated;
+    LogInfo("sidecar",
+            "event=evacuation zone=\"{}\" active={} running={} waiting={}",
+            m_options.m_zone,
+            isEvacuated,
+            m_workQueue.RunningCount(),
+            m_workQueue.WaitingCount());
+    if (isEvacuated) {
+      m_localHandler.OnEvacuationStarted();
+    } else {
+      OnEvacuationEnded();
+    }
+  }
+
+  // The backend server may have become cold during the evacuation.
+  void OnEvacuationEnded()
+  {
+    m_workQueue.ColdStart().OnPossiblyCold(m_clock.Now());
   }
 
   asio::awaitable<http::Response> ServeReady()
@@ -309,6 +409,7 @@
     std::shared_ptr<http::CancelToken> aCancel)
   {
     const RunningRequests::Guard guard(m_runningRequests, aCancel);
+    const TimePoint arrivedAt = m_clock.Now();
     const HeaderNames& names = m_protocol.Headers();
     RequestAttributes attributes;
     attributes.m_service = FieldValue(aRequest, kServiceField);
@@ -326,8 +427,12 @@
     }
     AttemptResult result = co_await m_localHandler.RunRequest(
       std::move(aRequest), attributes, std::move(aCancel));
-    co_return EncodeAttemptResult(std::move(result),
-                                  m_localHandler.CurrentLoad());
+    http::Response response =
+      EncodeAttemptResult(std::move(result), m_localHandler.CurrentLoad());
+    SetField(response,
+             kHandlingMsField,
+             std::to_string((m_clock.Now() - arrivedAt).m_ms));
+    co_return response;
   }
 
   asio::awaitable<http::Response> ServeBackendCall(http::Request aRequest)
@@ -375,7 +480,7 @@
   // Confirms a deregistration only once it can no longer be forgotten: another
   // process of this sidecar may have to answer the late heartbeats.
   asio::awaitable<http::Response> ServeDeregistration(std::string aBackendId,
-                                                      std::string aBody)
+                                                      http::Body aBody)
   {
     const TimePoint end = m_clock.Now() + kMaxHeartbeatHold;
     const std::string holder = m_localBackend.OnDeregistration(
@@ -408,7 +513,7 @@
   }
 
   asio::awaitable<http::Response> ServeHeartbeat(std::string aBackendId,
-                                                 std::string aBody)
+                                                 http::Body aBody)
   {
     const TimePoint end = m_clock.Now() + kMaxHeartbeatHold;
     http::Response response;
@@ -426,6 +531,12 @@
       m_localHandler.OnNewLifetime();
       m_rangeCaller.OnNewLifetime();
     }
+    if (isAccepted) {
+      m_workQueue.ColdStart().OnHeartbeat(
+        heartbeat->m_sequence, heartbeat->m_coldRemaining, m_clock.Now());
+    }
+    m_workQueue.ColdStart().SetBound(FindColdBound(m_options, FindOwnService()),
+                                     m_clock.Now());
     m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
     OnRangesChanged();
@@ -461,8 +572,9 @@
   asio::awaitable<void> WaitForRanges(TimePoint aEnd)
   {
     uint64_t planCount = m_localBackend.AdoptedPlanCount();
+    // No ranges are on their way to a zone under evacuation.
     while (m_localBackend.ShouldWaitForRanges(IsServiceKeyed()) &&
-           m_clock.Now() < aEnd) {
+           !m_isZoneEvacuated && m_clock.Now() < aEnd) {
       co_await Sleep(kHeartbeatPollInterval);
       if (m_localBackend.AdoptedPlanCount() != planCount) {
         // Ranges have arrived; waits a little longer for those that follow
@@ -500,6 +612,22 @@
                               : std::optional(service->range_delivery());
   }
 
+  // Asks a backend server whose service has a bound for cold ones whether it is
+  // cold. It may become cold at any moment, and its next heartbeat may be 0.9 s
+  // away.
+  asio::awaitable<void> CheckColdState()
+  {
+    while (!m_stopping) {
+      co_await Sleep(kColdCheckInterval);
+      std::string target = HealthCheckTarget();
+      if (m_workQueue.ColdStart().Bound() > 0 && target.starts_with('/') &&
+          !m_localBackend.View().holder().empty()) {
+        co_await m_localHandler.CheckColdState(*m_healthClient,
+                                               std::move(target));
+      }
+    }
+  }
+
   std::string HealthCheckTarget() const
   {
     const wire::ServiceSpec* const service = FindOwnService();
@@ -512,14 +640,17 @@
     const ReportedLoad load = m_localHandler.CurrentLoad();
     http::Response response;
     response.result(status::ok);
-    response.body() = fmt::format(
+    std::string text = fmt::format(
       "rattanloft_requests {}\nrattanloft_answered {}\nrattanloft_not_run {}\n"
       "rattanloft_unknown {}\nrattanloft_retries {}\n"
       "rattanloft_backend_running {}\nrattanloft_backend_waiting {}\n"
       "rattanloft_backend_service_ms {}\nrattanloft_configuration_version {}\n"
       "rattanloft_directory_age_ms {}\nrattanloft_quarantine_entries {}\n"
       "rattanloft_backend_request_limit {}\n"
-      "rattanloft_backend_heartbeats_refused {}\n",
+      "rattanloft_backend_heartbeats_refused {}\n"
+      "rattanloft_backend_cold {}\n"
+      "rattanloft_cold_requests_refused {}\n"
+      "rattanloft_zone_evacuated {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -532,11 +663,23 @@
       m_directory.TimeSinceLastReply(m_clock.Now()).m_ms,
       m_quarantine.CountLiveEntries(),
       m_workQueue.RateLimit().value_or(0),
-      m_refusedBackendCalls);
+      m_refusedBackendCalls,
+      m_workQueue.ColdStart().IsLimiting(m_clock.Now()) ? 1 : 0,
+      m_workQueue.ColdStart().RefusedCount(),
+      m_isZoneEvacuated ? 1 : 0);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
-      response.body() += fmt::format(
+      text += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
     }
+    text += m_endpointSelector.Zones().FormatMetrics();
+    text +=
+      http::FormatOverloadMetrics(m_limits.Budget(),
+                                  { { "callers", m_callerServer.get() },
+                                    { "peers", m_peerServer.get() },
+                                    { "ready", m_readyServer.get() },
+                                    { "announce", m_announceServer.get() },
+                                    { "metrics", m_metricsServer.get() } });
+    response.body() = std::move(text);
     co_return response;
   }
 
@@ -605,6 +748,7 @@
 
   SidecarOptions m_options;
   const BackendProtocol& m_protocol;
+  SidecarLimits m_limits;
   BootClock m_clock;
   asio::io_context m_context{ 1 };
   asio::signal_set m_stopSignals;
@@ -618,6 +762,7 @@
   LoadCounter m_loadCounter;
   std::unique_ptr<http::Client> m_peerClient;
   std::unique_ptr<http::Client> m_backendClient;
+  std::unique_ptr<http::Client> m_healthClient;
   std::unique_ptr<http::Client> m_controlClient;
   BackendQuarantine m_quarantine;
   BackendHandler m_localHandler;
@@ -634,15 +779,31 @@
   uint64_t m_endpointsTerm = 0;
   uint64_t m_refusedBackendCalls = 0;
   int m_serversToStop = 0;
+  bool m_isZoneEvacuated = false;
   bool m_stopping = false;
 };
 
 } // namespace
 
+double
+FindColdBound(const SidecarOptions& aOptions, const wire::ServiceSpec* aService)
+{
+  return aService == nullptr || aService->cold_requests_per_second() <= 0
+           ? 0
+           : aService->cold_requests_per_second() * aOptions.m_coldRateFactor +
+               aOptions.m_coldExtraRequests;
+}
+
 tl::expected<std::unique_ptr<Sidecar>, SidecarError>
 Sidecar::Make(SidecarOptions aOptions, const BackendProtocol& aProtocol)
 {
-  auto sidecar = std::make_unique<SidecarImpl>(std::move(aOptions), aProtocol);
+  static const BootClock sClock;
+  auto limits = SidecarLimits::Make(aOptions, sClock);
+  if (!limits) {
+    return tl::unexpected(limits.error());
+  }
+  auto sidecar = std::make_unique<SidecarImpl>(
+    std::move(aOptions), aProtocol, std::move(*limits));
   if (auto opened = sidecar->OpenListeners(); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/tools/rattanloft/SidecarCommand.cpp
+++ b/tools/rattanloft/SidecarCommand.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -6,6 +7,7 @@
 
 #include "Commands.h"
 #include "Flags.h"
+#include "ProcessLimits.h"
 #include "SettingsText.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/http/Endpoint.h"
@@ -34,11 +36,42 @@
 DEFINE_string(bounds,
               "",
               "time limits and budgets that the platform sets, name=value,...");
+DEFINE_string(zone_spillover,
+              "adaptive",
+              "use of other availability zones: adaptive, any (no preference "
+              "between zones) or never (only if the own zone has no usable "
+              "backend server)");
+DEFINE_double(zone_crossing_cost_ms_per_mb,
+              500,
+              "response time in milliseconds that is given up to save a "
+              "megabyte between availability zones");
 
 namespace rattanloft::tool {
 
 namespace {
 
+// Larger costs have no further effect; the bound detects a wrong unit.
+constexpr double kMaxCrossingCostMsPerMb = 1e6;
+
+std::optional<sidecar::ZoneSpilloverMode>
+ParseSpilloverMode(const std::string& aName)
+{
+  if (aName == "adaptive") {
+    return sidecar::ZoneSpilloverMode::kAdaptive;
+  }
+  if (aName == "any") {
+    return sidecar::ZoneSpilloverMode::kAny;
+  }
+  if (aName == "never") {
+    return sidecar::ZoneSpilloverMode::kNever;
+  }
+  return std::nullopt;
+}
+
+// Memory for the configuration, the directory of the fleet, the log and the
+// fragmentation of the heap.
+constexpr size_t kStateBytes = 24 * 1024 * 1024;
+
 // Returns a message about the first invalid setting; empty if all are valid.
 std::string
 CheckSettings()
@@ -69,6 +102,18 @@
                          address);
     }
   }
+  if (!ParseSpilloverMode(FLAGS_zone_spillover)) {
+    return fmt::format("--zone_spillover: '{}' is not adaptive, any or never",
+                       FLAGS_zone_spillover);
+  }
+  // The negated comparison also refuses a value that is not a number.
+  if (!(FLAGS_zone_crossing_cost_ms_per_mb >= 0 &&
+        FLAGS_zone_crossing_cost_ms_per_mb <= kMaxCrossingCostMsPerMb)) {
+    return fmt::format(
+      "--zone_crossing_cost_ms_per_mb: {} is not between 0 and {}",
+      FLAGS_zone_crossing_cost_ms_per_mb,
+      kMaxCrossingCostMsPerMb);
+  }
   return "";
 }
 
@@ -89,7 +134,8 @@
 }
 
 sidecar::SidecarOptions
-MakeOptions(const platform::PlatformBounds& aBounds)
+MakeOptions(const platform::PlatformBounds& aBounds,
+            const ProcessLimits& aLimits)
 {
   sidecar::SidecarOptions options;
   options.m_instance = FLAGS_instance;
@@ -104,8 +150,15 @@
   options.m_coordinators = CoordinatorAddresses(FLAGS_coordinators);
   options.m_retryRatio = aBounds.m_retryRatio;
   options.m_retrySlack = aBounds.m_retrySlack;
+  options.m_coldRateFactor = aBounds.m_coldRateFactor;
+  options.m_coldExtraRequests = aBounds.m_coldExtraRequests;
   options.m_stopGrace = aBounds.m_stopGrace;
   options.m_drainTimeout = aBounds.m_drainTimeout;
+  options.m_zoneRouting.m_mode = *ParseSpilloverMode(FLAGS_zone_spillover);
+  options.m_zoneRouting.m_crossingCostMsPerMb =
+    FLAGS_zone_crossing_cost_ms_per_mb;
+  options.m_memoryBudgetBytes = aLimits.m_memoryBudgetBytes;
+  options.m_maxOpenFiles = aLimits.m_maxOpenFiles;
   const std::string file = FlagfilePath();
   if (!file.empty()) {
     options.m_readCoordinators = [file] {
@@ -131,9 +184,15 @@
   if (!bounds) {
     return Fail(2, "--bounds: " + bounds.error());
   }
+  ReturnFreedMemory();
+  const auto limits = ReadProcessLimits(kStateBytes);
+  if (!limits) {
+    return Fail(2, limits.error());
+  }
   SetLogOutput(LogOutput::kRateLimitedStandardOutput);
   static const platform::PlatformBackendProtocol sProtocol;
-  auto created = sidecar::Sidecar::Make(MakeOptions(*bounds), sProtocol);
+  auto created =
+    sidecar::Sidecar::Make(MakeOptions(*bounds, *limits), sProtocol);
   if (!created) {
     return Fail(1, created.error().m_message);
   }
