Take the wider rebalancing of key ranges out again

Cause: it was to relieve owners that stay overloaded beside the owner of a single busy key.

A cold holder still neither gives nor takes.

Result: the fleet tests pass. The fault of one hopeless owner that keeps others from relief stays; it is named in docs/platform.md.

--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -33,10 +33,9 @@
 // Whenever a sidecar reports to a new leader for the first time, the leader
 // waits for this time: the reports of others may be in flight.
 constexpr Duration kReportSettleTime = Milliseconds(120);
-// Pause between two rebalancing plans of a service, so that moves that have
-// just ended take effect. The load is measured by key and follows a move at
-// once.
-constexpr Duration kRebalancePause = Milliseconds(500);
+// Pause between two rebalancing moves of a service, so that the measured load
+// reflects the previous move.
+constexpr Duration kRebalancePause = Milliseconds(1000);
 
 // Handover tokens that are kept per backend lifetime until their ranges are
 // transferred.
--- a/modules/fleet/src/RangePlacer.cpp
+++ b/modules/fleet/src/RangePlacer.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <tuple>
 
 #include "rattanloft/fleet/HolderName.h"
 
@@ -50,10 +49,6 @@
 constexpr double kMaxWholeRangeFactor = 1.3;
 // Ranges with fewer keys are not split when they have lost their owner.
 constexpr uint32_t kMinSplitKeys = 2048;
-// Moves of one plan: one for each kHoldersPerMove holders, so that a large
-// service is even again as soon as a small one, and at least kMinMovesPerPlan.
-constexpr size_t kMinMovesPerPlan = 4;
-constexpr size_t kHoldersPerMove = 4;
 
 // Load, capacity (both in requests per second) and number of ranges of one
 // candidate.
@@ -227,17 +222,14 @@
 
 // Returns the overload in requests per second that a move of aLoad relieves,
 // less the requests that find its keys without an owner, spread over the time
-// for which the move helps. An owner that is overloaded refuses part of them
-// anyway.
+// for which the move helps.
 double
 ComputeNetGain(const HolderShare& aFrom, const HolderShare& aTo, double aLoad)
 {
   const double relief =
     ComputeOverload(aFrom, 0) - ComputeOverload(aFrom, -aLoad);
   const double burden = ComputeOverload(aTo, aLoad) - ComputeOverload(aTo, 0);
-  const double servedShare = std::min(1.0, aFrom.m_capacity / aFrom.m_load);
-  return relief - burden -
-         servedShare * aLoad * kTransferGapMs / kTransferBenefitMs;
+  return relief - burden - aLoad * kTransferGapMs / kTransferBenefitMs;
 }
 
 // Returns pieces of about aTargetLoad and of half that load, at both edges of
@@ -335,96 +327,60 @@
     });
 }
 
-// Returns the candidates by their utilization, the highest first.
-std::vector<std::string>
-ListByUtilization(const SharesByHolder& aShares)
+// Plans one move from the most loaded to the least loaded candidate. Returns
+// false if no move is worth its cost.
+bool
+PlanOneMove(const wire::ServiceRanges& aRanges,
+            SharesByHolder& aShares,
+            const KeyLoadEstimator& aLoad,
+            std::vector<RangeTransfer>& aTransfers,
+            TimePoint aNow)
 {
-  std::vector<std::pair<double, std::string>> byUtilization;
-  for (const auto& [holder, share] : aShares) {
-    byUtilization.emplace_back(share.Utilization(), holder);
+  const auto byUtilization = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second.Utilization() < aRight.second.Utilization();
+  };
+  const auto mostLoaded =
+    std::minmax_element(aShares.begin(), aShares.end(), byUtilization).second;
+  // A cold backend server takes nothing, since it would refuse requests for it.
+  // It is not relieved because it is cold either: it is warm again before a
+  // move pays off.
+  const auto leastLoaded = std::min_element(
+    aShares.begin(), aShares.end(), [&](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.m_isCold != aRight.second.m_isCold
+               ? aRight.second.m_isCold
+               : byUtilization(aLeft, aRight);
+    });
+  if (leastLoaded->second.m_isCold) {
+    return false;
   }
-  std::ranges::stable_sort(
-    byUtilization, std::greater<>{}, &std::pair<double, std::string>::first);
-  std::vector<std::string> holders;
-  for (auto& [utilization, holder] : byUtilization) {
-    holders.push_back(std::move(holder));
+  HolderShare& from = mostLoaded->second;
+  HolderShare& to = leastLoaded->second;
+  if (leastLoaded == mostLoaded || to.m_rangeCount >= kMaxRangesPerHolder) {
+    return false;
   }
-  return holders;
-}
-
-// Returns the load that the holder lacks to the utilization of the whole
-// service.
-double
-ComputeMissingLoad(const SharesByHolder& aShares, const HolderShare& aHolder)
-{
   double load = 0;
   double capacity = 0;
   for (const auto& [holder, share] : aShares) {
     load += share.m_load;
     capacity += share.m_capacity;
   }
-  return load / capacity * aHolder.m_capacity - aHolder.m_load;
-}
-
-// Returns the holder that gets the next piece: one without ranges, else the one
-// with the most room below the utilization at which answers are late. The least
-// utilized one may be too slow for a busy piece. A cold one is returned only if
-// all are cold.
-const std::string&
-ChooseReceiver(const SharesByHolder& aShares)
-{
-  const auto room = [](const auto& aItem) {
-    const HolderShare& share = aItem.second;
-    return std::tuple(!share.m_isCold,
-                      share.m_rangeCount == 0,
-                      kMaxUtilization * share.m_capacity - share.m_load);
-  };
-  return std::ranges::max_element(aShares, {}, room)->first;
-}
-
-// Plans one move, from the most loaded candidate that has a piece worth moving.
-// An owner whose load is a single busy key has none, and the others must still
-// be relieved. Returns false if no move is worth its cost.
-bool
-PlanOneMove(const wire::ServiceRanges& aRanges,
-            SharesByHolder& aShares,
-            const KeyLoadEstimator& aLoad,
-            std::vector<RangeTransfer>& aTransfers,
-            TimePoint aNow)
-{
-  const std::string receiver = ChooseReceiver(aShares);
-  HolderShare& to = aShares[receiver];
-  // A cold backend server would refuse requests for the piece. None is relieved
-  // because it is cold either: it is warm again before a move pays off.
-  if (to.m_isCold || to.m_rangeCount >= kMaxRangesPerHolder) {
+  const double missingLoad = load / capacity * to.m_capacity - to.m_load;
+  std::optional<RangeTransfer> piece =
+    to.m_rangeCount == 0
+      ? ChoosePieceForJoined(
+          aRanges, mostLoaded->first, aLoad, missingLoad, aNow)
+      : ChoosePieceForRelief(aRanges, mostLoaded->first, from, to, aLoad, aNow);
+  if (!piece) {
     return false;
   }
-  const bool isJoining = to.m_rangeCount == 0;
-  const double missingLoad = ComputeMissingLoad(aShares, to);
-  for (const std::string& name : ListByUtilization(aShares)) {
-    HolderShare& from = aShares[name];
-    if (!isJoining && ComputeOverload(from, 0) <= 0) {
-      return false;
-    }
-    if (name == receiver) {
-      continue;
-    }
-    std::optional<RangeTransfer> piece =
-      isJoining ? ChoosePieceForJoined(aRanges, name, aLoad, missingLoad, aNow)
-                : ChoosePieceForRelief(aRanges, name, from, to, aLoad, aNow);
-    if (!piece) {
-      continue;
-    }
-    const double movedLoad =
-      aLoad.EstimateLoad(piece->m_first, piece->m_last, aNow);
-    from.m_load -= movedLoad;
-    to.m_load += movedLoad;
-    ++to.m_rangeCount;
-    piece->m_to = receiver;
-    aTransfers.push_back(std::move(*piece));
-    return true;
-  }
-  return false;
+  const double movedLoad =
+    aLoad.EstimateLoad(piece->m_first, piece->m_last, aNow);
+  from.m_load -= movedLoad;
+  to.m_load += movedLoad;
+  ++to.m_rangeCount;
+  piece->m_to = leastLoaded->first;
+  aTransfers.push_back(std::move(*piece));
+  return true;
 }
 
 // Plans moves until none is worth its cost or the limit of one plan is reached.
@@ -435,10 +391,9 @@
                 std::vector<RangeTransfer>& aTransfers,
                 TimePoint aNow)
 {
-  const size_t maxMoves =
-    std::max(kMinMovesPerPlan, aShares.size() / kHoldersPerMove);
+  constexpr size_t kMaxMovesPerPlan = 4;
   wire::ServiceRanges ranges = aRanges;
-  while (aTransfers.size() < maxMoves &&
+  while (aTransfers.size() < kMaxMovesPerPlan &&
          PlanOneMove(ranges, aShares, aLoad, aTransfers, aNow)) {
     // A piece that moves away cannot be split again.
     wire::OwnedRange movedAway;
