Refuse answers with an invalid status

Cause: the parser of Beast accepts any three digits. The client of HTTP/1.1 looped over interim responses by their class, and everything else was the final response. 101 was final too, although no client here asks for another protocol, and 1xx without a name in Beast, such as 199, counted as final since their class was taken from the name.

Why this works: the client classifies the number itself. 100 to 199 but 101 is interim, 200 to 599 final, and anything else is a broken connection after the request was sent: 502 for an order, another attempt for a request that may be repeated, and the connection is closed. All answers of backend servers, other sidecars, health checks, range calls, coordinators and of the nodes of the cluster are read by this client; gRPC is read by its library.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -25,7 +25,6 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 using beast::http::field;
-using beast::http::status_class;
 
 // Makes operations return their error code instead of throwing.
 constexpr auto kUseAwaitableTuple = asio::as_tuple(asio::use_awaitable);
@@ -48,6 +47,29 @@
 using Fields = beast::http::fields;
 using Parser = beast::http::response_parser<BodyType>;
 
+enum class StatusKind
+{
+  kInterim,
+  kFinal,
+  kInvalid,
+};
+
+// A number, since Beast has no name for most statuses. 101 is invalid because a
+// Client never asks for another protocol.
+StatusKind
+ClassifyStatus(unsigned aStatus)
+{
+  constexpr unsigned kMinInterim = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kMinFinal = 200;
+  constexpr unsigned kMaxFinal = 599;
+  if (aStatus < kMinInterim || aStatus == kSwitchingProtocols ||
+      aStatus > kMaxFinal) {
+    return StatusKind::kInvalid;
+  }
+  return aStatus < kMinFinal ? StatusKind::kInterim : StatusKind::kFinal;
+}
+
 void
 SetSocketOptions(tcp::socket& aSocket)
 {
@@ -445,12 +467,17 @@
                                  *aParser,
                                  m_pool->Options().m_maxHeaderBytes,
                                  [](size_t, size_t) { return true; });
-    if (error ||
-        to_status_class(aParser->get().result()) !=
-          status_class::informational ||
-        aParser->get().result() == beast::http::status::switching_protocols) {
+    if (error) {
       co_return error;
     }
+    switch (ClassifyStatus(aParser->get().result_int())) {
+      case StatusKind::kFinal:
+        co_return error;
+      case StatusKind::kInvalid:
+        co_return beast::http::error::bad_status;
+      case StatusKind::kInterim:
+        break;
+    }
   }
   co_return beast::http::error::bad_status;
 }
--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -173,6 +173,47 @@
   CHECK(client->ConnectionCount() == 0);
 }
 
+// Guards against a status that no caller can interpret, and against a final
+// response that callers take for an interim one.
+TEST_CASE("A response with an invalid status is an error")
+{
+  const std::string code =
+    GENERATE("000", "001", "099", "101", "199", "600", "999");
+  CAPTURE(code);
+  const std::string length = GENERATE("", "Content-Length: 2\r\n");
+  const std::string response =
+    "HTTP/1.1 " + code + " Status\r\n" + length + "\r\nok";
+  ClientOptions options;
+  options.m_acceptUnframedResponses = true;
+  const ExchangeOutcome outcome = ExchangeOnce(
+    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      co_await ReadRequestHeader(aSocket);
+      co_await SendText(aSocket, response);
+    },
+    options);
+  REQUIRE_FALSE(outcome.m_result);
+  CHECK(outcome.m_result.error().m_code == HttpErrorCode::kConnectionBroken);
+  CHECK(outcome.m_result.error().m_maybeSent);
+  CHECK(outcome.m_openConnectionCount == 0);
+}
+
+// Guards against a check that refuses responses which are unusual but valid.
+TEST_CASE("A response with any final status is returned")
+{
+  const std::string code = GENERATE("200", "299", "304", "418", "599");
+  const ExchangeOutcome outcome = ExchangeOnce(
+    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      co_await ReadRequestHeader(aSocket);
+      co_await SendText(aSocket,
+                        "HTTP/1.1 " + code + " \r\nContent-Length: 0\r\n\r\n");
+      co_await ReadRequestHeader(aSocket);
+    },
+    {});
+  REQUIRE(outcome.m_result);
+  CHECK(std::to_string(outcome.m_result->result_int()) == code);
+  CHECK(outcome.m_openConnectionCount == 1);
+}
+
 // Guards against the beginning of a response that is passed on as a whole one.
 TEST_CASE("A response that ends within its header is an error")
 {
