Require a signature of each success, whatever its status

Found while looking for the cause of the status 000 in other readers.

Cause: the check of the signature took the class of the status from its name in Beast, which is "unknown" for a status without a name, so that only the named successes were checked.

Why this works: the number is compared, as the client of HTTP/1.1 does.

--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -14,7 +14,6 @@
 namespace asio = boost::asio;
 using boost::beast::http::field;
 using boost::beast::http::status;
-using boost::beast::http::status_class;
 
 // Time after the deadline for which the response is awaited, since the backend
 // server may respond exactly at the deadline.
@@ -474,8 +473,11 @@
                             kNotServingRetryDelay,
                             true);
   }
-  const bool isSuccess =
-    to_status_class(aResponse.result()) == status_class::successful;
+  // A number, since Beast has no name for most statuses.
+  constexpr unsigned kMinSuccess = 200;
+  constexpr unsigned kMaxSuccess = 299;
+  const bool isSuccess = kMinSuccess <= aResponse.result_int() &&
+                         aResponse.result_int() <= kMaxSuccess;
   if (isSuccess && (FieldValue(aResponse, names.m_signature).empty() ||
                     aResponse.count(field::content_encoding) > 0)) {
     return MakeUnknownResult("answer-without-signature");
--- a/tests/BrokenAnswerTest.py
+++ b/tests/BrokenAnswerTest.py
@@ -66,6 +66,16 @@
             for key in KEYS:
                 self.require_no_answer(name, key, f"s{name}-{key}")
 
+    def test_any_success_needs_a_signature(self):
+        """Guards against a success that no backend server has signed, with a status
+        that has no name."""
+        statuses = (b"200", b"209", b"299")
+        BrokenAnswerBackend.answers = {
+            status.decode(): answer_with_status(status).replace(
+                b"Response-Signature: signed\r\n", b"") for status in statuses}
+        for name in BrokenAnswerBackend.answers:
+            self.require_no_answer(name, KEYS[0], f"u{name}")
+
 
 if __name__ == "__main__":
     unittest.main()
