Refuse answers without a length if the request could not be written

Cause: the write of the upload fails with the reset. The client then reads on, since a peer may answer before it has read the whole request. Reporting the reset to the write clears it on the socket, so that the read gets the bytes that had arrived and then an end of stream, as after an orderly close, which ends a body without a length.

Answers that are cut within their length or a chunk were 502 before as well; an early answer that is whole by its length is still delivered.

Why this works: after a write that failed, the end of the connection shows nothing, so that an answer counts only if its own length or chunks end it.

StandInBackend gets a hook for answers before the body is read.

--- a/modules/http/include/rattanloft/http/Client.h
+++ b/modules/http/include/rattanloft/http/Client.h
@@ -39,7 +39,8 @@
   // kPoolFull.
   size_t m_maxWaitingExchanges = 1000;
   // Accepts responses that declare no length and end when the peer closes the
-  // connection, provided that it is closed without an error.
+  // connection, provided that it is closed without an error and after the whole
+  // request was written.
   bool m_acceptUnframedResponses = false;
   // Name of a header field of the request, such as a request id, that the peer
   // repeats in its response; empty for none. A response with another value
--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -165,6 +165,7 @@
   std::shared_ptr<ConnectionWaiter> m_waiter;
   bool m_holdsPoolSlot = false;
   bool m_connectionReusable = false;
+  bool m_writeFailed = false;
   std::unique_ptr<PooledConnection> m_connection;
 };
 
@@ -373,6 +374,7 @@
     m_connection->m_socket, aRequest, kUseAwaitableTuple);
   // If part of the request was sent, go on to read: a peer may respond and
   // close the connection before it has read the whole request.
+  m_writeFailed = error.failed();
   if (error && (m_abortReason || sentBytes == 0)) {
     co_return tl::unexpected(MakeError(HttpErrorCode::kConnectionBroken,
                                        sentBytes > 0,
@@ -403,7 +405,7 @@
                                         "read from",
                                         "answer of another request"));
   }
-  if (error) {
+  if (m_writeFailed) {
     m_connectionReusable = false;
   }
   co_return response;
@@ -494,8 +496,10 @@
   std::string_view framingError =
     FindFramingError(parser->get(), parser->get().version());
   if (framingError.empty() && !parser->is_done() && parser->need_eof() &&
-      !m_pool->Options().m_acceptUnframedResponses) {
-    // The end of such a body cannot be distinguished from a lost connection.
+      (!m_pool->Options().m_acceptUnframedResponses || m_writeFailed)) {
+    // The end of such a body cannot be distinguished from a lost connection. A
+    // write that failed has consumed the error of the connection, after which
+    // reads end as after an orderly close.
     framingError = "answer without a length";
   }
   if (!framingError.empty()) {
--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -265,4 +265,40 @@
   CHECK(outcome.m_openConnectionCount == 0);
 }
 
+// Guards against a truncated response without a length that is taken for a
+// complete one: the write of the request reports the reset, and the read then
+// ends like after an orderly close.
+TEST_CASE("A reset while the request is written leaves no complete response")
+{
+  constexpr size_t kUploadBytes = 32 * 1024 * 1024;
+  const std::string length = GENERATE("", "Content-Length: 4\r\n");
+  const bool hasLength = !length.empty();
+  const std::string response = "HTTP/1.1 200 OK\r\n" + length + "\r\npart";
+  asio::io_context context;
+  ScriptedPeer peer(context,
+                    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+                      co_await ReadRequestHeader(aSocket);
+                      co_await SendText(aSocket, response);
+                      co_await Sleep(Milliseconds(50));
+                      aSocket.set_option(asio::socket_base::linger(true, 0));
+                      aSocket.close();
+                    });
+  ClientOptions options;
+  options.m_acceptUnframedResponses = true;
+  const auto client = Client::Make(context, options);
+  ExchangeResult result;
+  RunTest(context, [&]() -> asio::awaitable<void> {
+    Request request = MakeRequest("/", std::string(kUploadBytes, 'x'));
+    result = co_await client->Exchange(
+      LoopbackAddress(peer.Port()), std::move(request), Seconds(5));
+  });
+  // A response whose length is known is complete however its connection ends.
+  REQUIRE(result.has_value() == hasLength);
+  if (!result) {
+    CHECK(result.error().m_code == HttpErrorCode::kConnectionBroken);
+    CHECK(result.error().m_maybeSent);
+  }
+  CHECK(client->ConnectionCount() == 0);
+}
+
 } // namespace rattanloft::http
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -76,6 +76,8 @@
             protocol_version = "HTTP/1.1"
 
             def serve(self):
+                if backend.answers_before_body(self):
+                    return
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 backend.handle_request(self, body)
@@ -179,6 +181,10 @@
         self.granted_rows = rows
         return 200
 
+    def answers_before_body(self, handler):
+        """Returns whether the request was answered before its body is read."""
+        return False
+
     def handle_request(self, handler, body):
         headers = handler.headers
         if handler.path in ("/v1/grant", "/v1/release"):
