--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -301,4 +301,95 @@
   CHECK(client->ConnectionCount() == 0);
 }
 
+// Guards against a response whose header is read in another way than it was
+// meant: a line that is no field is passed on, or the length that it holds is
+// lost and the body ends elsewhere.
+TEST_CASE("A response with a malformed field name is an error")
+{
+  const std::string name = GENERATE("X-Field", "Content-Length");
+  const std::string value = name == "X-Field" ? "v" : "2";
+  const size_t position = GENERATE(size_t{ 0 }, size_t{ 3 }, size_t{ 7 });
+  const bool isFirstLine = GENERATE(false, true);
+  const std::string otherFields =
+    name == "X-Field" ? "Content-Length: 2\r\n" : "Other: other\r\n";
+  ClientOptions options;
+  options.m_acceptUnframedResponses = true;
+  std::string notTokens = " \t\"(),/:;<=>?@[\\]{}\x7f\x80\xff";
+  for (char control = 0; control < ' '; ++control) {
+    notTokens += control;
+  }
+  for (const char character : notTokens) {
+    std::string line = name;
+    line.insert(std::min(position, line.size()), 1, character);
+    if (character == ':' && position > 0) {
+      // Ends the name where it stands.
+      continue;
+    }
+    line += ": " + value + "\r\n";
+    CAPTURE(line, isFirstLine);
+    const std::string fields =
+      isFirstLine ? line + otherFields : otherFields + line;
+    const std::string response = "HTTP/1.1 200 OK\r\n" + fields + "\r\nok";
+    const ExchangeOutcome outcome = ExchangeOnce(
+      [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+        co_await ReadRequestHeader(aSocket);
+        co_await SendText(aSocket, response);
+      },
+      options);
+    REQUIRE_FALSE(outcome.m_result);
+    CHECK(outcome.m_result.error().m_code == HttpErrorCode::kConnectionBroken);
+    CHECK(outcome.m_result.error().m_maybeSent);
+    CHECK(outcome.m_openConnectionCount == 0);
+  }
+}
+
+// Guards against a check that sees a folded line only if it arrives together
+// with the line before it.
+TEST_CASE("A folded line is found however the response is split")
+{
+  const std::string response =
+    "HTTP/1.1 200 OK\r\nX: a\r\n\tContent-Length: 2\r\n\r\nok";
+  ClientOptions options;
+  options.m_acceptUnframedResponses = true;
+  for (size_t split = 1; split < response.size(); ++split) {
+    CAPTURE(split);
+    const std::string first = response.substr(0, split);
+    const std::string second = response.substr(split);
+    const ExchangeOutcome outcome = ExchangeOnce(
+      [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+        co_await ReadRequestHeader(aSocket);
+        co_await SendText(aSocket, first);
+        co_await Sleep(Milliseconds(2));
+        co_await SendText(aSocket, second);
+      },
+      options);
+    REQUIRE_FALSE(outcome.m_result);
+    CHECK(outcome.m_result.error().m_code == HttpErrorCode::kConnectionBroken);
+  }
+}
+
+// Guards against a check that takes text of the body for a folded line.
+TEST_CASE("Lines of a body may begin with a blank")
+{
+  const std::string body = "a\r\n b\n\tc";
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+    "\r\n\r\n";
+  // Bytes of the body that arrive with the head.
+  const size_t early = GENERATE(0, 3, 8);
+  const std::string first = head + body.substr(0, early);
+  const std::string second = body.substr(early);
+  const ExchangeOutcome outcome = ExchangeOnce(
+    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      co_await ReadRequestHeader(aSocket);
+      co_await SendText(aSocket, first);
+      co_await Sleep(Milliseconds(2));
+      co_await SendText(aSocket, second);
+      co_await ReadRequestHeader(aSocket);
+    },
+    {});
+  REQUIRE(outcome.m_result);
+  CHECK(outcome.m_result->body() == body);
+}
+
 } // namespace rattanloft::http
--- a/tests/BrokenAnswerTest.py
+++ b/tests/BrokenAnswerTest.py
@@ -2,7 +2,9 @@
 on as answers."""
 
 import socket
+import socketserver
 import struct
+import threading
 import time
 import unittest
 
@@ -86,6 +88,117 @@
             self.require_no_answer(name, KEYS[0], f"u{name}")
 
 
+# Lines of a head whose field name holds a blank or a control byte.
+MALFORMED_LINES = {
+    "blank-inside": b"X Field: v", "tab-inside": b"X\tField: v",
+    "blank-before-colon": b"X-Field : v", "blank-first": b" X-Field: v",
+    "tab-first": b"\tX-Field: v", "nul": b"X\x00Field: v", "bell": b"X\x07Field: v",
+    "line-feed": b"X\nField: v", "return": b"X\rField: v", "escape": b"X\x1bField: v",
+    "delete": b"X\x7fField: v", "no-name": b": v", "no-colon": b"X-Field",
+    "length-blank-first": b" Content-Length: 2",
+    "length-tab-first": b"\tContent-Length: 2",
+    "length-blank-inside": b"Content Length: 2",
+    "length-blank-before-colon": b"Content-Length : 2",
+    "length-control": b"Content-Length\x01: 2",
+}
+
+
+def answers_with_line(name, line, fields):
+    """Yields answers in which the line is the first or the last of the head."""
+    length = b"" if name.startswith("length") else b"Content-Length: 2\r\n"
+    for place, lines in (("first", line + b"\r\n" + length + fields),
+                         ("last", length + fields + line + b"\r\n")):
+        yield f"{name}-{place}", b"HTTP/1.1 200 OK\r\n" + lines + b"\r\nok"
+
+
+class FieldNameTest(BrokenAnswerTestCase):
+    def test_a_head_with_a_malformed_field_name_is_not_passed_on(self):
+        """Guards against a line of a faulty backend server that reaches the caller as
+        a field, and against a body that ends elsewhere since its length is lost."""
+        answers = dict(answer for name, line in MALFORMED_LINES.items()
+                       for answer in answers_with_line(
+                           name, line, b"Attempt-Id: %ID%\r\n"
+                           b"Response-Signature: signed\r\n"))
+        BrokenAnswerBackend.answers = answers
+        for name in answers:
+            for key in KEYS[::3]:
+                self.require_no_answer(name, key, f"{name}-{key}")
+
+
+class StandInPeer:
+    """Answers each request with the bytes in `answers` for the end of its path, in
+    place of a sidecar."""
+
+    def __init__(self, address, answers):
+        stand_in = self
+        self.answers, self.answered = answers, []
+
+        class Handler(socketserver.StreamRequestHandler):
+            def handle(self):
+                line = self.rfile.readline().decode()
+                fields = {}
+                while (field := self.rfile.readline().strip()):
+                    name, value = field.split(b": ", 1)
+                    fields[name.lower()] = value
+                self.rfile.read(int(fields.get(b"content-length", b"0")))
+                name = line.split(" ")[1].split("/")[-1]
+                # Until all requests have been sent: a sidecar that fails gets no more.
+                time.sleep(0.5)
+                stand_in.answered.append(name)
+                self.wfile.write(stand_in.answers[name].replace(
+                    b"%ID%", fields[b"attempt-id"]))
+
+        class Server(socketserver.ThreadingTCPServer):
+            allow_reuse_address, daemon_threads = True, True
+            # All requests of a test connect at once.
+            request_queue_size = 64
+
+        host, port = address.split(":")
+        self.server = Server((host, int(port)), Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+
+class PeerTest(BrokenAnswerTestCase):
+    def find_key_of(self, backend):
+        return next(key for key in range(0, 65536, 1000) if self.send_through_sidecar(
+            0, "/p/x", key, f"find{key}")[1].startswith(backend.backend_id + " "))
+
+    def test_broken_answers_of_another_sidecar_are_not_passed_on(self):
+        """Guards against a reader of the answers of other sidecars that is less strict
+        than the one of the answers of backend servers."""
+        fields = (b"Attempt-Id: %ID%\r\nResponse-Signature: signed\r\n"
+                  b"Rattanloft-Outcome: answered\r\nRattanloft-Load: 0,0,4,1\r\n")
+        length = b"Content-Length: 2\r\n\r\nok"
+        answers = {f"status-{status.decode()}": b"HTTP/1.1 %s Status\r\n" % status
+                   + fields + length for status in (b"000", b"099", b"101", b"600")}
+        for name in ("blank-inside", "blank-first", "tab-first", "bell",
+                     "length-blank-first"):
+            answers |= answers_with_line(name, MALFORMED_LINES[name], fields)
+        answers["no-length"] = b"HTTP/1.1 200 OK\r\n" + fields + b"\r\nok"
+        key = self.find_key_of(self.backends[1])
+        self.sidecars[1]["process"].kill()
+        self.sidecars[1]["process"].wait()
+        peer = StandInPeer(self.sidecars[1]["peer"], answers)
+        self.addCleanup(peer.server.server_close)
+        self.addCleanup(peer.server.shutdown)
+        outcomes = {}
+
+        def send(name):
+            try:
+                outcomes[name] = self.send_through_sidecar(
+                    0, f"/order/{name}", key, f"peer-{name}", "POST", "stand")[0]
+            except Exception as error:  # pylint: disable=broad-except
+                outcomes[name] = repr(error)
+
+        threads = [threading.Thread(target=send, args=(name,)) for name in answers]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(sorted(peer.answered), sorted(answers))
+        self.assertEqual(outcomes, dict.fromkeys(answers, 502))
+
+
 class EarlyAnswerBackend(BrokenAnswerBackend):
     """Answers requests whose path ends with a name in `early_answers` while their
     body is being written, and resets the connection."""
