Drop the trailer fields of answers

Callers saw: fields that a backend server sent after a chunked body, and folded lines among them, as fields of the head of its answer. No operator has reported it; found while looking for lines of other places that are passed on.

Cause: the parser of Beast adds the trailer fields to those of the head, after the head has been checked.

Evidence: "Trailer fields are not returned" in ClientAnswerTest failed before and passes now.

Why this works: the fields of the head are kept while a chunked body is read, and replace those that the parser has collected. The answer itself is delivered, as RFC 9110, section 6.5.1, allows.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -506,7 +506,11 @@
     co_return tl::unexpected(MakeError(
       HttpErrorCode::kConnectionBroken, true, "read from", framingError));
   }
+  std::optional<Fields> headFields;
   if (!parser->is_done()) {
+    if (parser->chunked()) {
+      headFields = parser->get();
+    }
     Body& body = parser->get().body();
     const auto length = parser->content_length();
     body.StartCharging(
@@ -539,6 +543,11 @@
     m_connection->m_buffer.size() == 0 && !m_abortReason &&
     m_connection->m_echoHashes.size() < kMaxEchoesPerConnection;
   Response response = parser->release();
+  if (headFields) {
+    // The parser has added the trailer fields, which callers would take for
+    // fields of the header.
+    static_cast<Fields&>(response) = std::move(*headFields);
+  }
   RemoveHopByHopFields(response);
   co_return response;
 }
--- a/modules/http/tests/ClientAnswerTest.cpp
+++ b/modules/http/tests/ClientAnswerTest.cpp
@@ -368,6 +368,30 @@
   }
 }
 
+// Guards against lines after the body that callers get as fields of the head.
+TEST_CASE("Trailer fields are not returned")
+{
+  const std::string trailer =
+    GENERATE("Field: v\r\n", "Field: a\r\n\tContent-Length: 5\r\n");
+  const std::string response =
+    "HTTP/1.1 200 OK\r\nKept: k\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\n" +
+    trailer + "\r\n";
+  const ExchangeOutcome outcome = ExchangeOnce(
+    [&](tcp::socket& aSocket, int) -> asio::awaitable<void> {
+      co_await ReadRequestHeader(aSocket);
+      co_await SendText(aSocket, response);
+      co_await ReadRequestHeader(aSocket);
+    },
+    {});
+  REQUIRE(outcome.m_result);
+  CHECK(outcome.m_result->body() == "ok");
+  CHECK((*outcome.m_result)["Kept"] == "k");
+  CHECK(outcome.m_result->count("Field") == 0);
+  CHECK(outcome.m_result->count(field::content_length) == 0);
+  CHECK(outcome.m_openConnectionCount == 1);
+}
+
 // Guards against a check that takes text of the body for a folded line.
 TEST_CASE("Lines of a body may begin with a blank")
 {
