Refuse requests that come too late in the grace time of a stop

Callers saw: requests that a stopping sidecar had read late in its grace time were passed on and then broken off: no answer at all for the last ones, 502 for those of the second before, while a backend server was at work on them, orders among them (LOST). Here they are uploads whose last byte comes after the listeners have closed.

Cause: a stop ended the waits of the requests that ran at that moment, once, and never looked at the time that a later request would take. Requests read after the end of the waits were passed on and cut off with the process.

Why this works: StopSchedule is the one place that says when a stop does what. Once the listeners have closed, a request is passed on only if its deadline, at which a backend server stops as well, passes before the waits end. Otherwise it is refused at once with 503, not-run, and the time until the process has ended. While the listeners are open all requests are served as before.

--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -137,6 +137,12 @@
   const int64_t allowedMs =
     std::min<int64_t>(requestedMs, aState.m_route->timeout_ms());
   aState.m_deadline = aState.m_arrivedAt + Milliseconds(allowedMs);
+  if (m_stopSchedule &&
+      !m_stopSchedule->MayServe(aState.m_arrivedAt, aState.m_deadline)) {
+    return MakeRefusal(status::service_unavailable,
+                       kStoppingReason,
+                       m_stopSchedule->ProcessEndsAt() - aState.m_arrivedAt);
+  }
   const uint32_t targetMs = aState.m_route->target_latency_ms();
   aState.m_targetTime =
     targetMs > 0
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -16,6 +16,7 @@
 #include "FleetRetryBudget.h"
 #include "OverloadThrottle.h"
 #include "PeerHeaders.h"
+#include "StopSchedule.h"
 #include "SyncClient.h"
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/fleet/RequestRouter.h"
@@ -58,6 +59,11 @@
   boost::asio::awaitable<http::Response> Serve(
     http::Request aRequest,
     std::shared_ptr<http::CancelToken> aCancel);
+  // From now on refuses requests that would not end before the process does.
+  void SetStopSchedule(const StopSchedule& aSchedule)
+  {
+    m_stopSchedule = aSchedule;
+  }
   const EntryCounters& Counters() const { return m_counters; }
 
 private:
@@ -147,6 +153,7 @@
   std::map<std::string, FleetRetryBudget> m_retryBudgets;
   OverloadThrottle m_overloadThrottle;
   EntryCounters m_counters;
+  std::optional<StopSchedule> m_stopSchedule;
 };
 
 } // namespace rattanloft::sidecar
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -50,6 +50,9 @@
 // evacuation.
 constexpr std::string_view kZoneEvacuatedReason = "zone-evacuated";
 
+// Reason of a refusal because the sidecar stops before the request would end.
+constexpr std::string_view kStoppingReason = "stopping";
+
 enum class AttemptOutcome
 {
   // The backend server answered the request.
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <optional>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +22,7 @@
 #include "RangeCaller.h"
 #include "RunningRequests.h"
 #include "SidecarLimits.h"
+#include "StopSchedule.h"
 #include "SyncClient.h"
 #include "WorkQueue.h"
 #include "rattanloft/base/Clock.h"
@@ -56,16 +58,6 @@
 constexpr Duration kHeartbeatPollInterval = Milliseconds(15);
 // Interval at which a deregistration checks whether the leader has recorded it.
 constexpr Duration kDeparturePollInterval = Milliseconds(5);
-// Time between the first failed readiness check and the stop of the listeners.
-// Callers check readiness at intervals of 1 s and stop sending after two failed
-// checks.
-constexpr Duration kDrainNoticeTime = Milliseconds(2300);
-// Requests that still run are cut off this long before the end of the grace
-// period.
-constexpr Duration kStopReserve = Milliseconds(300);
-// Requests that still run this long before they would be cut off get an answer
-// that says what is known of them.
-constexpr Duration kFinalAnswerTime = Milliseconds(300);
 // A heartbeat with as many ranges as are accepted takes less.
 constexpr uint64_t kMaxBackendCallBytes = 256 * 1024;
 // Longer than the time for which callers keep idle connections: up to four
@@ -306,6 +298,7 @@
     options.m_port = endpoint->port();
     options.m_maxBodyBytes = aMaxBodyBytes;
     options.m_idleTimeout = kServerIdleTimeout;
+    options.m_stopGrace = StopSchedule::kListenerStopTime;
     m_limits.Apply(aName, options);
     if (aName == "callers") {
       options.m_currentMaxBodyBytes = [this] {
@@ -390,7 +383,7 @@
   asio::awaitable<http::Response> ServeReady()
   {
     http::Response response;
-    const bool ready = !m_stopping && m_directory.Router() != nullptr;
+    const bool ready = !m_stopSchedule && m_directory.Router() != nullptr;
     response.result(ready ? status::ok : status::service_unavailable);
     co_return response;
   }
@@ -425,8 +418,16 @@
     if (attributes.m_keyed && key) {
       attributes.m_key = static_cast<uint32_t>(*key);
     }
-    AttemptResult result = co_await m_localHandler.RunRequest(
-      std::move(aRequest), attributes, std::move(aCancel));
+    AttemptResult result;
+    if (m_stopSchedule &&
+        !m_stopSchedule->MayServe(arrivedAt,
+                                  arrivedAt + attributes.m_timeToDeadline)) {
+      result = MakeNotRunResult(kStoppingReason,
+                                m_stopSchedule->ProcessEndsAt() - arrivedAt);
+    } else {
+      result = co_await m_localHandler.RunRequest(
+        std::move(aRequest), attributes, std::move(aCancel));
+    }
     http::Response response =
       EncodeAttemptResult(std::move(result), m_localHandler.CurrentLoad());
     SetField(response,
@@ -617,7 +618,7 @@
   // away.
   asio::awaitable<void> CheckColdState()
   {
-    while (!m_stopping) {
+    while (!m_stopSchedule) {
       co_await Sleep(kColdCheckInterval);
       std::string target = HealthCheckTarget();
       if (m_workQueue.ColdStart().Bound() > 0 && target.starts_with('/') &&
@@ -728,19 +729,19 @@
             "event=stop running={} waiting={}",
             m_workQueue.RunningCount(),
             m_workQueue.WaitingCount());
-    m_stopping = true;
-    const TimePoint end = m_clock.Now() + m_options.m_stopGrace - kStopReserve;
+    m_stopSchedule = StopSchedule::Make(m_clock.Now(), m_options.m_stopGrace);
+    m_entryHandler.SetStopSchedule(*m_stopSchedule);
     m_syncClient.Stop();
-    co_await Sleep(kDrainNoticeTime);
+    co_await Sleep(m_stopSchedule->ListenersStopAt() - m_clock.Now());
     asio::co_spawn(m_context, StopServer(*m_callerServer), asio::detached);
     asio::co_spawn(m_context, StopServer(*m_peerServer), asio::detached);
-    co_await WaitForServers(end - kFinalAnswerTime);
+    co_await WaitForServers(m_stopSchedule->WaitsEndAt());
     if (m_serversToStop > 0) {
       LogInfo("sidecar",
               "event=stop-ends-waits running={}",
               m_runningRequests.Count());
       m_runningRequests.CancelAll();
-      co_await WaitForServers(end);
+      co_await WaitForServers(m_stopSchedule->ProcessEndsAt());
     }
     LogInfo("sidecar", "event=stopped cut_off={}", m_serversToStop);
     m_context.stop();
@@ -780,7 +781,8 @@
   uint64_t m_refusedBackendCalls = 0;
   int m_serversToStop = 0;
   bool m_isZoneEvacuated = false;
-  bool m_stopping = false;
+  // Set once the process was told to stop.
+  std::optional<StopSchedule> m_stopSchedule;
 };
 
 } // namespace
--- /dev/null
+++ b/modules/sidecar/src/StopSchedule.cpp
@@ -0,0 +1,41 @@
+#include "StopSchedule.h"
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+// Callers check readiness at intervals of 1 s and stop sending after two failed
+// checks.
+constexpr Duration kDrainNoticeTime = Milliseconds(2300);
+// Requests that still run are cut off this long before the end of the grace
+// period.
+constexpr Duration kStopReserve = Milliseconds(300);
+// Requests that still run this long before they would be cut off get an answer.
+constexpr Duration kFinalAnswerTime = Milliseconds(300);
+// A backend server may respond as late as at the deadline, and the response
+// comes through another sidecar.
+constexpr Duration kLateResponseReserve = Milliseconds(150);
+
+} // namespace
+
+StopSchedule
+StopSchedule::Make(TimePoint aSignalledAt, Duration aGrace)
+{
+  return StopSchedule(aSignalledAt, aGrace);
+}
+
+StopSchedule::StopSchedule(TimePoint aSignalledAt, Duration aGrace)
+  : m_processEndsAt(aSignalledAt + aGrace - kStopReserve)
+  , m_waitsEndAt(m_processEndsAt - kFinalAnswerTime)
+  , m_listenersStopAt(aSignalledAt + kDrainNoticeTime)
+{
+}
+
+bool
+StopSchedule::MayServe(TimePoint aArrivedAt, TimePoint aDeadline) const
+{
+  return aArrivedAt < m_listenersStopAt + kListenerStopTime ||
+         aDeadline + kLateResponseReserve <= m_waitsEndAt;
+}
+
+} // namespace rattanloft::sidecar
--- /dev/null
+++ b/modules/sidecar/tests/StopScheduleTest.cpp
@@ -0,0 +1,48 @@
+#include "StopSchedule.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanloft::sidecar {
+
+namespace {
+
+constexpr TimePoint kSignal{ 10'000 };
+
+} // namespace
+
+// Guards against a process that is killed while it still waits, or that ends
+// while it still gives answers.
+TEST_CASE("A stop ends within its grace time, and its waits before it")
+{
+  const Duration grace = GENERATE(Milliseconds(3000), Seconds(6), Seconds(10));
+  const StopSchedule schedule = StopSchedule::Make(kSignal, grace);
+  CHECK(schedule.ListenersStopAt() >= kSignal);
+  CHECK(schedule.ListenersStopAt() < schedule.WaitsEndAt());
+  CHECK(schedule.WaitsEndAt() < schedule.ProcessEndsAt());
+  CHECK(schedule.ProcessEndsAt() < kSignal + grace);
+}
+
+// Guards against requests that are refused while their callers do not know of
+// the stop yet.
+TEST_CASE("While the listeners are open each request is served")
+{
+  const StopSchedule schedule = StopSchedule::Make(kSignal, Seconds(6));
+  for (const Duration after : { Milliseconds(0), Milliseconds(2400) }) {
+    CHECK(schedule.MayServe(kSignal + after, kSignal + Seconds(60)));
+  }
+}
+
+// Guards against requests that run while the process ends, and against refusals
+// of requests that have enough time.
+TEST_CASE("A late request is served only if its deadline passes before the end")
+{
+  const StopSchedule schedule = StopSchedule::Make(kSignal, Seconds(6));
+  const TimePoint late = kSignal + Seconds(3);
+  CHECK(schedule.MayServe(late, late + Seconds(1)));
+  CHECK_FALSE(schedule.MayServe(late, schedule.WaitsEndAt()));
+  CHECK_FALSE(schedule.MayServe(late, late + Seconds(3)));
+  const TimePoint last = schedule.WaitsEndAt();
+  CHECK_FALSE(schedule.MayServe(last, last));
+}
+
+} // namespace rattanloft::sidecar
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -29,6 +29,9 @@
 class StandInBackend:
     """Answers requests for the keys that it holds, and sends heartbeats."""
 
+    # Requests that its sidecar may send at once.
+    slots = 4
+
     def __init__(self, ip, port, announce, service, backend_id):
         self.address, self.announce_address = f"{ip}:{port}", announce
         self.service, self.backend_id = service, backend_id
@@ -264,7 +267,7 @@
         self.sequence += 1
         return {
             "service": self.service, "address": self.address, "zone": "z",
-            "version": "v1", "slots": 4, "state": self.state,
+            "version": "v1", "slots": self.slots, "state": self.state,
             "coldRemainingS": max(0, self.cold_end_s - time.time()), "seq": self.sequence, "born": self.born_unix_ms,
             "holds": [row[:3] for row in self.held_ranges], "released": [],
         }
