End a stop within a grace time that is short

Callers saw: with a grace time below 2.9 s, a stopping sidecar still waited 2.3 s for callers to notice the stop, and was killed with the requests that ran or broke them off without an answer. No deployment in force has so short a time; found while testing late requests.

Cause: the wait before the listeners close was a constant.

Why this works: the listeners close early enough to leave time for the waits that follow. From 3.1 s on nothing changes.

--- a/modules/sidecar/src/StopSchedule.cpp
+++ b/modules/sidecar/src/StopSchedule.cpp
@@ -1,5 +1,7 @@
 #include "StopSchedule.h"
 
+#include <algorithm>
+
 namespace rattanloft::sidecar {
 
 namespace {
@@ -27,7 +29,9 @@
 StopSchedule::StopSchedule(TimePoint aSignalledAt, Duration aGrace)
   : m_processEndsAt(aSignalledAt + aGrace - kStopReserve)
   , m_waitsEndAt(m_processEndsAt - kFinalAnswerTime)
-  , m_listenersStopAt(aSignalledAt + kDrainNoticeTime)
+  , m_listenersStopAt(std::max(aSignalledAt,
+                               std::min(aSignalledAt + kDrainNoticeTime,
+                                        m_waitsEndAt - kListenerStopTime)))
 {
 }
 
--- a/modules/sidecar/src/StopSchedule.h
+++ b/modules/sidecar/src/StopSchedule.h
@@ -16,7 +16,8 @@
   static StopSchedule Make(TimePoint aSignalledAt, Duration aGrace);
 
   // Readiness checks fail from the signal on. Callers that have noticed send
-  // nothing more, so the listeners stop then.
+  // nothing more, so the listeners stop then, or earlier if the grace time is
+  // short.
   TimePoint ListenersStopAt() const { return m_listenersStopAt; }
   // Requests that still run get an answer that says what is known of them.
   TimePoint WaitsEndAt() const { return m_waitsEndAt; }
--- a/modules/sidecar/tests/StopScheduleTest.cpp
+++ b/modules/sidecar/tests/StopScheduleTest.cpp
@@ -14,10 +14,12 @@
 // while it still gives answers.
 TEST_CASE("A stop ends within its grace time, and its waits before it")
 {
-  const Duration grace = GENERATE(Milliseconds(3000), Seconds(6), Seconds(10));
+  const Duration grace =
+    GENERATE(Seconds(1), Seconds(2), Seconds(3), Seconds(6), Seconds(10));
   const StopSchedule schedule = StopSchedule::Make(kSignal, grace);
   CHECK(schedule.ListenersStopAt() >= kSignal);
-  CHECK(schedule.ListenersStopAt() < schedule.WaitsEndAt());
+  CHECK(schedule.ListenersStopAt() + StopSchedule::kListenerStopTime <=
+        schedule.WaitsEndAt());
   CHECK(schedule.WaitsEndAt() < schedule.ProcessEndsAt());
   CHECK(schedule.ProcessEndsAt() < kSignal + grace);
 }
--- a/tests/PlannedStopTest.py
+++ b/tests/PlannedStopTest.py
@@ -42,6 +42,29 @@
                                       "/v1/ready")[0], 200)
 
 
+class ShortGraceTest(FleetTestCase):
+    grace_s = 2
+    bounds = f"retryBudgetSlack=50,graceS={grace_s}"
+
+    def test_a_stop_ends_within_a_short_grace_time(self):
+        """Guards against a process that is killed while it waits for callers to
+        notice the stop, with the requests that run."""
+        self.start_service(sharded=False)
+        for backend in self.backends:
+            backend.slow_paths.add("/order/slow")
+            backend.slow_time_s = 3 * self.grace_s
+        process, statuses = self.sidecars[0]["process"], []
+        thread = threading.Thread(target=lambda: statuses.append(
+            self.send_through_sidecar(0, "/order/slow", None, "short", "POST",
+                                      "stand")[0]))
+        thread.start()
+        time.sleep(0.3)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(timeout=self.grace_s), 0)
+        thread.join()
+        self.assertEqual(statuses, [502])
+
+
 class Upload:
     """An order whose last byte is sent some time after the rest."""
 
