Limit the replies that a node or control instance accepts over gRPC

Callers saw: nothing so far. Found while looking for answers without end in the calls between our own processes: a peer whose reply declares up to 4 GiB could make a node or a control instance hold it all, and end with the requests of its callers.

Cause: the channels accepted messages of any size, since a catalogue may exceed the default limit of 4 MB.

Evidence: "A reply above the limit is refused, a large catalogue is not" (GrpcChannelTest) got a reply of 65 MiB before, and RESOURCE_EXHAUSTED now. A reply of 32 MiB is accepted before and after.

Why this works: gRPC refuses a message by its declared length, before it reads it.

--- a/modules/wire/src/GrpcChannel.cpp
+++ b/modules/wire/src/GrpcChannel.cpp
@@ -14,6 +14,10 @@
 // The default of 1 s up to 2 min would keep a restarted peer cut off for long.
 constexpr int kMinReconnectMs = 100;
 constexpr int kMaxReconnectMs = 1000;
+// A catalogue of 1,000 entries may exceed the default of 4 MB. Without a limit
+// a faulty peer could make the process hold up to 4 GiB, the most that a
+// message can declare.
+constexpr int kMaxReplyBytes = 64 * 1024 * 1024;
 
 } // namespace
 
@@ -29,8 +33,7 @@
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-  // A catalogue of 1,000 entries may exceed the default of 4 MB.
-  arguments.SetMaxReceiveMessageSize(-1);
+  arguments.SetMaxReceiveMessageSize(kMaxReplyBytes);
   // Channels with equal arguments share connections otherwise, and one client
   // process could not stand for many nodes.
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
