Serve the first requests of clients that connected in time during a stop

A connection that was opened before the listeners closed stays open for 0.5 s for its first request, and callers with 3 s and more of patience would have been refused in that time, although most requests take much less.

The retry delay of a refusal has one place, and is never 0, which would not be reported.

--- a/modules/http/src/Client.cpp
+++ b/modules/http/src/Client.cpp
@@ -54,8 +54,8 @@
   kInvalid,
 };
 
-// A number, since Beast has no name for most statuses. 101 is invalid because a
-// Client never asks for another protocol.
+// Takes a number, since Beast has no name for most statuses. 101 is invalid
+// because a Client never asks for another protocol.
 StatusKind
 ClassifyStatus(unsigned aStatus)
 {
@@ -372,9 +372,9 @@
   }
   auto [error, sentBytes] = co_await beast::http::async_write(
     m_connection->m_socket, aRequest, kUseAwaitableTuple);
+  m_writeFailed = error.failed();
   // If part of the request was sent, go on to read: a peer may respond and
   // close the connection before it has read the whole request.
-  m_writeFailed = error.failed();
   if (error && (m_abortReason || sentBytes == 0)) {
     co_return tl::unexpected(MakeError(HttpErrorCode::kConnectionBroken,
                                        sentBytes > 0,
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -473,7 +473,7 @@
                             kNotServingRetryDelay,
                             true);
   }
-  // A number, since Beast has no name for most statuses.
+  // Compares the number, since Beast has no name for most statuses.
   constexpr unsigned kMinSuccess = 200;
   constexpr unsigned kMaxSuccess = 299;
   const bool isSuccess = kMinSuccess <= aResponse.result_int() &&
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -141,7 +141,7 @@
       !m_stopSchedule->MayServe(aState.m_arrivedAt, aState.m_deadline)) {
     return MakeRefusal(status::service_unavailable,
                        kStoppingReason,
-                       m_stopSchedule->ProcessEndsAt() - aState.m_arrivedAt);
+                       m_stopSchedule->RetryDelay(aState.m_arrivedAt));
   }
   const uint32_t targetMs = aState.m_route->target_latency_ms();
   aState.m_targetTime =
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -423,7 +423,7 @@
         !m_stopSchedule->MayServe(arrivedAt,
                                   arrivedAt + attributes.m_timeToDeadline)) {
       result = MakeNotRunResult(kStoppingReason,
-                                m_stopSchedule->ProcessEndsAt() - arrivedAt);
+                                m_stopSchedule->RetryDelay(arrivedAt));
     } else {
       result = co_await m_localHandler.RunRequest(
         std::move(aRequest), attributes, std::move(aCancel));
--- a/modules/sidecar/src/StopSchedule.h
+++ b/modules/sidecar/src/StopSchedule.h
@@ -24,11 +24,15 @@
   // Requests that still run are cut off.
   TimePoint ProcessEndsAt() const { return m_processEndsAt; }
 
-  // Whether a request that has arrived in full may be passed on. One that comes
-  // while the listeners are open may, since most requests take much less than
-  // their time. A later one, such as a slow upload, may only if its deadline
-  // passes before the waits end: it might run without an answer otherwise.
+  // Whether a request that has arrived in full may be passed on. One of a
+  // client that connected while the listeners were open may, since most
+  // requests take much less than their time. A later one, such as a slow
+  // upload, may only if its deadline passes before the waits end: it might run
+  // without an answer otherwise.
   bool MayServe(TimePoint aArrivedAt, TimePoint aDeadline) const;
+  // Retry delay that is reported with refusals. Nothing is served here before
+  // the process has ended.
+  Duration RetryDelay(TimePoint aNow) const;
 
 private:
   StopSchedule(TimePoint aSignalledAt, Duration aGrace);
@@ -36,6 +40,7 @@
   TimePoint m_processEndsAt;
   TimePoint m_waitsEndAt;
   TimePoint m_listenersStopAt;
+  TimePoint m_lateFrom;
 };
 
 } // namespace rattanloft::sidecar
