Log which voters are lost and what delays their replacement

The leader now logs lost voters with the obstacle (no ready learner or no quorum) and the silence and applied index of each replica, whenever that changes, and counts them in rattanloft_lost_voters. A change of members names the replicas, and a candidate logs the votes of a round that is no quorum, unless they are those of the round before. No decision changes.

--- a/modules/consensus/src/RaftCore.cpp
+++ b/modules/consensus/src/RaftCore.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
 
@@ -133,9 +135,32 @@
   }
 }
 
+void
+RaftCore::LogMissingQuorum()
+{
+  std::string text =
+    fmt::format("votes of {:x} are no quorum of the voters {:x}",
+                fmt::join(m_votesReceivedFrom, ","),
+                fmt::join(VoterIds(), ","));
+  if (text == m_loggedMissingQuorum) {
+    return;
+  }
+  LogInfo("raft",
+          "replica {:x} is not elected in term {}: {}",
+          m_options.m_replicaId,
+          CurrentTerm(),
+          text);
+  m_loggedMissingQuorum = std::move(text);
+}
+
 void
 RaftCore::StartPreVote()
 {
+  if (m_role == Role::kCandidate) {
+    LogMissingQuorum();
+  } else {
+    m_loggedMissingQuorum.clear();
+  }
   m_role = Role::kCandidate;
   m_inPreVote = true;
   m_leaderId = 0;
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -142,6 +142,9 @@
   void SetTermAndVote(uint64_t aTerm, uint64_t aVotedFor);
   void BecomeFollower(uint64_t aTerm, uint64_t aLeaderId);
   void StartPreVote();
+  // Logs the votes of the election round that has timed out, unless they are
+  // those of the round before.
+  void LogMissingQuorum();
   void StartElection(bool aIsTransfer);
   void SendVoteRequests(wire::RaftMessageKind aKind,
                         uint64_t aTerm,
@@ -235,6 +238,8 @@
   // On a candidate, whether m_votesReceivedFrom counts pre-votes.
   bool m_inPreVote = false;
   std::set<uint64_t> m_votesReceivedFrom;
+  // What LogMissingQuorum() logged since the last leader was known.
+  std::string m_loggedMissingQuorum;
 
   // The snapshot being received: its metadata, the bytes so far, and the term
   // of the leader that sends it.
--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -60,16 +60,6 @@
 constexpr std::string_view kOperatorListener = "operators";
 constexpr std::string_view kMemberListener = "members";
 
-// Whether this replica votes, that is, is a member and not a learner.
-bool
-IsVoter(const consensus::RaftStatus& aStatus)
-{
-  return std::ranges::any_of(
-    aStatus.m_config.members(), [&](const wire::GroupMember& aMember) {
-      return aMember.replica_id() == aStatus.m_replicaId && !aMember.learner();
-    });
-}
-
 // Returns the part before the port.
 std::string
 ExtractHost(const std::string& aAddress)
@@ -364,6 +354,7 @@
     return fmt::format("rattanloft_leading {}\nrattanloft_term {}\n"
                        "rattanloft_commit_index {}\nrattanloft_voters {}\n"
                        "rattanloft_voter {}\n"
+                       "rattanloft_lost_voters {}\n"
                        "rattanloft_has_leader {}\n"
                        "rattanloft_storage_failed {}\n"
                        "rattanloft_configuration_version {}\n"
@@ -373,7 +364,8 @@
                        log.m_term,
                        log.m_commitIndex,
                        fleet::CountVoters(log.m_config),
-                       IsVoter(log) ? 1 : 0,
+                       fleet::IsVoter(log.m_config, log.m_replicaId) ? 1 : 0,
+                       m_fleetControl->CountLostVoters(),
                        log.m_leaderId != 0 ? 1 : 0,
                        log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -1,9 +1,11 @@
 #include "FleetControl.h"
 
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 #include "rattanloft/base/Log.h"
 
@@ -34,6 +36,20 @@
 // since it may have been removed from the group while it was unreachable.
 constexpr Duration kMaxLeaderSilence = Milliseconds(1000);
 
+std::string_view
+ObstacleName(fleet::ReplacementObstacle aObstacle)
+{
+  switch (aObstacle) {
+    case fleet::ReplacementObstacle::kNone:
+      return "none";
+    case fleet::ReplacementObstacle::kNoReadyLearner:
+      return "no-ready-learner";
+    case fleet::ReplacementObstacle::kNoQuorum:
+      return "no-quorum";
+  }
+  return "unknown";
+}
+
 // Passes the result of a callback to the coroutine that waits for it. m_value
 // is empty until the callback has run.
 template<typename T>
@@ -164,6 +180,7 @@
       m_leaderTerm = aTerm;
       m_transport.ResetPeerHealth();
       m_joinRequests.OnLeadershipGained();
+      m_loggedLostVoters.clear();
       m_leader = std::make_unique<fleet::FleetLeader>(
         m_state, aTerm, fleet::LeaderTimings{}, m_clock.Now());
       LogInfo("control",
@@ -225,12 +242,9 @@
   WakeHeldSyncs();
 }
 
-void
-FleetControl::ProposeMembershipChange()
+fleet::MembershipView
+FleetControl::ViewMembership() const
 {
-  if (m_memberChangePending) {
-    return;
-  }
   const consensus::RaftStatus status = m_log.Status();
   fleet::MembershipView view;
   view.m_config = status.m_config;
@@ -239,18 +253,76 @@
   view.m_targetVoters = m_targetVoters;
   view.m_health = m_transport.PeerHealth();
   view.m_joins = m_joinRequests.ByReplica();
+  return view;
+}
+
+size_t
+FleetControl::CountLostVoters() const
+{
+  return m_leader == nullptr
+           ? 0
+           : fleet::ReportMembership(ViewMembership()).m_lostVoters.size();
+}
+
+void
+FleetControl::LogLostVoters(const fleet::MembershipView& aView)
+{
+  const fleet::MembershipReport report = fleet::ReportMembership(aView);
+  std::string text;
+  if (!report.m_lostVoters.empty()) {
+    text = fmt::format("voters={:016x} obstacle={}",
+                       fmt::join(report.m_lostVoters, ","),
+                       ObstacleName(report.m_obstacle));
+  }
+  if (text == m_loggedLostVoters) {
+    return;
+  }
+  m_loggedLostVoters = text;
+  if (text.empty()) {
+    LogInfo("member", "event=voters-complete");
+    return;
+  }
+  LogInfo("member", "event=voters-lost {}", text);
+  if (report.m_obstacle == fleet::ReplacementObstacle::kNone) {
+    return;
+  }
+  for (const wire::GroupMember& member : aView.m_config.members()) {
+    const auto health = aView.m_health.find(member.replica_id());
+    if (health != aView.m_health.end()) {
+      LogInfo("member",
+              "event=health peer={:016x} address={} learner={} silence_ms={} "
+              "applied_index={} commit_index={}",
+              member.replica_id(),
+              member.grpc_address(),
+              member.learner(),
+              health->second.m_silence.m_ms,
+              health->second.m_appliedIndex,
+              aView.m_commitIndex);
+    }
+  }
+}
+
+void
+FleetControl::ProposeMembershipChange()
+{
+  if (m_memberChangePending) {
+    return;
+  }
+  const fleet::MembershipView view = ViewMembership();
+  LogLostVoters(view);
   std::optional<wire::GroupConfig> next = fleet::PlanMembership(view);
   if (!next) {
     return;
   }
   m_memberChangePending = true;
-  m_joinRequests.OnMembersChanged(status.m_config, *next);
+  m_joinRequests.OnMembersChanged(view.m_config, *next);
   LogInfo("member",
-          "event=change members={}->{} voters={}->{}",
-          status.m_config.members_size(),
+          "event=change members={}->{} voters={}->{} {}",
+          view.m_config.members_size(),
           next->members_size(),
-          fleet::CountVoters(status.m_config),
-          fleet::CountVoters(*next));
+          fleet::CountVoters(view.m_config),
+          fleet::CountVoters(*next),
+          fleet::DescribeMemberChange(view.m_config, *next));
   m_log.ProposeConfig(
     std::move(*next),
     m_clock.Now(),
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -107,6 +107,9 @@
   consensus::RaftStatus Status() const { return m_log.Status(); }
   // Returns the number of live sidecars; 0 if this replica is not the leader.
   size_t CountSidecars() const;
+  // Returns the number of voters that are to be replaced; 0 if this replica is
+  // not the leader.
+  size_t CountLostVoters() const;
 
 private:
   // A sync request that waits for updates.
@@ -132,8 +135,12 @@
   void UpdateRole();
   void BecomeLeader(uint64_t aTerm);
   void ProposeAssignments();
+  fleet::MembershipView ViewMembership() const;
   // Proposes the next change of one member, if one is needed.
   void ProposeMembershipChange();
+  // Logs which voters are lost and what delays their replacement, if that is
+  // news.
+  void LogLostVoters(const fleet::MembershipView& aView);
   void WakeHeldSyncs();
   // Whether this replica leads a group with enough voters to confirm changes.
   bool CanConfirm() const;
@@ -183,6 +190,8 @@
   // When a leader was last known.
   TimePoint m_leaderLastKnownAt;
   fleet::JoinRequests m_joinRequests;
+  // What LogLostVoters() logged last.
+  std::string m_loggedLostVoters;
   // By instance of the sidecar.
   std::map<std::string, std::shared_ptr<HeldSync>> m_heldSyncs;
 };
--- a/modules/fleet/include/rattanloft/fleet/MembershipPlanner.h
+++ b/modules/fleet/include/rattanloft/fleet/MembershipPlanner.h
@@ -36,9 +36,30 @@
   std::map<uint64_t, wire::JoinRequest> m_joins;
 };
 
+// What stands in the way of the replacement of lost voters.
+enum class ReplacementObstacle
+{
+  kNone,
+  // No learner is alive and has caught up.
+  kNoReadyLearner,
+  // Too few of the other voters are alive to decide.
+  kNoQuorum,
+};
+
+// A summary of a MembershipView for logs and metrics.
+struct MembershipReport
+{
+  // Voters that have lost their disks or have been silent for too long.
+  std::vector<uint64_t> m_lostVoters;
+  ReplacementObstacle m_obstacle = ReplacementObstacle::kNone;
+};
+
 size_t
 CountVoters(const wire::GroupConfig& aConfig);
 
+bool
+IsVoter(const wire::GroupConfig& aConfig, uint64_t aReplicaId);
+
 // Whether the replica is a voter or a learner.
 bool
 IsMember(const wire::GroupConfig& aConfig, uint64_t aReplicaId);
@@ -50,4 +71,14 @@
 std::optional<wire::GroupConfig>
 PlanMembership(const MembershipView& aView);
 
+// Returns which voters are lost and why PlanMembership() cannot replace them.
+MembershipReport
+ReportMembership(const MembershipView& aView);
+
+// Returns the ids of the members that a change adds, promotes to voters and
+// removes, as fields of a log line.
+std::string
+DescribeMemberChange(const wire::GroupConfig& aBefore,
+                     const wire::GroupConfig& aAfter);
+
 } // namespace rattanloft::fleet
--- a/modules/fleet/src/MembershipPlanner.cpp
+++ b/modules/fleet/src/MembershipPlanner.cpp
@@ -1,6 +1,9 @@
 #include "rattanloft/fleet/MembershipPlanner.h"
 
 #include <algorithm>
+#include <string_view>
+
+#include <fmt/format.h>
 
 namespace rattanloft::fleet {
 
@@ -13,6 +16,8 @@
 constexpr Duration kMaxAliveSilence = Milliseconds(600);
 // Learners that are silent for longer are removed; they can join again.
 constexpr Duration kMaxLearnerSilence = Seconds(20);
+// Stands for the silence of a voter whose disk is known to be lost.
+constexpr Duration kLostDiskSilence = Seconds(200);
 // A learner may become a voter if it has applied all but this many of the
 // committed entries.
 constexpr uint64_t kMaxReadyLagEntries = 32;
@@ -44,6 +49,22 @@
     return RemoveLostVoter();
   }
 
+  MembershipReport Report() const
+  {
+    MembershipReport report;
+    for (const wire::GroupMember& member : m_view.m_config.members()) {
+      if (!member.learner() && LossOf(member) >= kMaxVoterSilence) {
+        report.m_lostVoters.push_back(member.replica_id());
+      }
+    }
+    if (!report.m_lostVoters.empty() && !HasQuorumWithoutOne()) {
+      report.m_obstacle = ReplacementObstacle::kNoQuorum;
+    } else if (!report.m_lostVoters.empty() && FindReadyLearner() == nullptr) {
+      report.m_obstacle = ReplacementObstacle::kNoReadyLearner;
+    }
+    return report;
+  }
+
 private:
   // Time since the last reply of the replica. One that has never replied counts
   // as silent for kMaxLearnerSilence.
@@ -134,28 +155,38 @@
     return nullptr;
   }
 
+  // Time since the last reply of a voter; kLostDiskSilence if its disk is lost.
+  Duration LossOf(const wire::GroupMember& aVoter) const
+  {
+    return IsSuperseded(aVoter) ? kLostDiskSilence
+                                : SilenceOf(aVoter.replica_id());
+  }
+
+  // Whether the live voters can decide if one that is not alive is removed.
+  bool HasQuorumWithoutOne() const
+  {
+    const auto alive = std::ranges::count_if(
+      m_view.m_config.members(), [&](const wire::GroupMember& aMember) {
+        return !aMember.learner() && LossOf(aMember) <= kMaxAliveSilence;
+      });
+    const size_t remaining = CountVoters(m_view.m_config) - 1;
+    return static_cast<size_t>(alive) >= remaining / 2 + 1;
+  }
+
   // Removes a voter that lost its disk, or else the one that has been silent
   // for longest. The group must be able to decide without it.
   std::optional<wire::GroupConfig> RemoveLostVoter() const
   {
     const wire::GroupMember* longestSilent = nullptr;
     Duration longestSilence;
-    size_t aliveVoters = 0;
     for (const wire::GroupMember& member : m_view.m_config.members()) {
-      if (member.learner()) {
-        continue;
-      }
-      const bool superseded = IsSuperseded(member);
-      const Duration silence =
-        superseded ? kMaxLearnerSilence * 10 : SilenceOf(member.replica_id());
-      aliveVoters += silence <= kMaxAliveSilence ? 1 : 0;
+      const Duration silence = member.learner() ? Duration{} : LossOf(member);
       if (silence >= kMaxVoterSilence && silence > longestSilence) {
         longestSilent = &member;
         longestSilence = silence;
       }
     }
-    const size_t remainingVoters = CountVoters(m_view.m_config) - 1;
-    if (longestSilent == nullptr || aliveVoters < remainingVoters / 2 + 1) {
+    if (longestSilent == nullptr || !HasQuorumWithoutOne()) {
       return std::nullopt;
     }
     return WithoutMember(longestSilent->replica_id());
@@ -174,6 +205,15 @@
     [](const wire::GroupMember& aMember) { return !aMember.learner(); }));
 }
 
+bool
+IsVoter(const wire::GroupConfig& aConfig, uint64_t aReplicaId)
+{
+  return std::ranges::any_of(
+    aConfig.members(), [&](const wire::GroupMember& aMember) {
+      return aMember.replica_id() == aReplicaId && !aMember.learner();
+    });
+}
+
 bool
 IsMember(const wire::GroupConfig& aConfig, uint64_t aReplicaId)
 {
@@ -189,4 +229,35 @@
   return MembershipPlanner(aView).NextChange();
 }
 
+MembershipReport
+ReportMembership(const MembershipView& aView)
+{
+  return MembershipPlanner(aView).Report();
+}
+
+std::string
+DescribeMemberChange(const wire::GroupConfig& aBefore,
+                     const wire::GroupConfig& aAfter)
+{
+  std::string text;
+  const auto append = [&text](std::string_view aKey, uint64_t aReplicaId) {
+    text +=
+      fmt::format("{}{}={:016x}", text.empty() ? "" : " ", aKey, aReplicaId);
+  };
+  for (const wire::GroupMember& member : aAfter.members()) {
+    const uint64_t id = member.replica_id();
+    if (!IsMember(aBefore, id)) {
+      append("added", id);
+    } else if (!member.learner() && !IsVoter(aBefore, id)) {
+      append("promoted", id);
+    }
+  }
+  for (const wire::GroupMember& member : aBefore.members()) {
+    if (!IsMember(aAfter, member.replica_id())) {
+      append("removed", member.replica_id());
+    }
+  }
+  return text;
+}
+
 } // namespace rattanloft::fleet
--- a/modules/fleet/tests/MembershipPlannerTest.cpp
+++ b/modules/fleet/tests/MembershipPlannerTest.cpp
@@ -138,6 +138,28 @@
   CHECK(VoterIds(view.m_config) == std::set<uint64_t>{ 1, 2, 3, 4, 5 });
 }
 
+// Guards against logs that do not tell why a lost voter is not replaced.
+TEST_CASE("a report names lost voters and what delays their replacement")
+{
+  MembershipView view = FiveVoterView();
+  CHECK(ReportMembership(view).m_lostVoters.empty());
+  view.m_joins[9] = MakeJoin(9, "3:1");
+  MembershipReport report = ReportMembership(view);
+  CHECK(report.m_lostVoters == std::vector<uint64_t>{ 3 });
+  CHECK(report.m_obstacle == ReplacementObstacle::kNoReadyLearner);
+  const wire::GroupConfig before = view.m_config;
+  view.m_config = *PlanMembership(view);
+  CHECK(DescribeMemberChange(before, view.m_config) ==
+        "added=0000000000000009");
+  view.m_health[9] = { Milliseconds(10), 1 };
+  CHECK(ReportMembership(view).m_obstacle == ReplacementObstacle::kNone);
+  view.m_health[2] = { Milliseconds(2000), 1 };
+  view.m_health[4] = { Milliseconds(2000), 1 };
+  report = ReportMembership(view);
+  CHECK(report.m_lostVoters == std::vector<uint64_t>{ 2, 3, 4 });
+  CHECK(report.m_obstacle == ReplacementObstacle::kNoQuorum);
+}
+
 // Guards against a group that shrinks below the number of voters that it needs
 // to tolerate losses. Replicas lose their disks, fall silent and join at
 // random. The environment variable RATTANLOFT_STEPS sets the number of steps.
