--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -13,6 +13,7 @@
 #include "FleetControl.h"
 #include "InternalCalls.h"
 #include "LeaderRelay.h"
+#include "LogOptions.h"
 #include "MemberTransport.h"
 #include "OperatorResponses.h"
 #include "rattanloft/base/Clock.h"
@@ -42,12 +43,6 @@
 // Time that a stopping leader leaves for another coordinator to take over
 // before the process ends.
 constexpr Duration kLeadershipTransferDelay = Milliseconds(500);
-// Bounds the size of the log: each change of the configuration is one entry,
-// which takes about 40 KB for 350 routes.
-constexpr uint64_t kSnapshotIntervalEntries = 1000;
-// Log entries that are kept although a snapshot covers them, for followers that
-// are slightly behind.
-constexpr uint64_t kRetainedEntries = 200;
 constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 // Above the largest configuration that a command of the log can hold. The
 // parsed form of a document may take 25 times as much.
@@ -172,11 +167,8 @@
                                         *m_client,
                                         m_dataFolder->ReplicaId(),
                                         m_options.m_internalAddress);
-    consensus::ReplicatedLogOptions options;
-    options.m_replicaId = m_dataFolder->ReplicaId();
-    options.m_seed = RandomId();
-    options.m_snapshotIntervalEntries = kSnapshotIntervalEntries;
-    options.m_retainedEntries = kRetainedEntries;
+    consensus::ReplicatedLogOptions options =
+      MakeLogOptions(m_dataFolder->ReplicaId(), RandomId());
     if (IsFounder()) {
       wire::GroupMember& self = *options.m_bootstrapConfig.add_members();
       self.set_replica_id(m_dataFolder->ReplicaId());
--- /dev/null
+++ b/modules/coordinator/src/LogOptions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+#include "rattanloft/consensus/ReplicatedLog.h"
+
+namespace rattanloft::coordinator {
+
+// Bounds the size of the log: each change of the configuration is one entry,
+// which takes about 40 KB for 350 routes.
+constexpr uint64_t kSnapshotIntervalEntries = 1000;
+// Log entries that are kept although a snapshot covers them, for followers that
+// are slightly behind.
+constexpr uint64_t kRetainedEntries = 200;
+
+// Returns the options of a coordinator's log, without founding members.
+inline consensus::ReplicatedLogOptions
+MakeLogOptions(uint64_t aReplicaId, uint64_t aSeed)
+{
+  consensus::ReplicatedLogOptions options;
+  options.m_replicaId = aReplicaId;
+  options.m_seed = aSeed;
+  options.m_snapshotIntervalEntries = kSnapshotIntervalEntries;
+  options.m_retainedEntries = kRetainedEntries;
+  return options;
+}
+
+} // namespace rattanloft::coordinator
