Test that a learner catches up in time on links that lose packets

The test fails: the fault is in the product and is not fixed here.

Cause: the learner gets the whole log, and MemberTransport sends it in batches of up to 1 MB that must arrive within 350 ms. On a link that loses packets none does, each is sent again from its beginning, and heartbeats wait behind them.

Change: three seeds at a loss of 5 % in both directions. The learner must be within 32 entries of the leader 4 s after it was added, must hear the leader at least every 800 ms, and the log must not be sent three times.

--- a/modules/coordinator/tests/LearnerCatchUpTest.cpp
+++ b/modules/coordinator/tests/LearnerCatchUpTest.cpp
@@ -382,4 +382,16 @@
   CHECK(run.StatesBecomeEqual(Milliseconds(500)));
 }
 
+// Failed while bulk data went in batches that a lossy path cannot carry in
+// time.
+TEST_CASE("a learner catches up in time on links that lose packets")
+{
+  const uint32_t seed = GENERATE(1U, 2U, 3U);
+  CAPTURE(seed);
+  CatchUpRun run(0.05, seed);
+  run.AddLearner();
+  run.RunUntilCaughtUp(kMaxCatchUpTime);
+  run.CheckCatchUp();
+}
+
 } // namespace rattanloft::coordinator
