Let large transfers of the log make progress on links that lose packets

A coordinator that had lost its disk was still a learner 4 s after it was back, so its old identity counted as a voter; with two more disks lost three of five voters were gone.

Cause: entries were sent in batches of up to 1 MB, each with a timeout of 350 ms after which the connection is reset. A link that loses packets carries such a batch, but not in that time, so it was cut and sent again from its beginning, and heartbeats waited behind it. The leader also sent everything in flight again whenever a heartbeat that had overtaken it was rejected, at most every 100 ms.

Change: OutgoingMessages keeps the messages for one peer in two lanes. Both transports use it, that of the control instances as well. A follower keeps append messages that arrive before those in front of them. The leader ignores rejections while what is in flight may still arrive, and sends it again once the transport reports its loss or nothing has moved for the resend delay. Probes carry at most 2 KB.

--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -109,6 +109,10 @@
   // before m_snapshotIntervalEntries is reached. Also bounds the payload of the
   // entries kept in memory by m_retainedEntries.
   size_t m_snapshotIntervalBytes = 16 * 1024 * 1024;
+  // Time without progress of a follower after which the entries or the snapshot
+  // chunk in flight are sent again. With a transport that reports losses it
+  // should exceed the time that a transfer may take.
+  Duration m_resendDelay = Milliseconds(300);
 };
 
 // A log of commands that is replicated by Raft. Stores entries through the log
@@ -147,6 +151,10 @@
   // handlers. Otherwise the requests wait for the next Tick().
   virtual void Flush(TimePoint aNow) = 0;
 
+  // Tells that entries or snapshot chunks that were sent to the replica are
+  // lost. They are sent again with the next heartbeat.
+  virtual void OnMessagesLost(uint64_t aReplicaId, TimePoint aNow) = 0;
+
   // Queues a command for the log. The callback runs exactly once: with the
   // index of the command after this replica applied it, or with an error. It
   // may run before Propose() returns.
--- a/modules/consensus/src/FollowerProgress.h
+++ b/modules/consensus/src/FollowerProgress.h
@@ -9,8 +9,7 @@
 
 namespace rattanloft::consensus {
 
-// Maximum number of unacknowledged append messages to one follower. At 256 KB
-// each, at most 4 MB are in flight per follower.
+// Maximum number of unacknowledged append messages to one follower.
 constexpr size_t kMaxInflightAppends = 16;
 
 // How a leader replicates to one follower.
@@ -37,13 +36,16 @@
   bool m_probeInFlight = false;
   // Last entry index of each append message in flight, oldest first.
   std::deque<uint64_t> m_inflightLastIndexes;
+  // When the follower last acknowledged entries or a snapshot chunk or, if
+  // nothing was in flight before, the first message in flight was sent.
+  TimePoint m_lastProgressTime;
   // When the leader last received a reply of its own term. Initially when it
   // began to replicate to the replica.
   TimePoint m_lastReplyTime;
   // The highest heartbeat round that the replica answered.
   uint64_t m_answeredRound = 0;
-  // The snapshot being sent. Kept until the replica has all of it, even if a
-  // newer one exists.
+  // The snapshot being sent. Once the replica has part of it, kept until it has
+  // all of it, even if a newer one exists.
   std::shared_ptr<const storage::Snapshot> m_snapshot;
   // Offset in the snapshot data of the next chunk to send.
   uint64_t m_snapshotOffsetBytes = 0;
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -34,6 +34,7 @@
   // snapshot covers them.
   uint64_t m_retainedEntries = 0;
   size_t m_retainedBytes = 0;
+  Duration m_resendDelay;
 };
 
 // What the driver must do next, in this order: send m_messagesBeforeSync, write
@@ -97,6 +98,9 @@
   // has the whole log.
   void TransferLeadership(TimePoint aNow);
 
+  // See ReplicatedLog::OnMessagesLost().
+  void OnMessagesLost(uint64_t aReplicaId, TimePoint aNow);
+
   // Returns the pending actions and clears them.
   RaftCoreActions TakeActions();
   // To be called when everything in the last actions is durable.
@@ -167,6 +171,12 @@
   // Follows the sender, which leads in a term that is not before this one.
   void AcceptLeader(const Message& aMessage);
   void OnAppendRequest(const Message& aMessage);
+  // Handles an append message if the log reaches up to its entries.
+  void HandleAppend(const Message& aMessage);
+  // Keeps an append message that has overtaken earlier ones.
+  void StashAppend(const Message& aMessage);
+  // Handles the stashed messages that follow the last entry.
+  void HandleStashedAppends();
   // aMatchIndexHint is the highest index up to which the logs may match.
   void RejectAppend(const Message& aMessage, uint64_t aMatchIndexHint);
   // Appends the entries after aAfterIndex in place of conflicting ones.
@@ -195,6 +205,8 @@
                   FollowerProgress& aProgress,
                   bool aWithoutEntries);
   void SendSnapshotChunk(uint64_t aFollowerId, FollowerProgress& aProgress);
+  // Whether what is in flight is to be sent again.
+  bool IsOverdue(const FollowerProgress& aProgress) const;
   void StartSnapshotTransfer(uint64_t aFollowerId, FollowerProgress& aProgress);
   void OnAppendReply(const Message& aMessage);
   void OnAppendRejected(const Message& aMessage, FollowerProgress& aProgress);
@@ -247,6 +259,11 @@
   std::string m_incomingData;
   uint64_t m_incomingTerm = 0;
 
+  // Append messages of m_stashTerm that arrived before those with the entries
+  // in front of theirs. By the index of the entry before the first one.
+  std::map<uint64_t, Message> m_stashedAppends;
+  uint64_t m_stashTerm = 0;
+
   // From here to m_transferDeadline: used on a leader only.
 
   // By replica id.
--- a/modules/consensus/src/RaftCoreFollower.cpp
+++ b/modules/consensus/src/RaftCoreFollower.cpp
@@ -60,6 +60,47 @@
       return;
     }
   }
+  if (aMessage.log_index() > m_log.LastIndex() &&
+      entryIndex > aMessage.log_index()) {
+    StashAppend(aMessage);
+  }
+  HandleAppend(aMessage);
+  HandleStashedAppends();
+}
+
+void
+RaftCore::StashAppend(const Message& aMessage)
+{
+  if (m_stashTerm != aMessage.term()) {
+    m_stashedAppends.clear();
+    m_stashTerm = aMessage.term();
+  }
+  // The leader has no more in flight.
+  if (m_stashedAppends.size() < kMaxInflightAppends) {
+    m_stashedAppends[aMessage.log_index()] = aMessage;
+  }
+}
+
+void
+RaftCore::HandleStashedAppends()
+{
+  // Drops what is covered by now.
+  m_stashedAppends.erase(m_stashedAppends.begin(),
+                         m_stashedAppends.lower_bound(m_log.LastIndex()));
+  while (m_stashTerm == CurrentTerm()) {
+    const auto next = m_stashedAppends.find(m_log.LastIndex());
+    if (next == m_stashedAppends.end()) {
+      return;
+    }
+    const Message message = std::move(next->second);
+    m_stashedAppends.erase(next);
+    HandleAppend(message);
+  }
+}
+
+void
+RaftCore::HandleAppend(const Message& aMessage)
+{
   // The leader's log holds every entry committed here, so only the entries
   // after the commit index have to be compared.
   if (aMessage.log_index() > m_log.LastIndex()) {
@@ -74,7 +115,9 @@
     return;
   }
   AppendReceivedEntries(aMessage, m_commitIndex);
-  const uint64_t matchIndex = std::max(entryIndex, m_commitIndex);
+  const uint64_t lastIndex =
+    aMessage.log_index() + static_cast<uint64_t>(aMessage.entries_size());
+  const uint64_t matchIndex = std::max(lastIndex, m_commitIndex);
   AdvanceCommitIndex(std::min(aMessage.commit(), matchIndex));
   Message reply = MakeMessage(wire::RAFT_MESSAGE_APPEND_REPLY, aMessage.from());
   reply.set_match_index(matchIndex);
--- a/modules/consensus/src/RaftCoreLeader.cpp
+++ b/modules/consensus/src/RaftCoreLeader.cpp
@@ -10,9 +10,15 @@
 
 namespace {
 
-// Entry or snapshot bytes in one message. Leaves room for the other fields
-// within the limit of 256 KB per message.
-constexpr size_t kMaxMessagePayloadBytes = 240 * 1024;
+// Entry bytes in one message, unless a single entry has more. A message that is
+// lost is sent again as a whole, so on a link with packet loss small messages
+// arrive sooner.
+constexpr size_t kMaxMessagePayloadBytes = 30 * 1024;
+// Snapshot bytes in one message. One message is in flight at a time.
+constexpr size_t kMaxChunkBytes = 64 * 1024;
+// Entry bytes in a message to a follower whose log may differ. Most of them
+// would be sent in vain.
+constexpr size_t kMaxProbePayloadBytes = 2 * 1024;
 
 // A learner that lags further behind than this is not made a voter, since a
 // quorum that needs it would have to wait for it.
@@ -138,7 +144,8 @@
     if (progress.m_state == ProgressState::kReplicate &&
         progress.m_nextIndex <= m_log.BaseIndex()) {
       StartSnapshotTransfer(id, progress);
-    } else if (progress.m_state == ProgressState::kSnapshot) {
+    } else if (progress.m_state == ProgressState::kSnapshot &&
+               IsOverdue(progress)) {
       SendSnapshotChunk(id, progress);
     }
     if (progress.m_state != ProgressState::kProbe ||
@@ -279,18 +286,24 @@
     message.set_log_index(aProgress.m_nextIndex - 1);
     message.set_log_term(*term);
   }
+  const bool isProbe = aProgress.m_state == ProgressState::kProbe;
   size_t entryBytes = 0;
   uint64_t nextIndex = aProgress.m_nextIndex;
   while (!aWithoutEntries && nextIndex <= m_log.LastIndex()) {
     const wire::LogEntry& entry = m_log.EntryAt(nextIndex);
     entryBytes += entry.ByteSizeLong();
-    if (entryBytes > kMaxMessagePayloadBytes && message.entries_size() > 0) {
+    if (isProbe ? entryBytes > kMaxProbePayloadBytes
+                : entryBytes > kMaxMessagePayloadBytes &&
+                    message.entries_size() > 0) {
       break;
     }
     *message.add_entries() = entry;
     ++nextIndex;
   }
   if (!aWithoutEntries && aProgress.m_state == ProgressState::kReplicate) {
+    if (aProgress.m_inflightLastIndexes.empty()) {
+      aProgress.m_lastProgressTime = m_now;
+    }
     aProgress.m_inflightLastIndexes.push_back(nextIndex - 1);
     aProgress.m_nextIndex = nextIndex;
   }
@@ -317,17 +330,47 @@
 void
 RaftCore::SendSnapshotChunk(uint64_t aFollowerId, FollowerProgress& aProgress)
 {
+  aProgress.m_lastProgressTime = m_now;
+  if (aProgress.m_snapshotOffsetBytes == 0) {
+    aProgress.m_snapshot = m_snapshot;
+  }
   const storage::Snapshot& snapshot = *aProgress.m_snapshot;
   Message message = MakeMessage(wire::RAFT_MESSAGE_SNAPSHOT_CHUNK, aFollowerId);
   *message.mutable_snapshot() = snapshot.m_meta;
   const uint64_t offset = aProgress.m_snapshotOffsetBytes;
   message.set_chunk_offset(offset);
-  message.set_chunk(snapshot.m_data.substr(offset, kMaxMessagePayloadBytes));
+  message.set_chunk(snapshot.m_data.substr(offset, kMaxChunkBytes));
   message.set_chunk_last(offset + message.chunk().size() ==
                          snapshot.m_data.size());
   m_actions.m_messagesBeforeSync.push_back(std::move(message));
 }
 
+bool
+RaftCore::IsOverdue(const FollowerProgress& aProgress) const
+{
+  return m_now - aProgress.m_lastProgressTime >= m_options.m_resendDelay;
+}
+
+void
+RaftCore::OnMessagesLost(uint64_t aReplicaId, TimePoint aNow)
+{
+  m_now = aNow;
+  const auto found = m_followerProgress.find(aReplicaId);
+  if (m_role != Role::kLeader || found == m_followerProgress.end()) {
+    return;
+  }
+  FollowerProgress& progress = found->second;
+  if (progress.m_state == ProgressState::kReplicate) {
+    progress.m_state = ProgressState::kProbe;
+    progress.m_inflightLastIndexes.clear();
+    progress.m_nextIndex = progress.m_matchIndex + 1;
+    // The next heartbeat sends the probe.
+    progress.m_probeInFlight = true;
+  } else if (progress.m_state == ProgressState::kSnapshot) {
+    progress.m_lastProgressTime = m_now - m_options.m_resendDelay;
+  }
+}
+
 FollowerProgress*
 RaftCore::RecordReply(const Message& aMessage)
 {
@@ -372,6 +415,10 @@
   if (aProgress.m_state == ProgressState::kSnapshot || stale) {
     return;
   }
+  // A heartbeat that has overtaken the append messages before it is rejected.
+  if (!aProgress.m_inflightLastIndexes.empty() && !IsOverdue(aProgress)) {
+    return;
+  }
   aProgress.m_state = ProgressState::kProbe;
   aProgress.m_inflightLastIndexes.clear();
   aProgress.m_probeInFlight = false;
@@ -391,6 +438,9 @@
     return;
   }
   RATTANLOFT_ASSERT(aMatchIndex <= m_log.LastIndex());
+  if (aMatchIndex > aProgress.m_matchIndex) {
+    aProgress.m_lastProgressTime = m_now;
+  }
   aProgress.m_matchIndex = aMatchIndex;
   while (!aProgress.m_inflightLastIndexes.empty() &&
          aProgress.m_inflightLastIndexes.front() <= aMatchIndex) {
--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -29,7 +29,8 @@
            aOptions.m_maxStartupElectionTimeout,
            aOptions.m_startupPeriod,
            aOptions.m_retainedEntries,
-           aOptions.m_snapshotIntervalBytes };
+           aOptions.m_snapshotIntervalBytes,
+           aOptions.m_resendDelay };
 }
 
 } // namespace
@@ -80,6 +81,13 @@
   ProcessCoreActions();
 }
 
+void
+ReplicatedLogImpl::OnMessagesLost(uint64_t aReplicaId, TimePoint aNow)
+{
+  m_latestTime = aNow;
+  m_core.OnMessagesLost(aReplicaId, aNow);
+}
+
 std::optional<RaftError>
 ReplicatedLogImpl::CheckAcceptsRequests() const
 {
@@ -508,11 +516,10 @@
   const auto& lastSnapshot = m_core.GetSnapshot();
   const uint64_t lastSnapshotIndex =
     lastSnapshot ? lastSnapshot->m_meta.index() : 0;
-  const bool snapshotDue =
-    m_lastAppliedIndex - lastSnapshotIndex >=
-      m_options.m_snapshotIntervalEntries ||
-    (m_lastAppliedIndex > lastSnapshotIndex &&
-     m_payloadBytesSinceSnapshot > m_options.m_snapshotIntervalBytes);
+  const bool snapshotDue = m_lastAppliedIndex - lastSnapshotIndex >=
+                             m_options.m_snapshotIntervalEntries ||
+                           (m_lastAppliedIndex > lastSnapshotIndex &&
+                            m_payloadBytesSinceSnapshot > m_options.m_snapshotIntervalBytes);
   if (m_core.HasFailed() || !snapshotDue || m_latestTime < m_nextSnapshotAt) {
     return;
   }
--- a/modules/consensus/src/ReplicatedLogImpl.h
+++ b/modules/consensus/src/ReplicatedLogImpl.h
@@ -28,6 +28,7 @@
   void Tick(TimePoint aNow) override;
   void Flush(TimePoint aNow) override;
   void Receive(const wire::RaftMessage& aMessage, TimePoint aNow) override;
+  void OnMessagesLost(uint64_t aReplicaId, TimePoint aNow) override;
   void Propose(std::string aCommand,
                TimePoint aNow,
                ProposeCallback aCallback) override;
--- a/modules/consensus/tests/RaftCoreTest.cpp
+++ b/modules/consensus/tests/RaftCoreTest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr TimePoint kStartTime{ 1000 };
+constexpr Duration kResendDelay = Milliseconds(1000);
 
 wire::LogEntry
 MakeEntry(uint64_t aIndex, uint64_t aTerm)
@@ -42,6 +43,7 @@
   options.m_startupPeriod = Milliseconds(2000);
   options.m_retainedEntries = 100;
   options.m_retainedBytes = 1'000'000;
+  options.m_resendDelay = kResendDelay;
   return { options, std::move(state), kStartTime };
 }
 
@@ -88,8 +90,109 @@
   return reply;
 }
 
+// Returns the rejection of an append message that has arrived before the
+// entries in front of it.
+wire::RaftMessage
+MakeRejection(uint64_t aLogIndex, uint64_t aLastIndex)
+{
+  wire::RaftMessage reply = MakeAppendReply(aLastIndex);
+  reply.set_rejected(true);
+  reply.set_log_index(aLogIndex);
+  return reply;
+}
+
+// Returns an append message of replica 2, which leads in term 4, with one entry
+// of that term after aLogIndex.
+wire::RaftMessage
+MakeAppend(uint64_t aLogIndex, uint64_t aLogTerm)
+{
+  wire::RaftMessage append = MakeMessage(wire::RAFT_MESSAGE_APPEND, 4);
+  append.set_log_index(aLogIndex);
+  append.set_log_term(aLogTerm);
+  *append.add_entries() = MakeEntry(aLogIndex + 1, 4);
+  return append;
+}
+
+// Takes the pending actions and returns the number of entries that are sent to
+// replica 2.
+size_t
+CountSentEntries(RaftCore& aCore)
+{
+  size_t entries = 0;
+  for (const wire::RaftMessage& message :
+       aCore.TakeActions().m_messagesBeforeSync) {
+    entries +=
+      message.to() == 2 ? static_cast<size_t>(message.entries_size()) : 0;
+  }
+  aCore.OnPersisted();
+  return entries;
+}
+
 } // namespace
 
+// Guards against a slow link that carries the same entries again and again.
+TEST_CASE("Entries are not sent again because a heartbeat has overtaken them")
+{
+  RaftCore core = MakeLeaderCore();
+  const TimePoint sentAt = kStartTime + Milliseconds(810);
+  core.Receive(MakeAppendReply(3), sentAt);
+  PersistActions(core);
+  core.AppendCommands({ "a", "b" });
+  core.BroadcastAppends();
+  REQUIRE(CountSentEntries(core) == 2);
+  for (int i = 1; i < 9; ++i) {
+    const TimePoint now = sentAt + Milliseconds(100 * i);
+    core.Tick(now);
+    core.Receive(MakeRejection(5, 3), now);
+    CHECK(CountSentEntries(core) == 0);
+  }
+  const TimePoint overdueAt = sentAt + kResendDelay;
+  core.Receive(MakeRejection(5, 3), overdueAt);
+  CHECK(CountSentEntries(core) == 2);
+}
+
+// Guards against a wait for the resend delay although the loss is known.
+TEST_CASE("Entries that the transport lost are sent with the next heartbeat")
+{
+  RaftCore core = MakeLeaderCore();
+  const TimePoint sentAt = kStartTime + Milliseconds(810);
+  core.Receive(MakeAppendReply(3), sentAt);
+  PersistActions(core);
+  core.AppendCommands({ "a" });
+  core.BroadcastAppends();
+  REQUIRE(CountSentEntries(core) == 1);
+  core.OnMessagesLost(2, sentAt + Milliseconds(10));
+  REQUIRE(CountSentEntries(core) == 0);
+  core.Tick(sentAt + Milliseconds(120));
+  CHECK(CountSentEntries(core) == 1);
+}
+
+// Guards against entries that must be sent again since the transport has
+// delivered them in another order.
+TEST_CASE("Entries that arrive before earlier ones are kept")
+{
+  RaftCore core = MakeCore();
+  core.Receive(MakeAppend(4, 4), kStartTime);
+  core.Receive(MakeAppend(3, 4), kStartTime);
+  REQUIRE(core.Entries().LastIndex() == 2);
+  PersistActions(core);
+  core.Receive(MakeAppend(2, 2), kStartTime);
+  CHECK(core.Entries().LastIndex() == 5);
+  CHECK(core.TakeActions().m_messagesAfterSync.back().match_index() == 5);
+}
+
+// Guards against entries of a deposed leader that are appended later.
+TEST_CASE("Kept entries of an earlier term are dropped")
+{
+  RaftCore core = MakeCore();
+  core.Receive(MakeAppend(3, 4), kStartTime);
+  wire::RaftMessage append = MakeAppend(2, 2);
+  append.set_term(5);
+  append.mutable_entries(0)->set_term(5);
+  core.Receive(append, kStartTime);
+  CHECK(core.Entries().LastIndex() == 3);
+}
+
 // Guards against committing an entry of an earlier term that a majority holds,
 // since a leader of a later term may still replace it.
 TEST_CASE("An entry of an earlier term is not committed by counting replicas")
--- a/modules/control/src/ControlCore.cpp
+++ b/modules/control/src/ControlCore.cpp
@@ -50,6 +50,9 @@
 void
 ControlCore::Start()
 {
+  m_transport.SetLossHandler([this](uint64_t aReplicaId) {
+    m_log.OnMessagesLost(aReplicaId, m_clock.Now());
+  });
   m_tickTimer.expires_after(kTickInterval);
   ScheduleTick();
 }
--- a/modules/control/src/ControlInstance.cpp
+++ b/modules/control/src/ControlInstance.cpp
@@ -35,6 +35,8 @@
 // of which may take 5 s.
 constexpr std::chrono::milliseconds kStopTimeout{ 6000 };
 constexpr std::chrono::milliseconds kStopPollInterval{ 10 };
+// Above the timeout of a batch with a snapshot chunk.
+constexpr Duration kResendDelay = Milliseconds(2000);
 
 ControlError
 ToControlError(const storage::StoreError& aError)
@@ -128,6 +130,7 @@
     consensus::ReplicatedLogOptions options;
     options.m_replicaId = m_dataFolder->ReplicaId();
     options.m_seed = RandomId();
+    options.m_resendDelay = kResendDelay;
     if (std::ranges::any_of(
           m_options.m_group.members(), [&](const wire::GroupMember& aMember) {
             return aMember.replica_id() == options.m_replicaId;
--- a/modules/control/src/PeerTransport.cpp
+++ b/modules/control/src/PeerTransport.cpp
@@ -10,6 +10,7 @@
 
 #include "control.grpc.pb.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/consensus/OutgoingMessages.h"
 #include "rattanloft/wire/GrpcChannel.h"
 
 namespace rattanloft::control {
@@ -18,17 +19,12 @@
 
 namespace asio = boost::asio;
 
-// Limits per peer.
-constexpr size_t kMaxBatchesInFlight = 3;
-constexpr size_t kMaxQueuedMessages = 256;
-constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
-constexpr size_t kMaxBatchBytes = 1024 * 1024;
 // Sync calls that are relayed at the same time.
 constexpr size_t kMaxRelays = 1024;
 // Peers outside the group configuration are removed only while there are more
 // than this number of peers in total.
 constexpr size_t kMaxPeers = 32;
-constexpr std::chrono::milliseconds kDeliverTimeout{ 1000 };
+constexpr Duration kDeliverTimeout = Milliseconds(1000);
 // Longer than the 400 ms for which a leader holds a Sync call at most.
 constexpr std::chrono::milliseconds kRelayTimeout{ 1000 };
 
@@ -38,7 +34,7 @@
 struct PeerTransport::Delivery
 {
   grpc::ClientContext m_context;
-  wire::RaftBatch m_batch;
+  consensus::MessageBatch m_batch;
   wire::RaftBatchReply m_reply;
 };
 
@@ -58,8 +54,7 @@
   std::shared_ptr<grpc::Channel> m_channel;
   std::unique_ptr<wire::RaftTransport::Stub> m_raftStub;
   std::unique_ptr<wire::ControlSync::Stub> m_syncStub;
-  std::deque<wire::RaftMessage> m_queue;
-  size_t m_queuedBytes = 0;
+  consensus::OutgoingMessages m_messages{ kDeliverTimeout };
   std::unordered_set<std::shared_ptr<Delivery>> m_batchesInFlight;
   // Whether the last batch failed.
   bool m_lastBatchFailed = false;
@@ -71,14 +66,6 @@
     m_raftStub = wire::RaftTransport::NewStub(m_channel);
     m_syncStub = wire::ControlSync::NewStub(m_channel);
   }
-
-  wire::RaftMessage PopFront()
-  {
-    wire::RaftMessage message = std::move(m_queue.front());
-    m_queue.pop_front();
-    m_queuedBytes -= message.ByteSizeLong();
-    return message;
-  }
 };
 
 PeerTransport::PeerTransport(asio::io_context& aContext, uint64_t aOwnReplicaId)
@@ -125,14 +112,7 @@
     ++m_counters.m_messagesDropped;
     return;
   }
-  Peer& peer = *found->second;
-  peer.m_queue.push_back(aMessage);
-  peer.m_queuedBytes += aMessage.ByteSizeLong();
-  while (peer.m_queue.size() > kMaxQueuedMessages ||
-         (peer.m_queuedBytes > kMaxQueuedBytes && peer.m_queue.size() > 1)) {
-    peer.PopFront();
-    ++m_counters.m_messagesDropped;
-  }
+  m_counters.m_messagesDropped += found->second->m_messages.Push(aMessage);
   ScheduleFlush();
 }
 
@@ -155,23 +135,23 @@
 void
 PeerTransport::Flush(uint64_t aReplicaId, Peer& aPeer)
 {
-  while (!m_stopped && !aPeer.m_queue.empty() &&
-         aPeer.m_batchesInFlight.size() < kMaxBatchesInFlight) {
-    auto delivery = std::make_shared<Delivery>();
-    size_t bytes = 0;
-    while (!aPeer.m_queue.empty() && bytes < kMaxBatchBytes) {
-      bytes += aPeer.m_queue.front().ByteSizeLong();
-      *delivery->m_batch.add_messages() = aPeer.PopFront();
+  while (!m_stopped) {
+    std::optional<consensus::MessageBatch> batch = aPeer.m_messages.TakeBatch();
+    if (!batch) {
+      return;
     }
+    auto delivery = std::make_shared<Delivery>();
+    delivery->m_batch = std::move(*batch);
     m_counters.m_messagesSent +=
-      static_cast<uint64_t>(delivery->m_batch.messages_size());
-    delivery->m_context.set_deadline(std::chrono::system_clock::now() +
-                                     kDeliverTimeout);
+      static_cast<uint64_t>(delivery->m_batch.m_batch.messages_size());
+    delivery->m_context.set_deadline(
+      std::chrono::system_clock::now() +
+      std::chrono::milliseconds(delivery->m_batch.m_timeout.m_ms));
     aPeer.m_batchesInFlight.insert(delivery);
     ++m_callsInFlight;
     aPeer.m_raftStub->async()->Deliver(
       &delivery->m_context,
-      &delivery->m_batch,
+      &delivery->m_batch.m_batch,
       &delivery->m_reply,
       [this, aReplicaId, delivery](const grpc::Status& aStatus) {
         asio::post(m_context, [this, aReplicaId, delivery, ok = aStatus.ok()] {
@@ -194,6 +174,7 @@
   }
   Peer& peer = *found->second;
   peer.m_batchesInFlight.erase(aDelivery);
+  peer.m_messages.OnBatchFinished(aDelivery->m_batch.m_lane);
   if (peer.m_lastBatchFailed == aOk) {
     peer.m_lastBatchFailed = !aOk;
     LogInfo("raft",
@@ -203,6 +184,10 @@
             aOk ? "reachable" : "not reachable");
   }
   Flush(aReplicaId, peer);
+  if (!aOk && aDelivery->m_batch.m_lane == consensus::MessageLane::kBulk &&
+      m_lossHandler && !m_stopped) {
+    m_lossHandler(aReplicaId);
+  }
 }
 
 bool
--- a/modules/control/src/PeerTransport.h
+++ b/modules/control/src/PeerTransport.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +36,13 @@
   PeerTransport(boost::asio::io_context& aContext, uint64_t aOwnReplicaId);
   ~PeerTransport() override;
 
+  // aHandler is called with the id of a replica whenever log entries or
+  // snapshot chunks for it were lost.
+  void SetLossHandler(std::function<void(uint64_t)> aHandler)
+  {
+    m_lossHandler = std::move(aHandler);
+  }
+
   // Queues a message. If the queue of the peer is full, its oldest messages are
   // dropped, since Raft repeats what is needed.
   void Send(const wire::RaftMessage& aMessage) override;
@@ -83,6 +89,7 @@
   bool m_stopped = false;
   size_t m_callsInFlight = 0;
   TransportCounters m_counters;
+  std::function<void(uint64_t)> m_lossHandler;
 };
 
 } // namespace rattanloft::control
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -86,6 +86,9 @@
 void
 FleetControl::Start()
 {
+  m_transport.SetLossHandler([this](uint64_t aReplicaId) {
+    m_log.OnMessagesLost(aReplicaId, m_clock.Now());
+  });
   ScheduleTick();
 }
 
--- a/modules/coordinator/src/LogOptions.h
+++ b/modules/coordinator/src/LogOptions.h
@@ -12,6 +12,8 @@
 // Log entries that are kept although a snapshot covers them, for followers that
 // are slightly behind.
 constexpr uint64_t kRetainedEntries = 200;
+// Above the timeout of a batch with a snapshot chunk.
+constexpr Duration kResendDelay = Milliseconds(1200);
 
 // Returns the options of a coordinator's log, without founding members.
 inline consensus::ReplicatedLogOptions
@@ -22,6 +24,7 @@
   options.m_seed = aSeed;
   options.m_snapshotIntervalEntries = kSnapshotIntervalEntries;
   options.m_retainedEntries = kRetainedEntries;
+  options.m_resendDelay = kResendDelay;
   return options;
 }
 
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -16,21 +16,9 @@
 
 namespace asio = boost::asio;
 
-// Batches per peer that wait for a reply. Several, so that a lost reply does
-// not delay the heartbeats after it.
-constexpr int kMaxBatchesInFlight = 3;
-// Limits per peer; the oldest messages are dropped, since Raft repeats what is
-// needed.
-constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
-constexpr size_t kMaxQueuedMessages = 256;
 // Replicas outside the group configuration are remembered only up to this
 // number of peers in total.
 constexpr size_t kMaxPeers = 32;
-constexpr size_t kMaxBatchBytes = 1024 * 1024;
-// Below the shortest election timeout of 400 ms, so that connections over a
-// path that has gone silent are replaced before the follower starts an
-// election.
-constexpr Duration kDeliverTimeout = Milliseconds(350);
 
 } // namespace
 
@@ -93,14 +81,7 @@
   if (found == m_peers.end()) {
     return;
   }
-  Peer& peer = found->second;
-  peer.m_queuedBytes += aMessage.ByteSizeLong();
-  peer.m_queue.push_back(aMessage);
-  while (peer.m_queue.size() > kMaxQueuedMessages ||
-         (peer.m_queuedBytes > kMaxQueuedBytes && peer.m_queue.size() > 1)) {
-    peer.m_queuedBytes -= peer.m_queue.front().ByteSizeLong();
-    peer.m_queue.pop_front();
-  }
+  found->second.m_messages.Push(aMessage);
   ScheduleFlush();
 }
 
@@ -121,57 +102,46 @@
 void
 MemberTransport::Flush(uint64_t aReplicaId, Peer& aPeer)
 {
-  while (!aPeer.m_queue.empty() &&
-         aPeer.m_batchesInFlight < kMaxBatchesInFlight) {
-    wire::RaftBatch batch;
-    batch.set_sender_address(m_ownAddress);
-    size_t bytes = 0;
-    while (!aPeer.m_queue.empty() && bytes < kMaxBatchBytes) {
-      const size_t size = aPeer.m_queue.front().ByteSizeLong();
-      bytes += size;
-      aPeer.m_queuedBytes -= size;
-      *batch.add_messages() = std::move(aPeer.m_queue.front());
-      aPeer.m_queue.pop_front();
-    }
-    ++aPeer.m_batchesInFlight;
-    asio::co_spawn(
-      m_context,
-      Deliver(aReplicaId, aPeer.m_address, batch.SerializeAsString()),
-      asio::detached);
+  while (std::optional<consensus::MessageBatch> batch =
+           aPeer.m_messages.TakeBatch()) {
+    batch->m_batch.set_sender_address(m_ownAddress);
+    asio::co_spawn(m_context,
+                   Deliver(aReplicaId, aPeer.m_address, std::move(*batch)),
+                   asio::detached);
   }
 }
 
 asio::awaitable<void>
 MemberTransport::Deliver(uint64_t aReplicaId,
                          std::string aAddress,
-                         std::string aBatch)
+                         consensus::MessageBatch aBatch)
 {
   http::Request request =
-    MakeInternalRequest(fleet::kRaftPath, std::move(aBatch));
+    MakeInternalRequest(fleet::kRaftPath, aBatch.m_batch.SerializeAsString());
   tl::expected<http::Response, http::HttpError> response =
-    co_await m_client.Exchange(aAddress, std::move(request), kDeliverTimeout);
+    co_await m_client.Exchange(aAddress, std::move(request), aBatch.m_timeout);
   wire::DeliverReply reply;
   const bool ok = response && http::ParseMessage(response->body(), reply);
-  OnDelivered(aReplicaId, ok, reply);
+  OnDelivered(aReplicaId, aBatch.m_lane, ok ? &reply : nullptr);
 }
 
 void
 MemberTransport::OnDelivered(uint64_t aReplicaId,
-                             bool aOk,
-                             const wire::DeliverReply& aReply)
+                             consensus::MessageLane aLane,
+                             const wire::DeliverReply* aReply)
 {
   const auto found = m_peers.find(aReplicaId);
   if (found == m_peers.end()) {
     return;
   }
   Peer& peer = found->second;
-  --peer.m_batchesInFlight;
+  peer.m_messages.OnBatchFinished(aLane);
   // If a replica has lost its disk, a replica with a new id replies at its
   // address.
-  const bool heard = aOk && aReply.replica_id() == aReplicaId;
+  const bool heard = aReply != nullptr && aReply->replica_id() == aReplicaId;
   if (heard) {
     peer.m_lastReplyAt = m_clock.Now();
-    peer.m_appliedIndex = aReply.applied_index();
+    peer.m_appliedIndex = aReply->applied_index();
   }
   if (peer.m_reachable != heard) {
     peer.m_reachable = heard;
@@ -182,6 +152,9 @@
             peer.m_address);
   }
   Flush(aReplicaId, peer);
+  if (!heard && aLane == consensus::MessageLane::kBulk && m_lossHandler) {
+    m_lossHandler(aReplicaId);
+  }
 }
 
 std::map<uint64_t, fleet::ReplicaHealth>
--- a/modules/coordinator/src/MemberTransport.h
+++ b/modules/coordinator/src/MemberTransport.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
 #include "rattanloft/base/Clock.h"
+#include "rattanloft/consensus/OutgoingMessages.h"
 #include "rattanloft/consensus/StateMachine.h"
 #include "rattanloft/fleet/MembershipPlanner.h"
 #include "rattanloft/http/Client.h"
@@ -15,8 +16,8 @@
 namespace rattanloft::coordinator {
 
 // Sends Raft messages to the other coordinators in batches over pooled HTTP
-// connections. The connections to a peer are closed when a request times out,
-// so a network path that has gone silent is replaced after one timeout. Used on
+// connections. The connection of a batch is closed when the batch times out, so
+// a network path that has gone silent is replaced after one timeout. Used on
 // the control thread only.
 class MemberTransport final : public consensus::Transport
 {
@@ -30,6 +31,13 @@
                   uint64_t aOwnReplicaId,
                   std::string aOwnAddress);
 
+  // aHandler is called with the id of a replica whenever log entries or
+  // snapshot chunks for it were lost.
+  void SetLossHandler(std::function<void(uint64_t)> aHandler)
+  {
+    m_lossHandler = std::move(aHandler);
+  }
+
   // Stores the address of a replica that the group configuration does not list
   // yet, so that it can get replies. No effect if the replica is known.
   void LearnAddress(uint64_t aReplicaId, const std::string& aAddress);
@@ -44,12 +52,15 @@
   void ResetPeerHealth();
 
 private:
+  // Below the shortest election timeout of 400 ms, so that connections over a
+  // path that has gone silent are replaced before the follower starts an
+  // election.
+  static constexpr Duration kDeliverTimeout = Milliseconds(350);
+
   struct Peer
   {
     std::string m_address;
-    std::deque<wire::RaftMessage> m_queue;
-    size_t m_queuedBytes = 0;
-    int m_batchesInFlight = 0;
+    consensus::OutgoingMessages m_messages{ kDeliverTimeout };
     // Whether the peer replied to the last batch.
     bool m_reachable = true;
     // Time of the last reply. Before the first reply, when the peer became
@@ -62,15 +73,15 @@
   // Posts a call of Flush() for all peers, so that the messages queued by the
   // current handlers share batches.
   void ScheduleFlush();
-  // Sends queued messages while the peer has fewer than the maximum number of
-  // batches in flight.
+  // Sends the batches that may be in flight now.
   void Flush(uint64_t aReplicaId, Peer& aPeer);
   boost::asio::awaitable<void> Deliver(uint64_t aReplicaId,
                                        std::string aAddress,
-                                       std::string aBatch);
+                                       consensus::MessageBatch aBatch);
+  // aReply is null if the batch was lost.
   void OnDelivered(uint64_t aReplicaId,
-                   bool aOk,
-                   const wire::DeliverReply& aReply);
+                   consensus::MessageLane aLane,
+                   const wire::DeliverReply* aReply);
 
   boost::asio::io_context& m_context;
   const Clock& m_clock;
@@ -80,6 +91,7 @@
   // By replica id.
   std::map<uint64_t, Peer> m_peers;
   bool m_flushScheduled = false;
+  std::function<void(uint64_t)> m_lossHandler;
 };
 
 } // namespace rattanloft::coordinator
--- a/modules/coordinator/tests/LearnerCatchUpTest.cpp
+++ b/modules/coordinator/tests/LearnerCatchUpTest.cpp
@@ -135,6 +135,9 @@
     REQUIRE(log);
     m_log = std::move(*log);
     m_memberTransport->SetMembers(m_log->Status().m_config);
+    m_memberTransport->SetLossHandler([this](uint64_t aPeerId) {
+      m_log->OnMessagesLost(aPeerId, m_clock.Now());
+    });
     ScheduleTick();
   }
 
