--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -106,9 +106,11 @@
   // Limit on the total command bytes of the proposals that have no result yet.
   size_t m_maxPendingCommandBytes = 16 * 1024 * 1024;
   // Payload bytes applied since the last snapshot that trigger the next one
-  // before m_snapshotIntervalEntries is reached. Also bounds the payload of the
-  // entries kept in memory by m_retainedEntries.
+  // before m_snapshotIntervalEntries is reached, unless the last snapshot is
+  // larger than half of that.
   size_t m_snapshotIntervalBytes = 16 * 1024 * 1024;
+  // Bounds the payload of the entries kept in memory by m_retainedEntries.
+  size_t m_retainedBytes = 16 * 1024 * 1024;
   // Time without progress of a follower after which the entries or the snapshot
   // chunk in flight are sent again. With a transport that reports losses it
   // should exceed the time that a transfer may take.
--- a/modules/consensus/src/RaftCore.h
+++ b/modules/consensus/src/RaftCore.h
@@ -207,6 +207,9 @@
   void SendSnapshotChunk(uint64_t aFollowerId, FollowerProgress& aProgress);
   // Whether what is in flight is to be sent again.
   bool IsOverdue(const FollowerProgress& aProgress) const;
+  // Whether a snapshot is smaller than the entries up to it that the follower
+  // lacks.
+  bool IsSnapshotSmaller(const FollowerProgress& aProgress) const;
   void StartSnapshotTransfer(uint64_t aFollowerId, FollowerProgress& aProgress);
   void OnAppendReply(const Message& aMessage);
   void OnAppendRejected(const Message& aMessage, FollowerProgress& aProgress);
--- a/modules/consensus/src/RaftCoreLeader.cpp
+++ b/modules/consensus/src/RaftCoreLeader.cpp
@@ -263,7 +263,8 @@
 RaftCore::SendPendingEntries(uint64_t aFollowerId, FollowerProgress& aProgress)
 {
   while (CanSendAppend(aProgress)) {
-    if (aProgress.m_nextIndex <= m_log.BaseIndex()) {
+    if (aProgress.m_nextIndex <= m_log.BaseIndex() ||
+        IsSnapshotSmaller(aProgress)) {
       StartSnapshotTransfer(aFollowerId, aProgress);
       return;
     }
@@ -351,6 +352,23 @@
   return m_now - aProgress.m_lastProgressTime >= m_options.m_resendDelay;
 }
 
+bool
+RaftCore::IsSnapshotSmaller(const FollowerProgress& aProgress) const
+{
+  if (aProgress.m_state != ProgressState::kReplicate || !m_snapshot ||
+      !aProgress.m_inflightLastIndexes.empty()) {
+    return false;
+  }
+  size_t entryBytes = 0;
+  for (uint64_t index = aProgress.m_nextIndex;
+       index <= m_snapshot->m_meta.index() &&
+       entryBytes <= m_snapshot->m_data.size();
+       ++index) {
+    entryBytes += m_log.EntryAt(index).payload().size();
+  }
+  return entryBytes > m_snapshot->m_data.size();
+}
+
 void
 RaftCore::OnMessagesLost(uint64_t aReplicaId, TimePoint aNow)
 {
--- a/modules/consensus/src/ReplicatedLogImpl.cpp
+++ b/modules/consensus/src/ReplicatedLogImpl.cpp
@@ -29,7 +29,7 @@
            aOptions.m_maxStartupElectionTimeout,
            aOptions.m_startupPeriod,
            aOptions.m_retainedEntries,
-           aOptions.m_snapshotIntervalBytes,
+           aOptions.m_retainedBytes,
            aOptions.m_resendDelay };
 }
 
@@ -516,10 +516,16 @@
   const auto& lastSnapshot = m_core.GetSnapshot();
   const uint64_t lastSnapshotIndex =
     lastSnapshot ? lastSnapshot->m_meta.index() : 0;
+  // A larger state is written less often, but never so seldom that the log
+  // since the snapshot is a multiple of it: a follower with an empty log is
+  // sent both.
+  const size_t intervalBytes =
+    std::max(m_options.m_snapshotIntervalBytes,
+             lastSnapshot ? 2 * lastSnapshot->m_data.size() : 0);
   const bool snapshotDue = m_lastAppliedIndex - lastSnapshotIndex >=
                              m_options.m_snapshotIntervalEntries ||
                            (m_lastAppliedIndex > lastSnapshotIndex &&
-                            m_payloadBytesSinceSnapshot > m_options.m_snapshotIntervalBytes);
+                            m_payloadBytesSinceSnapshot > intervalBytes);
   if (m_core.HasFailed() || !snapshotDue || m_latestTime < m_nextSnapshotAt) {
     return;
   }
--- a/modules/consensus/tests/RaftCoreTest.cpp
+++ b/modules/consensus/tests/RaftCoreTest.cpp
@@ -193,6 +193,48 @@
   CHECK(core.Entries().LastIndex() == 3);
 }
 
+// Guards against a replica with an empty log that has to receive all entries
+// although the state is small, and so counts as lost for long.
+TEST_CASE("A follower with an empty log is sent a small snapshot")
+{
+  RaftCore core = MakeLeaderCore();
+  const TimePoint now = kStartTime + Milliseconds(810);
+  core.Receive(MakeAppendReply(3), now);
+  PersistActions(core);
+  for (int i = 0; i < 20; ++i) {
+    core.AppendCommands({ std::string(10'000, 'x') });
+    core.BroadcastAppends();
+    PersistActions(core);
+    core.Receive(MakeAppendReply(core.Entries().LastIndex()), now);
+  }
+  const uint64_t last = core.Entries().LastIndex();
+  REQUIRE(core.CommitIndex() == last);
+  const auto snapshot = std::make_shared<storage::Snapshot>();
+  snapshot->m_meta.set_index(last);
+  snapshot->m_meta.set_term(4);
+  snapshot->m_data = "state";
+  core.SetSnapshot(snapshot);
+  REQUIRE(core.Entries().BaseIndex() == 0);
+  core.TakeActions();
+
+  wire::RaftMessage rejection = MakeRejection(2, 0);
+  rejection.set_from(3);
+  core.Receive(rejection, now);
+  core.TakeActions();
+  wire::RaftMessage match = MakeAppendReply(0);
+  match.set_from(3);
+  core.Receive(match, now);
+  size_t entries = 0;
+  size_t chunks = 0;
+  for (const wire::RaftMessage& message :
+       core.TakeActions().m_messagesBeforeSync) {
+    entries += static_cast<size_t>(message.entries_size());
+    chunks += message.kind() == wire::RAFT_MESSAGE_SNAPSHOT_CHUNK ? 1 : 0;
+  }
+  CHECK(entries == 0);
+  CHECK(chunks == 1);
+}
+
 // Guards against committing an entry of an earlier term that a majority holds,
 // since a leader of a later term may still replace it.
 TEST_CASE("An entry of an earlier term is not committed by counting replicas")
