Let the log pass slow links between control instances

Over a link that needs 2 s for a chunk of 240 KB the chunk never arrived, and no heartbeat either, as both share batches and one connection. So an instance behind such a link could not return to the group.

Change: bulk batches use a gRPC connection of their own. The timeout of a bulk batch counts all bytes in flight, since the batches share the link; otherwise four at once would all be cut off just above the lowest rate.

--- a/modules/consensus/include/rattanloft/consensus/OutgoingMessages.h
+++ b/modules/consensus/include/rattanloft/consensus/OutgoingMessages.h
@@ -22,19 +22,20 @@
 struct MessageBatch
 {
   wire::RaftBatch m_batch;
+  size_t m_bytes = 0;
   MessageLane m_lane = MessageLane::kUrgent;
   // Time after which the batch counts as lost.
   Duration m_timeout;
 };
 
 // The messages that a transport is to send to one peer. Bulk data is sent in
-// small batches, each with a timeout that fits its size, so that a slow link or
-// one with packet loss makes progress with each of them; urgent messages do not
-// wait for bulk data. Pure; owned by one transport.
+// small batches, each with a timeout that fits what is in flight, so that a
+// slow link or one with packet loss makes progress with each of them; urgent
+// messages do not wait for bulk data. Pure; owned by one transport.
 class OutgoingMessages
 {
 public:
-  // aBaseTimeout is the timeout of a batch without regard to its size.
+  // aBaseTimeout is the timeout of a batch of urgent messages.
   explicit OutgoingMessages(Duration aBaseTimeout)
     : m_baseTimeout(aBaseTimeout)
   {
@@ -47,7 +48,7 @@
   // are in flight.
   std::optional<MessageBatch> TakeBatch();
   // To be called once for each batch that was taken.
-  void OnBatchFinished(MessageLane aLane);
+  void OnBatchFinished(const MessageBatch& aBatch);
 
 private:
   struct Lane
@@ -55,6 +56,7 @@
     std::deque<wire::RaftMessage> m_messages;
     size_t m_bytes = 0;
     size_t m_batchesInFlight = 0;
+    size_t m_bytesInFlight = 0;
 
     wire::RaftMessage PopFront();
   };
--- a/modules/consensus/src/OutgoingMessages.cpp
+++ b/modules/consensus/src/OutgoingMessages.cpp
@@ -58,27 +58,31 @@
     }
     MessageBatch batch;
     batch.m_lane = kind;
-    size_t bytes = 0;
-    while (!lane.m_messages.empty() && bytes < kMaxBatchBytes) {
-      bytes += lane.m_messages.front().ByteSizeLong();
+    while (!lane.m_messages.empty() && batch.m_bytes < kMaxBatchBytes) {
+      batch.m_bytes += lane.m_messages.front().ByteSizeLong();
       *batch.m_batch.add_messages() = lane.PopFront();
     }
+    ++lane.m_batchesInFlight;
+    lane.m_bytesInFlight += batch.m_bytes;
     batch.m_timeout = m_baseTimeout;
     if (kind == MessageLane::kBulk) {
+      // The batches in flight share the link.
       batch.m_timeout =
         m_baseTimeout +
-        Milliseconds(static_cast<int64_t>(bytes) / kMinLinkBytesPerMs);
+        Milliseconds(static_cast<int64_t>(lane.m_bytesInFlight) /
+                     kMinLinkBytesPerMs);
     }
-    ++lane.m_batchesInFlight;
     return batch;
   }
   return std::nullopt;
 }
 
 void
-OutgoingMessages::OnBatchFinished(MessageLane aLane)
+OutgoingMessages::OnBatchFinished(const MessageBatch& aBatch)
 {
-  --LaneOf(aLane).m_batchesInFlight;
+  Lane& lane = LaneOf(aBatch.m_lane);
+  --lane.m_batchesInFlight;
+  lane.m_bytesInFlight -= aBatch.m_bytes;
 }
 
 } // namespace rattanloft::consensus
--- a/modules/consensus/tests/OutgoingMessagesTest.cpp
+++ b/modules/consensus/tests/OutgoingMessagesTest.cpp
@@ -52,18 +52,19 @@
 }
 
 // Guards against batches that a slow link never delivers before their timeout.
-TEST_CASE("A batch of log entries is small and its timeout fits its size")
+TEST_CASE("A batch of log entries is small and its timeout fits the link")
 {
   OutgoingMessages messages(kBaseTimeout);
   for (int i = 0; i < 200; ++i) {
     messages.Push(MakeAppend(kEntryBytes));
   }
+  size_t bytesInFlight = 0;
   for (const MessageBatch& batch : TakeAll(messages)) {
     CHECK(batch.m_lane == MessageLane::kBulk);
     CHECK(batch.m_batch.ByteSizeLong() < 3 * kEntryBytes);
-    // 1 Mbit/s.
-    const auto transferMs =
-      static_cast<int64_t>(batch.m_batch.ByteSizeLong()) / 125;
+    bytesInFlight += batch.m_batch.ByteSizeLong();
+    // 1 Mbit/s, shared by all batches in flight.
+    const auto transferMs = static_cast<int64_t>(bytesInFlight) / 125;
     CHECK(batch.m_timeout >= kBaseTimeout + Milliseconds(transferMs));
   }
 }
@@ -80,7 +81,7 @@
        batches = TakeAll(messages)) {
     for (const MessageBatch& batch : batches) {
       sent += static_cast<size_t>(batch.m_batch.messages_size());
-      messages.OnBatchFinished(batch.m_lane);
+      messages.OnBatchFinished(batch);
     }
   }
   CHECK(sent == 200);
--- a/modules/control/src/PeerTransport.cpp
+++ b/modules/control/src/PeerTransport.cpp
@@ -53,6 +53,8 @@
   std::string m_address;
   std::shared_ptr<grpc::Channel> m_channel;
   std::unique_ptr<wire::RaftTransport::Stub> m_raftStub;
+  // Has a connection of its own, on which nothing urgent waits.
+  std::unique_ptr<wire::RaftTransport::Stub> m_bulkStub;
   std::unique_ptr<wire::ControlSync::Stub> m_syncStub;
   consensus::OutgoingMessages m_messages{ kDeliverTimeout };
   std::unordered_set<std::shared_ptr<Delivery>> m_batchesInFlight;
@@ -64,6 +66,7 @@
     m_address = aAddress;
     m_channel = wire::MakeChannel(aAddress);
     m_raftStub = wire::RaftTransport::NewStub(m_channel);
+    m_bulkStub = wire::RaftTransport::NewStub(wire::MakeChannel(aAddress));
     m_syncStub = wire::ControlSync::NewStub(m_channel);
   }
 };
@@ -149,7 +152,11 @@
       std::chrono::milliseconds(delivery->m_batch.m_timeout.m_ms));
     aPeer.m_batchesInFlight.insert(delivery);
     ++m_callsInFlight;
-    aPeer.m_raftStub->async()->Deliver(
+    wire::RaftTransport::Stub& stub =
+      delivery->m_batch.m_lane == consensus::MessageLane::kBulk
+        ? *aPeer.m_bulkStub
+        : *aPeer.m_raftStub;
+    stub.async()->Deliver(
       &delivery->m_context,
       &delivery->m_batch.m_batch,
       &delivery->m_reply,
@@ -174,7 +181,7 @@
   }
   Peer& peer = *found->second;
   peer.m_batchesInFlight.erase(aDelivery);
-  peer.m_messages.OnBatchFinished(aDelivery->m_batch.m_lane);
+  peer.m_messages.OnBatchFinished(aDelivery->m_batch);
   if (peer.m_lastBatchFailed == aOk) {
     peer.m_lastBatchFailed = !aOk;
     LogInfo("raft",
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -122,12 +122,12 @@
     co_await m_client.Exchange(aAddress, std::move(request), aBatch.m_timeout);
   wire::DeliverReply reply;
   const bool ok = response && http::ParseMessage(response->body(), reply);
-  OnDelivered(aReplicaId, aBatch.m_lane, ok ? &reply : nullptr);
+  OnDelivered(aReplicaId, aBatch, ok ? &reply : nullptr);
 }
 
 void
 MemberTransport::OnDelivered(uint64_t aReplicaId,
-                             consensus::MessageLane aLane,
+                             const consensus::MessageBatch& aBatch,
                              const wire::DeliverReply* aReply)
 {
   const auto found = m_peers.find(aReplicaId);
@@ -135,7 +135,7 @@
     return;
   }
   Peer& peer = found->second;
-  peer.m_messages.OnBatchFinished(aLane);
+  peer.m_messages.OnBatchFinished(aBatch);
   // If a replica has lost its disk, a replica with a new id replies at its
   // address.
   const bool heard = aReply != nullptr && aReply->replica_id() == aReplicaId;
@@ -152,7 +152,8 @@
             peer.m_address);
   }
   Flush(aReplicaId, peer);
-  if (!heard && aLane == consensus::MessageLane::kBulk && m_lossHandler) {
+  if (!heard && aBatch.m_lane == consensus::MessageLane::kBulk &&
+      m_lossHandler) {
     m_lossHandler(aReplicaId);
   }
 }
--- a/modules/coordinator/src/MemberTransport.h
+++ b/modules/coordinator/src/MemberTransport.h
@@ -80,7 +80,7 @@
                                        consensus::MessageBatch aBatch);
   // aReply is null if the batch was lost.
   void OnDelivered(uint64_t aReplicaId,
-                   consensus::MessageLane aLane,
+                   const consensus::MessageBatch& aBatch,
                    const wire::DeliverReply* aReply);
 
   boost::asio::io_context& m_context;
