Show that a configuration may never arrive at a sidecar over a slow link

Cause: a sync whose reply takes longer than 850 ms is asked for again at another coordinator, and then at the leader again, beside the one on its way. Each reply to a sidecar without the version has the whole configuration, so up to three copies share the link, and each is cut off after 2.5 s. The next one starts at the beginning.

Change: the link of SyncClientTest has a bandwidth that replies share. Two new tests.

Both tests fail until this is mended.

--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -20,7 +20,8 @@
 const std::string kFollowerAddress = "10.0.0.2:7600";
 
 // The link of a sidecar to two coordinators. All packets to the sidecar wait
-// for the same time. An exchange needs a connection, as with the real client.
+// for the same time. Replies share the bandwidth of the link evenly. An
+// exchange needs a connection, as with the real client.
 class DelayedLink final : public http::Client
 {
 public:
@@ -31,15 +32,22 @@
   }
 
   void SetDelay(Duration aDelay) { m_delay = aDelay; }
+  void SetBytesPerSecond(double aRate) { m_bytesPerSecond = aRate; }
   int FollowerCallCount() const { return m_followerCallCount; }
   // The most calls to one coordinator that were open at the same time.
   int MaxOpenCalls() const { return m_maxOpenCalls; }
 
-  void ReplaceConfiguration(uint64_t aVersion)
+  void ReplaceConfiguration(uint64_t aVersion, int aRouteCount = 0)
   {
+    constexpr size_t kRouteNameBytes = 100;
     wire::FleetCommand command;
     wire::ReplaceConfiguration& change =
       *command.mutable_replace_configuration();
+    for (int i = 0; i < aRouteCount; ++i) {
+      std::string name = std::to_string(i);
+      name.resize(kRouteNameBytes, 'r');
+      change.mutable_configuration()->add_routes()->set_name(name);
+    }
     change.set_base_version(m_state.CurrentChange().configuration().version());
     change.mutable_configuration()->set_version(aVersion);
     m_state.Apply(++m_index, command.SerializeAsString());
@@ -80,14 +88,17 @@
     } else {
       reply.set_leader_address(kLeaderAddress);
     }
-    const bool received = co_await PassLink(deadline);
+    http::Response response;
+    response.body() = reply.SerializeAsString();
+    bool received = co_await Transfer(response.body().size(), deadline);
+    if (received) {
+      received = co_await PassLink(deadline);
+    }
     if (!received) {
       co_return tl::unexpected(
         http::HttpError{ http::HttpErrorCode::kTimeout, true, "timed out" });
     }
     ++idleConnections;
-    http::Response response;
-    response.body() = reply.SerializeAsString();
     co_return response;
   }
 
@@ -126,6 +137,22 @@
     co_return arrival <= aDeadline;
   }
 
+  // Returns false at the deadline if the link has not carried all bytes then.
+  asio::awaitable<bool> Transfer(size_t aBytes, TimePoint aDeadline)
+  {
+    const OpenCall transfer(m_transferCount);
+    double bytesLeft = m_bytesPerSecond > 0 ? static_cast<double>(aBytes) : 0;
+    TimePoint lastAt = m_clock.Now();
+    while (bytesLeft > 0 && m_clock.Now() < aDeadline) {
+      co_await Sleep(kPollInterval);
+      const TimePoint now = m_clock.Now();
+      bytesLeft -= static_cast<double>((now - lastAt).m_ms) / 1000 *
+                   m_bytesPerSecond / *m_transferCount;
+      lastAt = now;
+    }
+    co_return bytesLeft <= 0;
+  }
+
   asio::awaitable<wire::FleetSyncReply> AskLeader(
     const wire::FleetSyncRequest& aRequest)
   {
@@ -149,6 +176,9 @@
   fleet::FleetState m_state;
   fleet::FleetLeader m_leader;
   Duration m_delay;
+  // 0 if unlimited.
+  double m_bytesPerSecond = 0;
+  std::shared_ptr<int> m_transferCount = std::make_shared<int>(0);
   std::map<std::string, int> m_idleConnections;
   std::map<std::string, std::shared_ptr<int>> m_openCounts;
   int m_maxOpenCalls = 0;
@@ -198,10 +228,9 @@
   }
 
   // Returns the version that the sidecar has then.
-  uint64_t WaitForVersion(uint64_t aVersion)
+  uint64_t WaitForVersion(uint64_t aVersion, Duration aLimit = Seconds(2))
   {
-    constexpr Duration kApplyLimit = Seconds(2);
-    const TimePoint end = m_clock.Now() + kApplyLimit;
+    const TimePoint end = m_clock.Now() + aLimit;
     while (m_clock.Now() < end && Version() < aVersion) {
       m_context.run_for(kPollInterval);
     }
@@ -247,6 +276,32 @@
   CHECK(fixture.WaitForVersion(2) == 2);
 }
 
+// Guards against calls that ask for a configuration again while it is on its
+// way, so that the copies delay each other beyond the time of a call.
+TEST_CASE("a configuration arrives over a link that carries one copy in time")
+{
+  constexpr int kRoutes = 1900;
+  constexpr double kConfigurationBytes = kRoutes * 104.0;
+  SyncFixture fixture;
+  const double secondsPerCopy = GENERATE(0.7, 1.2, 1.6);
+  CAPTURE(secondsPerCopy);
+  fixture.m_link.SetBytesPerSecond(kConfigurationBytes / secondsPerCopy);
+  fixture.m_link.ReplaceConfiguration(2, kRoutes);
+  CHECK(fixture.WaitForVersion(2, Seconds(10)) == 2);
+}
+
+// Guards against a configuration that is sent again and again from its
+// beginning and never arrives.
+TEST_CASE("a configuration arrives over a link that is slower than a call")
+{
+  constexpr int kRoutes = 1900;
+  constexpr double kConfigurationBytes = kRoutes * 104.0;
+  SyncFixture fixture;
+  fixture.m_link.SetBytesPerSecond(kConfigurationBytes / 4);
+  fixture.m_link.ReplaceConfiguration(2, kRoutes);
+  CHECK(fixture.WaitForVersion(2, Seconds(15)) == 2);
+}
+
 // Guards against calls that pile up at a leader that is slow to reply.
 TEST_CASE("few calls are open to a coordinator that does not reply")
 {
