Show that a starting sidecar may never get its first configuration

Cause: before its first reply a sidecar calls the next coordinator after 250 ms, so up to three copies of the whole configuration share its link from the start.

Change: one more test in SyncClientTest, for a sidecar that starts.

The test fails until this is mended.

--- a/modules/sidecar/tests/SyncClientTest.cpp
+++ b/modules/sidecar/tests/SyncClientTest.cpp
@@ -192,6 +192,13 @@
 {
 public:
   SyncFixture()
+    : SyncFixture(0, 0)
+  {
+    REQUIRE(WaitForVersion(1) == 1);
+  }
+
+  // Starts with a configuration of this size over a link of this bandwidth.
+  SyncFixture(int aRouteCount, double aBytesPerSecond)
     : m_link(m_clock)
     , m_localBackend("n1", Seconds(2), m_clock.Now())
     , m_syncClient(m_context,
@@ -204,10 +211,10 @@
                    m_loadCounter,
                    m_quarantine)
   {
-    m_link.ReplaceConfiguration(1);
+    m_link.SetBytesPerSecond(aBytesPerSecond);
+    m_link.ReplaceConfiguration(1, aRouteCount);
     m_syncClient.SetCoordinators({ kLeaderAddress, kFollowerAddress });
     m_syncClient.Start();
-    REQUIRE(WaitForVersion(1) == 1);
   }
 
   void RunFor(Duration aDuration)
@@ -290,6 +297,17 @@
   CHECK(fixture.WaitForVersion(2, Seconds(10)) == 2);
 }
 
+// The same for a sidecar that starts, which calls others sooner.
+TEST_CASE("the first configuration arrives over a link that carries it in time")
+{
+  constexpr int kRoutes = 1900;
+  constexpr double kConfigurationBytes = kRoutes * 104.0;
+  const double secondsPerCopy = GENERATE(0.4, 0.7, 1.2, 1.6);
+  CAPTURE(secondsPerCopy);
+  SyncFixture fixture(kRoutes, kConfigurationBytes / secondsPerCopy);
+  CHECK(fixture.WaitForVersion(1, Seconds(10)) == 1);
+}
+
 // Guards against a configuration that is sent again and again from its
 // beginning and never arrives.
 TEST_CASE("a configuration arrives over a link that is slower than a call")
