--- a/modules/consensus/src/RaftCoreLeader.cpp
+++ b/modules/consensus/src/RaftCoreLeader.cpp
@@ -464,12 +464,11 @@
          aProgress.m_inflightLastIndexes.front() <= aMatchIndex) {
     aProgress.m_inflightLastIndexes.pop_front();
   }
-  // While the follower still needs the snapshot, keep sending it. Once it has
+  // A reply to a heartbeat does not end the transfer of a snapshot. Once it has
   // arrived, the log may already start after it; SendPendingEntries() then
   // sends a newer snapshot.
   if (aProgress.m_state == ProgressState::kSnapshot &&
-      aMatchIndex < aProgress.m_snapshot->m_meta.index() &&
-      aMatchIndex < m_log.BaseIndex()) {
+      aMatchIndex < aProgress.m_snapshot->m_meta.index()) {
     return;
   }
   if (aProgress.m_state != ProgressState::kReplicate) {
--- a/modules/consensus/tests/RaftCoreTest.cpp
+++ b/modules/consensus/tests/RaftCoreTest.cpp
@@ -128,8 +128,135 @@
   return entries;
 }
 
+// Returns a leader of which replica 3 lacks all entries. The log still has
+// them, but a snapshot of several chunks is smaller.
+RaftCore
+MakeLeaderWithLargeSnapshot(TimePoint aNow)
+{
+  RaftCore core = MakeLeaderCore();
+  core.Receive(MakeAppendReply(3), aNow);
+  PersistActions(core);
+  for (int i = 0; i < 20; ++i) {
+    core.AppendCommands({ std::string(20'000, 'x') });
+    core.BroadcastAppends();
+    PersistActions(core);
+    core.Receive(MakeAppendReply(core.Entries().LastIndex()), aNow);
+  }
+  const auto snapshot = std::make_shared<storage::Snapshot>();
+  snapshot->m_meta.set_index(core.Entries().LastIndex());
+  snapshot->m_meta.set_term(4);
+  snapshot->m_data = std::string(200'000, 's');
+  core.SetSnapshot(snapshot);
+  REQUIRE(core.Entries().BaseIndex() == 0);
+  core.TakeActions();
+  wire::RaftMessage rejection = MakeRejection(2, 0);
+  rejection.set_from(3);
+  core.Receive(rejection, aNow);
+  core.TakeActions();
+  wire::RaftMessage match = MakeAppendReply(0);
+  match.set_from(3);
+  core.Receive(match, aNow);
+  return core;
+}
+
+// Takes the pending actions and returns the offsets of the snapshot chunks for
+// replica 3.
+std::vector<uint64_t>
+TakeChunkOffsets(RaftCore& aCore)
+{
+  std::vector<uint64_t> offsets;
+  for (const wire::RaftMessage& message :
+       aCore.TakeActions().m_messagesBeforeSync) {
+    if (message.to() == 3 &&
+        message.kind() == wire::RAFT_MESSAGE_SNAPSHOT_CHUNK) {
+      offsets.push_back(message.chunk_offset());
+    }
+  }
+  return offsets;
+}
+
 } // namespace
 
+// Guards against a slow link that carries the same chunk again and again.
+TEST_CASE("A snapshot chunk is not sent again because a heartbeat is answered")
+{
+  const TimePoint now = kStartTime + Milliseconds(810);
+  RaftCore core = MakeLeaderWithLargeSnapshot(now);
+  REQUIRE(TakeChunkOffsets(core) == std::vector<uint64_t>{ 0 });
+  wire::RaftMessage match = MakeAppendReply(0);
+  match.set_from(3);
+  for (int i = 1; i < 9; ++i) {
+    const TimePoint replyAt = now + Milliseconds(100 * i);
+    core.Tick(replyAt);
+    CHECK(TakeChunkOffsets(core).empty());
+    core.Receive(match, replyAt);
+    CHECK(TakeChunkOffsets(core).empty());
+  }
+}
+
+// Guards against reads of the configuration that send the snapshot again.
+TEST_CASE("A snapshot chunk is not sent again because a read round is answered")
+{
+  const TimePoint now = kStartTime + Milliseconds(810);
+  RaftCore core = MakeLeaderWithLargeSnapshot(now);
+  TakeChunkOffsets(core);
+  size_t chunks = 0;
+  for (int i = 0; i < 100; ++i) {
+    wire::RaftMessage match = MakeAppendReply(0);
+    match.set_from(3);
+    match.set_round(core.StartRound());
+    core.Receive(match, now);
+    chunks += TakeChunkOffsets(core).size();
+  }
+  CHECK(chunks == 0);
+}
+
+// Guards against a wait for the resend delay although the loss is known.
+TEST_CASE("A snapshot chunk that the transport lost is sent again")
+{
+  const TimePoint now = kStartTime + Milliseconds(810);
+  RaftCore core = MakeLeaderWithLargeSnapshot(now);
+  TakeChunkOffsets(core);
+  core.OnMessagesLost(3, now + Milliseconds(50));
+  REQUIRE(TakeChunkOffsets(core).empty());
+  core.Tick(now + Milliseconds(120));
+  CHECK(TakeChunkOffsets(core) == std::vector<uint64_t>{ 0 });
+}
+
+// Guards against a transfer that starts over with each new snapshot.
+TEST_CASE("A snapshot that the follower has in part is not replaced")
+{
+  const TimePoint now = kStartTime + Milliseconds(810);
+  RaftCore core = MakeLeaderWithLargeSnapshot(now);
+  const uint64_t index = core.GetSnapshot()->m_meta.index();
+  TakeChunkOffsets(core);
+  wire::RaftMessage part = MakeMessage(wire::RAFT_MESSAGE_SNAPSHOT_REPLY, 4);
+  part.set_from(3);
+  part.mutable_snapshot()->set_index(index);
+  part.set_chunk_offset(64 * 1024);
+  core.Receive(part, now);
+  REQUIRE(TakeChunkOffsets(core) == std::vector<uint64_t>{ 64 * 1024 });
+  core.AppendCommands({ std::string(20'000, 'x') });
+  core.BroadcastAppends();
+  PersistActions(core);
+  core.Receive(MakeAppendReply(core.Entries().LastIndex()), now);
+  const auto newer = std::make_shared<storage::Snapshot>();
+  newer->m_meta.set_index(core.Entries().LastIndex());
+  newer->m_meta.set_term(4);
+  newer->m_data = std::string(200'000, 't');
+  core.SetSnapshot(newer);
+  core.TakeActions();
+  wire::RaftMessage match = MakeAppendReply(0);
+  match.set_from(3);
+  core.Receive(match, now);
+  for (const wire::RaftMessage& message :
+       core.TakeActions().m_messagesBeforeSync) {
+    if (message.kind() == wire::RAFT_MESSAGE_SNAPSHOT_CHUNK) {
+      CHECK(message.snapshot().index() == index);
+    }
+  }
+}
+
 // Guards against a slow link that carries the same entries again and again.
 TEST_CASE("Entries are not sent again because a heartbeat has overtaken them")
 {
@@ -137,7 +264,8 @@
   const TimePoint sentAt = kStartTime + Milliseconds(810);
   core.Receive(MakeAppendReply(3), sentAt);
   PersistActions(core);
-  core.AppendCommands({ "a", "b" });
+  const std::string bulk(20'000, 'x');
+  core.AppendCommands({ bulk, bulk });
   core.BroadcastAppends();
   REQUIRE(CountSentEntries(core) == 2);
   for (int i = 1; i < 9; ++i) {
@@ -148,6 +276,7 @@
   }
   const TimePoint overdueAt = sentAt + kResendDelay;
   core.Receive(MakeRejection(5, 3), overdueAt);
+  core.Receive(MakeAppendReply(3), overdueAt);
   CHECK(CountSentEntries(core) == 2);
 }
 
@@ -167,6 +296,19 @@
   CHECK(CountSentEntries(core) == 1);
 }
 
+// Guards against bulk data in vain to a follower whose log may differ.
+TEST_CASE("A probe carries few bytes")
+{
+  RaftCore core = MakeLeaderCore();
+  core.TakeActions();
+  core.AppendCommands({ std::string(20'000, 'x') });
+  core.Tick(kStartTime + Milliseconds(1000));
+  for (const wire::RaftMessage& message :
+       core.TakeActions().m_messagesBeforeSync) {
+    CHECK(message.ByteSizeLong() < 4'096);
+  }
+}
+
 // Guards against entries that must be sent again since the transport has
 // delivered them in another order.
 TEST_CASE("Entries that arrive before earlier ones are kept")
--- a/modules/coordinator/tests/LearnerCatchUpTest.cpp
+++ b/modules/coordinator/tests/LearnerCatchUpTest.cpp
@@ -48,14 +48,18 @@
   {
     m_command = aCommand;
   }
-  std::string TakeSnapshot() const override { return m_command; }
+  std::string TakeSnapshot() const override
+  {
+    return m_command + std::string(m_paddingBytes, 'p');
+  }
   tl::expected<void, std::string> RestoreSnapshot(
     std::string_view aSnapshot) override
   {
-    m_command = aSnapshot;
+    m_command = aSnapshot.substr(0, aSnapshot.size() - m_paddingBytes);
     return {};
   }
 
+  size_t m_paddingBytes = 0;
   std::string m_command;
 };
 
@@ -222,25 +226,34 @@
 class CatchUpRun
 {
 public:
-  CatchUpRun(double aLossProbability, uint32_t aSeed)
-    : m_leader(m_context, m_clock, kLeaderId, aLossProbability, 2 * aSeed)
+  CatchUpRun(double aLossProbability,
+             uint32_t aSeed,
+             size_t aCommandCount = kCommandCount,
+             size_t aCommandBytes = kCommandBytes,
+             size_t aPaddingBytes = 0)
+    : m_commandBytes(aCommandBytes)
+    , m_leader(m_context, m_clock, kLeaderId, aLossProbability, 2 * aSeed)
     , m_learner(m_context, m_clock, kLearnerId, aLossProbability, 2 * aSeed + 1)
     , m_writeTimer(m_context)
+    , m_readTimer(m_context)
   {
+    m_leader.m_state.m_paddingBytes = aPaddingBytes;
+    m_learner.m_state.m_paddingBytes = aPaddingBytes;
     RunUntil(Seconds(5), [this] {
       return m_leader.m_log->Status().m_role == consensus::Role::kLeader;
     });
-    for (size_t count = 0; count < kCommandCount; ++count) {
+    for (size_t count = 0; count < aCommandCount; ++count) {
       ProposeCommand();
     }
-    RunUntil(Seconds(5), [this] { return m_committed == kCommandCount; });
-    REQUIRE(m_committed == kCommandCount);
+    RunUntil(Seconds(5), [&] { return m_committed == aCommandCount; });
+    REQUIRE(m_committed == aCommandCount);
   }
 
   ~CatchUpRun()
   {
     m_stopped = true;
     m_writeTimer.cancel();
+    m_readTimer.cancel();
     m_leader.Stop();
     m_learner.Stop();
     // Lets the exchanges fail while the clients still exist.
@@ -295,7 +308,21 @@
            m_learner.m_log->Status().m_appliedIndex;
   }
 
-  uint64_t LogBytes() const { return m_proposed * kCommandBytes; }
+  // Reads at an interval, each of which starts a heartbeat round.
+  void ScheduleRead(std::chrono::milliseconds aInterval)
+  {
+    m_readTimer.expires_after(aInterval);
+    m_readTimer.async_wait(
+      [this, aInterval](const boost::system::error_code& aError) {
+        if (!aError && !m_stopped) {
+          m_leader.m_log->ReadBarrier(m_clock.Now(), [](const auto&) {});
+          m_leader.m_log->Flush(m_clock.Now());
+          ScheduleRead(aInterval);
+        }
+      });
+  }
+
+  uint64_t LogBytes() const { return m_proposed * m_commandBytes; }
 
   std::string Describe() const
   {
@@ -341,7 +368,7 @@
   void ProposeCommand()
   {
     std::string command = fmt::format("{:08}", ++m_proposed);
-    command.resize(kCommandBytes, 'x');
+    command.resize(m_commandBytes, 'x');
     m_leader.m_log->Propose(
       std::move(command), m_clock.Now(), [this](const auto& aIndex) {
         m_committed += aIndex ? 1 : 0;
@@ -360,6 +387,7 @@
     });
   }
 
+  size_t m_commandBytes;
   BootClock m_clock;
   asio::io_context m_context;
   // Counts of commands.
@@ -368,6 +396,7 @@
   Member m_leader;
   Member m_learner;
   asio::steady_timer m_writeTimer;
+  asio::steady_timer m_readTimer;
   TimePoint m_addedAt;
   bool m_addRefused = false;
   std::optional<Duration> m_catchUpTime;
@@ -397,4 +426,20 @@
   run.CheckCatchUp();
 }
 
+// Failed while each reply to a heartbeat or a read started the snapshot again.
+TEST_CASE("a learner gets a snapshot of several chunks from a young log")
+{
+  const uint32_t seed = GENERATE(1U, 2U, 3U);
+  const int readsPerSecond = GENERATE(0, 10, 50);
+  const double loss = 0.05;
+  CAPTURE(seed, readsPerSecond, loss);
+  CatchUpRun run(loss, seed, 60, 10 * 1024, 190 * 1024);
+  run.AddLearner();
+  if (readsPerSecond > 0) {
+    run.ScheduleRead(std::chrono::milliseconds(1000 / readsPerSecond));
+  }
+  run.RunUntilCaughtUp(kMaxCatchUpTime);
+  run.CheckCatchUp();
+}
+
 } // namespace rattanloft::coordinator
