Send small entries again soon after their loss

Change: the resend delay holds only while something large is in flight, else one heartbeat interval, and the loss of any batch with log data is reported. The resend delay exceeds the timeout of the largest command now, and the test of the urgent lane sends a real heartbeat.

--- a/modules/consensus/include/rattanloft/consensus/OutgoingMessages.h
+++ b/modules/consensus/include/rattanloft/consensus/OutgoingMessages.h
@@ -9,6 +9,9 @@
 
 namespace rattanloft::consensus {
 
+// Larger messages take the bulk lane. Such a message fits into a few packets.
+constexpr size_t kMaxUrgentMessageBytes = 8 * 1024;
+
 // How a message is sent.
 enum class MessageLane
 {
@@ -26,6 +29,8 @@
   MessageLane m_lane = MessageLane::kUrgent;
   // Time after which the batch counts as lost.
   Duration m_timeout;
+  // Whether it contains log entries or a snapshot chunk.
+  bool m_hasLogData = false;
 };
 
 // The messages that a transport is to send to one peer. Bulk data is sent in
--- a/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
+++ b/modules/consensus/include/rattanloft/consensus/ReplicatedLog.h
@@ -112,8 +112,8 @@
   // Bounds the payload of the entries kept in memory by m_retainedEntries.
   size_t m_retainedBytes = 16 * 1024 * 1024;
   // Time without progress of a follower after which the entries or the snapshot
-  // chunk in flight are sent again. With a transport that reports losses it
-  // should exceed the time that a transfer may take.
+  // chunk in flight are sent again, unless they are small. With a transport
+  // that reports losses it should exceed the time that a transfer may take.
   Duration m_resendDelay = Milliseconds(300);
 };
 
--- a/modules/consensus/src/FollowerProgress.h
+++ b/modules/consensus/src/FollowerProgress.h
@@ -20,7 +20,8 @@
   kProbe,
   // Append messages are pipelined: sent without waiting for earlier replies.
   kReplicate,
-  // The log no longer holds the next entry, so a snapshot is sent in chunks.
+  // The log no longer holds the next entry, or a snapshot is smaller than the
+  // entries up to it, so it is sent in chunks.
   kSnapshot,
 };
 
@@ -39,6 +40,8 @@
   // When the follower last acknowledged entries or a snapshot chunk or, if
   // nothing was in flight before, the first message in flight was sent.
   TimePoint m_lastProgressTime;
+  // Whether a message in flight is larger than kMaxUrgentMessageBytes.
+  bool m_bulkInFlight = false;
   // When the leader last received a reply of its own term. Initially when it
   // began to replicate to the replica.
   TimePoint m_lastReplyTime;
--- a/modules/consensus/src/OutgoingMessages.cpp
+++ b/modules/consensus/src/OutgoingMessages.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Larger messages take the bulk lane. Such a message fits into a few packets.
-constexpr size_t kMaxUrgentMessageBytes = 8 * 1024;
 // A batch is closed once it has this many bytes.
 constexpr size_t kMaxBatchBytes = 32 * 1024;
 // Batches per lane that wait for their replies. Several, so that one lost
@@ -59,7 +57,9 @@
     MessageBatch batch;
     batch.m_lane = kind;
     while (!lane.m_messages.empty() && batch.m_bytes < kMaxBatchBytes) {
-      batch.m_bytes += lane.m_messages.front().ByteSizeLong();
+      const wire::RaftMessage& next = lane.m_messages.front();
+      batch.m_bytes += next.ByteSizeLong();
+      batch.m_hasLogData |= next.entries_size() > 0 || !next.chunk().empty();
       *batch.m_batch.add_messages() = lane.PopFront();
     }
     ++lane.m_batchesInFlight;
--- a/modules/consensus/src/RaftCoreLeader.cpp
+++ b/modules/consensus/src/RaftCoreLeader.cpp
@@ -5,6 +5,7 @@
 
 #include "rattanloft/base/Assert.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/consensus/OutgoingMessages.h"
 
 namespace rattanloft::consensus {
 
@@ -304,7 +305,9 @@
   if (!aWithoutEntries && aProgress.m_state == ProgressState::kReplicate) {
     if (aProgress.m_inflightLastIndexes.empty()) {
       aProgress.m_lastProgressTime = m_now;
+      aProgress.m_bulkInFlight = false;
     }
+    aProgress.m_bulkInFlight |= entryBytes > kMaxUrgentMessageBytes;
     aProgress.m_inflightLastIndexes.push_back(nextIndex - 1);
     aProgress.m_nextIndex = nextIndex;
   }
@@ -343,13 +346,18 @@
   message.set_chunk(snapshot.m_data.substr(offset, kMaxChunkBytes));
   message.set_chunk_last(offset + message.chunk().size() ==
                          snapshot.m_data.size());
+  aProgress.m_bulkInFlight = message.chunk().size() > kMaxUrgentMessageBytes;
   m_actions.m_messagesBeforeSync.push_back(std::move(message));
 }
 
 bool
 RaftCore::IsOverdue(const FollowerProgress& aProgress) const
 {
-  return m_now - aProgress.m_lastProgressTime >= m_options.m_resendDelay;
+  // What is small arrives soon or is lost.
+  const Duration delay = aProgress.m_bulkInFlight
+                           ? m_options.m_resendDelay
+                           : m_options.m_heartbeatInterval;
+  return m_now - aProgress.m_lastProgressTime >= delay;
 }
 
 bool
--- a/modules/consensus/tests/OutgoingMessagesTest.cpp
+++ b/modules/consensus/tests/OutgoingMessagesTest.cpp
@@ -16,6 +16,9 @@
 {
   wire::RaftMessage message;
   message.set_kind(wire::RAFT_MESSAGE_APPEND);
+  message.set_from(1);
+  message.set_to(2);
+  message.set_term(3);
   if (aPayloadBytes > 0) {
     message.add_entries()->set_payload(std::string(aPayloadBytes, 'x'));
   }
@@ -49,6 +52,19 @@
   CHECK(batch->m_lane == MessageLane::kUrgent);
   CHECK(batch->m_timeout == kBaseTimeout);
   CHECK(batch->m_batch.messages_size() == 1);
+  CHECK_FALSE(batch->m_hasLogData);
+}
+
+// Guards against small entries whose loss nobody reports.
+TEST_CASE("A batch with small entries says that it has log data")
+{
+  OutgoingMessages messages(kBaseTimeout);
+  messages.Push(MakeAppend(0));
+  messages.Push(MakeAppend(100));
+  const auto batch = messages.TakeBatch();
+  REQUIRE(batch.has_value());
+  CHECK(batch->m_lane == MessageLane::kUrgent);
+  CHECK(batch->m_hasLogData);
 }
 
 // Guards against batches that a slow link never delivers before their timeout.
--- a/modules/consensus/tests/ReplicatedLogTest.cpp
+++ b/modules/consensus/tests/ReplicatedLogTest.cpp
@@ -412,4 +412,41 @@
   }
 }
 
+// Guards against a command that waits for the resend delay because one message
+// with a small entry was lost and the transport does not report it.
+TEST_CASE("A lost message with a small entry does not delay a command for long")
+{
+  const uint64_t seed = GENERATE(1U, 2U, 3U);
+  TestCluster cluster(seed);
+  cluster.StartFounders(3);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    cluster.CrashReplica(id);
+    cluster.GetReplica(id).m_options.m_resendDelay = Milliseconds(1200);
+    cluster.StartReplica(id);
+  }
+  const uint64_t leader = cluster.WaitForLeader();
+  REQUIRE(leader != 0);
+  const uint64_t downId = AnyReplicaExcept(leader);
+  cluster.CrashReplica(downId);
+  REQUIRE(cluster.CommitCommand("before") != 0);
+  cluster.RunFor(Milliseconds(300));
+  const uint64_t otherId = 6 - leader - downId;
+  bool done = false;
+  cluster.GetReplica(leader).m_log->Propose(
+    "small", cluster.m_now, [&done](auto aIndex) {
+      done = aIndex.has_value();
+    });
+  cluster.CutLink(leader, otherId);
+  cluster.GetReplica(leader).m_log->Flush(cluster.m_now);
+  cluster.RestoreLinks();
+  const TimePoint start = cluster.m_now;
+  while (!done && cluster.m_now - start < Seconds(5)) {
+    cluster.Step();
+  }
+  const int64_t delayMs = (cluster.m_now - start).m_ms;
+  CAPTURE(seed, delayMs);
+  CHECK(done);
+  CHECK(delayMs <= 300);
+}
+
 } // namespace rattanloft::consensus
--- a/modules/control/src/ControlInstance.cpp
+++ b/modules/control/src/ControlInstance.cpp
@@ -35,9 +35,9 @@
 // of which may take 5 s.
 constexpr std::chrono::milliseconds kStopTimeout{ 6000 };
 constexpr std::chrono::milliseconds kStopPollInterval{ 10 };
-// Above the timeout of the largest batches in flight, whose loss the transport
-// reports.
-constexpr Duration kResendDelay = Milliseconds(3000);
+// Above the timeout of a batch with the largest command. The transport reports
+// the loss of a batch.
+constexpr Duration kResendDelay = Milliseconds(3500);
 
 ControlError
 ToControlError(const storage::StoreError& aError)
--- a/modules/control/src/PeerTransport.cpp
+++ b/modules/control/src/PeerTransport.cpp
@@ -191,8 +191,7 @@
             aOk ? "reachable" : "not reachable");
   }
   Flush(aReplicaId, peer);
-  if (!aOk && aDelivery->m_batch.m_lane == consensus::MessageLane::kBulk &&
-      m_lossHandler && !m_stopped) {
+  if (!aOk && aDelivery->m_batch.m_hasLogData && m_lossHandler && !m_stopped) {
     m_lossHandler(aReplicaId);
   }
 }
--- a/modules/coordinator/src/LogOptions.h
+++ b/modules/coordinator/src/LogOptions.h
@@ -17,9 +17,9 @@
 // vote, which must take less than the catch-up time of 4 s also on a link with
 // packet loss.
 constexpr size_t kSnapshotIntervalBytes = 128 * 1024;
-// Above the timeout of the largest batches in flight, whose loss the transport
-// reports.
-constexpr Duration kResendDelay = Milliseconds(2000);
+// Above the timeout of a batch with the largest command. The transport reports
+// the loss of a batch.
+constexpr Duration kResendDelay = Milliseconds(2500);
 
 // Returns the options of a coordinator's log, without founding members.
 inline consensus::ReplicatedLogOptions
--- a/modules/coordinator/src/MemberTransport.cpp
+++ b/modules/coordinator/src/MemberTransport.cpp
@@ -152,8 +152,7 @@
             peer.m_address);
   }
   Flush(aReplicaId, peer);
-  if (!heard && aBatch.m_lane == consensus::MessageLane::kBulk &&
-      m_lossHandler) {
+  if (!heard && aBatch.m_hasLogData && m_lossHandler) {
     m_lossHandler(aReplicaId);
   }
 }
