Log when the news of a departed caller arrives, and how long requests travel

Added: rattanloft_closes_unnoticed and http: event=close-unnoticed for requests that ran to their end although their client had closed its side behind unread input, rattanloft_clients_left, backend: event=caller-left with the time that the backend server had worked, and transit_ms in entry: event=request.

--- a/modules/http/include/rattanloft/http/Server.h
+++ b/modules/http/include/rattanloft/http/Server.h
@@ -69,6 +69,11 @@
   uint64_t m_bodiesRefused = 0;
   // Connections that were closed to make room for new ones.
   uint64_t m_connectionsReclaimed = 0;
+  // Requests whose client left before the handler was called or while it ran.
+  uint64_t m_clientsLeft = 0;
+  // Requests that ran to their end although the client had closed its side of
+  // the connection behind input that was not read.
+  uint64_t m_closesUnnoticed = 0;
 };
 
 // An HTTP/1.1 server, for an io_context that one thread runs. Not thread-safe.
--- a/modules/http/src/OverloadReport.cpp
+++ b/modules/http/src/OverloadReport.cpp
@@ -20,6 +20,8 @@
     total.m_requestsReclaimed += counters.m_requestsReclaimed;
     total.m_bodiesRefused += counters.m_bodiesRefused;
     total.m_connectionsReclaimed += counters.m_connectionsReclaimed;
+    total.m_clientsLeft += counters.m_clientsLeft;
+    total.m_closesUnnoticed += counters.m_closesUnnoticed;
     connections += fmt::format("rattanloft_connections{{listener=\"{}\"}} {}\n",
                                name,
                                server->ConnectionCount());
@@ -29,13 +31,17 @@
                      "rattanloft_memory_state {}\n"
                      "rattanloft_requests_reclaimed {}\n"
                      "rattanloft_bodies_refused {}\n"
-                     "rattanloft_connections_reclaimed {}\n",
+                     "rattanloft_connections_reclaimed {}\n"
+                     "rattanloft_clients_left {}\n"
+                     "rattanloft_closes_unnoticed {}\n",
                      aBudget.LimitBytes(),
                      aBudget.ChargedBytes(),
                      static_cast<int>(aBudget.State()),
                      total.m_requestsReclaimed,
                      total.m_bodiesRefused,
-                     total.m_connectionsReclaimed) +
+                     total.m_connectionsReclaimed,
+                     total.m_clientsLeft,
+                     total.m_closesUnnoticed) +
          connections;
 }
 
--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -485,6 +485,7 @@
 
   EnterState(State::kRunningHandler, Duration{});
   m_cancelToken = std::make_shared<CancelToken>();
+  m_hasUnreadInput = false;
   if (co_await HasClientLeft()) {
     m_cancelToken.reset();
     LogInfo(
@@ -498,6 +499,7 @@
   if (m_clientGone || !m_socket.is_open()) {
     co_return false;
   }
+  RecordUnnoticedClose();
   beast::error_code ignored;
   m_socket.cancel(ignored);
 
@@ -687,6 +689,7 @@
       return true;
     }
   }
+  m_hasUnreadInput = received > 0;
   // The client has shut down its sending side only, or has sent a pipelined
   // request, which stays unread until the response to the current one is
   // written. Only a reset can show from here on that the client has gone.
@@ -712,9 +715,30 @@
     });
 }
 
+bool
+ServerSession::HasInputEnded()
+{
+  pollfd pollResult{ m_socket.native_handle(), POLLRDHUP, 0 };
+  return poll(&pollResult, 1, 0) == 1 && (pollResult.revents & POLLRDHUP) != 0;
+}
+
+void
+ServerSession::RecordUnnoticedClose()
+{
+  if (!m_hasUnreadInput || !HasInputEnded()) {
+    return;
+  }
+  ++m_serverState->m_counters.m_closesUnnoticed;
+  LogInfo("http",
+          "event=close-unnoticed port={} ms={}",
+          m_serverState->m_options.m_port,
+          (m_serverState->m_clock.Now() - m_lastProgress).m_ms);
+}
+
 void
 ServerSession::OnClientGone()
 {
+  m_serverState->m_counters.m_clientsLeft += m_clientGone ? 0 : 1;
   m_clientGone = true;
   if (m_cancelToken) {
     m_cancelToken->Cancel();
--- a/modules/http/src/ServerSession.h
+++ b/modules/http/src/ServerSession.h
@@ -114,6 +114,10 @@
   bool CheckInput();
   void WatchForReset();
   void OnClientGone();
+  // Whether the client has ended its input, even if part of it is unread.
+  bool HasInputEnded();
+  // Counts a request that has ended although its client had left.
+  void RecordUnnoticedClose();
 
   std::shared_ptr<ServerState> m_serverState;
   boost::asio::ip::tcp::socket m_socket;
@@ -129,6 +133,8 @@
   // The deadline of the current state has passed.
   bool m_timedOut = false;
   bool m_clientGone = false;
+  // Input of a further request waits in the socket while the handler runs.
+  bool m_hasUnreadInput = false;
   // Of the current request: 10 or 11.
   unsigned m_httpVersion = 11;
   // Whether any request has been served on this connection.
--- a/modules/sidecar/src/BackendHandler.cpp
+++ b/modules/sidecar/src/BackendHandler.cpp
@@ -304,7 +304,8 @@
     aRequest, names.m_expectedBackend, m_localBackend.View().backend_id());
   SetField(aRequest, names.m_deadlineMs, std::to_string(aTimeLeft.m_ms));
   const std::string holder = m_localBackend.View().holder();
-  m_workQueue.ColdStart().OnSent(aId, m_clock.Now());
+  const TimePoint startedAt = m_clock.Now();
+  m_workQueue.ColdStart().OnSent(aId, startedAt);
   tl::expected<http::Response, http::HttpError> response =
     co_await m_backendClient.Exchange(m_backendAddress,
                                       std::move(aRequest),
@@ -334,6 +335,12 @@
   }
   OnExchangeError(error.m_code);
   if (error.m_code == http::HttpErrorCode::kCancelled) {
+    LogInfo("backend",
+            "event=caller-left id={} service={} maybe_sent={} ms={}",
+            id,
+            aAttributes.m_service,
+            error.m_maybeSent,
+            (now - startedAt).m_ms);
     co_return error.m_maybeSent ? MakeUnknownResult("caller-left")
                                 : MakeNotRunResult("caller-left", {});
   }
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -444,6 +444,7 @@
     co_return result;
   }
   const std::string address = endpoint->peer_address();
+  aState.m_transit.reset();
   m_endpointSelector.OnRequestSent(aState.m_instance, m_clock.Now());
   AttemptResult result = co_await SendToPeer(
     std::move(copy), aState, address, attributes, std::move(aCancel));
@@ -453,7 +454,7 @@
 
 asio::awaitable<AttemptResult>
 EntryHandler::SendToPeer(http::Request aRequest,
-                         const RequestState& aState,
+                         RequestState& aState,
                          const std::string& aAddress,
                          const RequestAttributes& aAttributes,
                          std::shared_ptr<http::CancelToken> aCancel)
@@ -485,6 +486,9 @@
     }
     const std::optional<int64_t> handlingMs =
       ParseNumberField(*response, kHandlingMsField);
+    if (handlingMs) {
+      aState.m_transit = now - sentAt - Milliseconds(*handlingMs);
+    }
     const wire::Endpoint* const endpoint =
       m_endpointSelector.FindEndpoint(instance);
     if (handlingMs && endpoint != nullptr) {
@@ -571,7 +575,7 @@
   LogInfo("entry",
           "event=request id={} fingerprint={:016x} route={} service={} key={} "
           "instance={} hops={} arrivals={} outcome={} reason={} status={} "
-          "ms={} left_ms={} "
+          "ms={} transit_ms={} left_ms={} "
           "version={} ranges={} directory_age_ms={}",
           aState.m_id,
           aState.m_fingerprint,
@@ -585,6 +589,7 @@
           aResult.m_reason,
           aStatus,
           (now - aState.m_arrivedAt).m_ms,
+          aState.m_transit ? aState.m_transit->m_ms : -1,
           (aState.m_deadline - now).m_ms,
           aState.m_router ? aState.m_router->Version() : 0,
           m_directory.RangesIndex(),
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -91,6 +91,8 @@
     uint32_t m_backendAttempts = 0;
     uint32_t m_sidecarAttempts = 0;
     std::set<std::string> m_triedInstances;
+    // Time that the last attempt spent on its way to another sidecar and back.
+    std::optional<Duration> m_transit;
     // An instance in the own zone has refused the request for lack of room.
     bool m_refusedByOwnZone = false;
   };
@@ -114,7 +116,7 @@
     std::shared_ptr<http::CancelToken> aCancel);
   boost::asio::awaitable<AttemptResult> SendToPeer(
     http::Request aRequest,
-    const RequestState& aState,
+    RequestState& aState,
     const std::string& aAddress,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
