--- a/modules/http/tests/ServerTest.cpp
+++ b/modules/http/tests/ServerTest.cpp
@@ -1,5 +1,7 @@
 #include "TestPeer.h"
 
+#include <array>
+
 namespace rattanloft::http {
 
 namespace {
@@ -310,6 +312,40 @@
   });
 }
 
+// Guards against work that goes on since the close lies behind unread input.
+TEST_CASE("Closing behind unread input cancels the running request",
+          "[.hidden-close]")
+{
+  CancellableHandlerServer testServer(Seconds(5));
+  const std::string get = "GET / HTTP/1.1\r\n" + kHostField + "\r\n";
+  const std::string longRequest = "POST / HTTP/1.1\r\n" + kHostField +
+                                  "Content-Length: 100000\r\n\r\n" +
+                                  std::string(100000, 'x');
+  const std::array<std::string, 4> inputs = {
+    get, get.substr(0, 8), Repeat(get, 20'000), longRequest
+  };
+  const std::string unread = inputs[GENERATE(0, 1, 2, 3)];
+  const bool inOneWrite = GENERATE(false, true);
+  const std::string firstWrite = inOneWrite ? get + unread : get;
+  const std::string secondWrite = inOneWrite ? std::string() : unread;
+  INFO(unread.size() << " bytes, in one write: " << inOneWrite);
+  RunTest(testServer.m_context, [&]() -> asio::awaitable<void> {
+    RawClient client(testServer.m_context, testServer.m_server->Port());
+    co_await client.Send(firstWrite);
+    co_await Sleep(Milliseconds(20));
+    co_await client.Send(secondWrite);
+    co_await Sleep(Milliseconds(20));
+    CHECK(testServer.m_startedCount == 1);
+    client.m_socket.close();
+    co_await testServer.WaitUntilFinished(1);
+    CHECK(testServer.m_cancelledCount == 1);
+    while (testServer.m_server->ConnectionCount() > 0) {
+      co_await Sleep(Milliseconds(2));
+    }
+    CHECK(testServer.m_startedCount == 1);
+  });
+}
+
 // The request and the end of its connection are found in the same poll.
 TEST_CASE("A request whose client has already left is not run")
 {
