Notice a close that follows a half-close

Cause: the session probes a client once, when its input ends. A client that has only half-closed the connection passes the probe. Its later close sends nothing: the end of its input was sent before, and with nothing unread there is no reset.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -722,7 +722,7 @@
   }
   const bool endsNow = !m_hasInputEnded && HasInputEnded();
   m_hasInputEnded = m_hasInputEnded || endsNow;
-  if (endsNow || (!m_hasInputEnded && aNow >= m_nextProbeAt)) {
+  if (endsNow || aNow >= m_nextProbeAt) {
     SendProbe();
   }
 }
--- a/modules/http/tests/ServerTest.cpp
+++ b/modules/http/tests/ServerTest.cpp
@@ -345,6 +345,24 @@
   });
 }
 
+// Guards against work that goes on for a client that leaves after a half-close.
+TEST_CASE("Closing after a half-close cancels the running request")
+{
+  CancellableHandlerServer testServer(Seconds(5));
+  RunTest(testServer.m_context, [&]() -> asio::awaitable<void> {
+    RawClient client(testServer.m_context, testServer.m_server->Port());
+    co_await client.Send("GET / HTTP/1.1\r\n" + kHostField + "\r\n");
+    client.m_socket.shutdown(tcp::socket::shutdown_send);
+    // Without unread input the close sends nothing, not even a reset.
+    co_await client.ReadUntil("\r\n\r\n");
+    co_await Sleep(Milliseconds(150));
+    CHECK(testServer.m_startedCount == 1);
+    client.m_socket.close();
+    co_await testServer.WaitUntilFinished(1);
+    CHECK(testServer.m_cancelledCount == 1);
+  });
+}
+
 // The request and the end of its connection are found in the same poll.
 TEST_CASE("A request whose client has already left is not run")
 {
