Count the time on the way between sidecars against the deadline

Cause: an entry sidecar passes on how much time is left, and the sidecar beside the backend server counts this from when it reads the request. On a full link the request is on its way for seconds, and so is the reset that follows when the caller leaves. So the request is run with time that its caller does not have.

Change: the entry states when it sent the request, by its own clock. Sidecars of the previous release do not send the field, and nothing changes for them.

--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -10,6 +10,7 @@
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
+#include "rattanloft/base/TransitDelay.h"
 #include "rattanloft/http/Fingerprint.h"
 
 namespace rattanloft::sidecar {
@@ -69,6 +70,7 @@
   , m_quarantine(aQuarantine)
   , m_loadCounter(aLoadCounter)
   , m_overloadThrottle(RandomId())
+  , m_senderId(RandomId())
 {
 }
 
@@ -467,6 +469,7 @@
   SetField(
     aRequest, kTargetMsField, std::to_string(aAttributes.m_timeToTarget.m_ms));
   SetField(aRequest, kRankField, std::to_string(aAttributes.m_rank));
+  SetField(aRequest, kSentField, FormatTransitStamp({ m_senderId, sentAt }));
   SetField(aRequest,
            m_protocol.Headers().m_deadlineMs,
            std::to_string(std::max<int64_t>(
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -154,6 +154,8 @@
   fleet::TargetPicker m_targetPicker;
   std::map<std::string, FleetRetryBudget> m_retryBudgets;
   OverloadThrottle m_overloadThrottle;
+  // Identifies this process to the peers that it sends requests to.
+  const uint64_t m_senderId;
   EntryCounters m_counters;
   std::optional<StopSchedule> m_stopSchedule;
 };
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -23,7 +23,8 @@
 constexpr std::array kPeerFields = {
   kServiceField, kKindField,       kKeyedField,   kTargetMsField,
   kRankField,    kOutcomeField,    kReasonField,  kRetryAfterMsField,
-  kLoadField,    kHandlingMsField, kArrivedField, kResultKindField
+  kLoadField,    kHandlingMsField, kArrivedField, kResultKindField,
+  kSentField
 };
 
 beast::string_view
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -26,6 +26,8 @@
 constexpr std::string_view kTargetMsField = "Rattanloft-Target-Ms";
 // Position in the queue of the backend server; lower ranks start first.
 constexpr std::string_view kRankField = "Rattanloft-Rank";
+// TransitStamp of the request. Peers of the previous release do not send it.
+constexpr std::string_view kSentField = "Rattanloft-Sent";
 // Name of the AttemptOutcome.
 constexpr std::string_view kOutcomeField = "Rattanloft-Outcome";
 constexpr std::string_view kReasonField = "Rattanloft-Reason";
@@ -46,6 +48,10 @@
 // Reason of a refusal because no slot of the backend server is free in time.
 constexpr std::string_view kOverloadedReason = "overloaded";
 
+// Reason of a refusal because the deadline passed while the request was on its
+// way between two sidecars.
+constexpr std::string_view kLateReason = "late-arrival";
+
 // Reason of a refusal because the zone of the backend server is under
 // evacuation.
 constexpr std::string_view kZoneEvacuatedReason = "zone-evacuated";
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -28,6 +28,7 @@
 #include "rattanloft/base/Clock.h"
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
+#include "rattanloft/base/TransitDelay.h"
 #include "rattanloft/http/Endpoint.h"
 #include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
@@ -397,6 +398,14 @@
                                             std::move(aCancel));
   }
 
+  // How much longer than usual the request was on its way from its peer.
+  Duration EstimateTransitDelay(const http::Request& aRequest,
+                                TimePoint aArrivedAt)
+  {
+    const auto stamp = ParseTransitStamp(FieldValue(aRequest, kSentField));
+    return stamp ? m_transitDelay.Estimate(*stamp, aArrivedAt) : Duration{};
+  }
+
   asio::awaitable<http::Response> ServePeer(
     http::Request aRequest,
     std::shared_ptr<http::CancelToken> aCancel)
@@ -412,8 +421,10 @@
       Milliseconds(ParseNumberField(aRequest, kTargetMsField).value_or(0));
     attributes.m_rank =
       static_cast<uint32_t>(ParseNumberField(aRequest, kRankField).value_or(0));
+    const Duration transitDelay = EstimateTransitDelay(aRequest, arrivedAt);
     attributes.m_timeToDeadline =
-      Milliseconds(ParseNumberField(aRequest, names.m_deadlineMs).value_or(0));
+      Milliseconds(ParseNumberField(aRequest, names.m_deadlineMs).value_or(0)) -
+      transitDelay;
     const auto key = ParseNumberField(aRequest, names.m_key);
     if (attributes.m_keyed && key) {
       attributes.m_key = static_cast<uint32_t>(*key);
@@ -424,6 +435,19 @@
                                   arrivedAt + attributes.m_timeToDeadline)) {
       result = MakeNotRunResult(kStoppingReason,
                                 m_stopSchedule->RetryDelay(arrivedAt));
+    } else if (transitDelay > Duration{} &&
+               attributes.m_timeToDeadline <= Duration{}) {
+      // Its caller has got a response by now, or has left.
+      ++m_lateRequests;
+      LogInfo("backend",
+              "event=refused id={} service={} reason={} transit_ms={} "
+              "left_ms={}",
+              FieldValue(aRequest, names.m_requestId),
+              attributes.m_service,
+              kLateReason,
+              transitDelay.m_ms,
+              attributes.m_timeToDeadline.m_ms);
+      result = MakeNotRunResult(kLateReason, {});
     } else {
       result = co_await m_localHandler.RunRequest(
         std::move(aRequest), attributes, std::move(aCancel));
@@ -651,7 +675,8 @@
       "rattanloft_backend_heartbeats_refused {}\n"
       "rattanloft_backend_cold {}\n"
       "rattanloft_cold_requests_refused {}\n"
-      "rattanloft_zone_evacuated {}\n",
+      "rattanloft_zone_evacuated {}\n"
+      "rattanloft_late_requests {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -667,7 +692,8 @@
       m_refusedBackendCalls,
       m_workQueue.ColdStart().IsLimiting(m_clock.Now()) ? 1 : 0,
       m_workQueue.ColdStart().RefusedCount(),
-      m_isZoneEvacuated ? 1 : 0);
+      m_isZoneEvacuated ? 1 : 0,
+      m_lateRequests);
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       text += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
@@ -779,6 +805,9 @@
   uint64_t m_endpointsRevision = 0;
   uint64_t m_endpointsTerm = 0;
   uint64_t m_refusedBackendCalls = 0;
+  TransitDelay m_transitDelay;
+  // Requests of peers whose deadline had passed when they arrived.
+  uint64_t m_lateRequests = 0;
   int m_serversToStop = 0;
   bool m_isZoneEvacuated = false;
   // Set once the process was told to stop.
--- a/tests/GoneCallerTest.py
+++ b/tests/GoneCallerTest.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from fleet_fixture import HOST, FleetTestCase, StandInBackend, wait_for
+from fleet_fixture import HOST, FleetTestCase, StandInBackend, send_bytes, wait_for
 
 SLOW_PATH = "/p/slow"
 # How long a slow request runs unless its connection is closed.
@@ -34,9 +34,14 @@
         super().handle_request(handler, body)
 
 
-def format_request(path, attempt, key):
+def format_request(path, attempt, key=None, fields=""):
+    key_field = f"Shard-Key: {key}\r\n" if key is not None else ""
     return (f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
-            f"Deadline-Ms: 2000\r\nShard-Key: {key}\r\n\r\n").encode()
+            f"Deadline-Ms: 2000\r\n{key_field}{fields}\r\n").encode()
+
+
+def read_boot_clock_ms():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
 
 
 class GoneCallerTest(FleetTestCase):
@@ -90,6 +95,22 @@
         time.sleep(0.3)
         self.assertEqual(self.backends[1].started_runs, ["running"])
 
+    # Guards against requests that are run after their deadline has passed on the way.
+    def test_request_that_was_late_between_sidecars_is_not_run(self):
+        def send_to_peer(attempt, age_ms):
+            stamp = f"Rattanloft-Sent: 1/{read_boot_clock_ms() - age_ms}\r\n"
+            return send_bytes(self.sidecars[1]["peer"], format_request(
+                "/p/late", attempt, self.key,
+                f"{stamp}Rattanloft-Service: keyed\r\nRattanloft-Kind: a\r\n"
+                "Rattanloft-Keyed: 1\r\nRattanloft-Target-Ms: 1000\r\n"
+                "Rattanloft-Rank: 2\r\n"))
+        self.assertIn(b"Rattanloft-Outcome: answered", send_to_peer("fast", 0))
+        self.assertIn(b"Rattanloft-Outcome: answered", send_to_peer("slow", 1000))
+        answer = send_to_peer("late", 3000)
+        self.assertIn(b"Rattanloft-Outcome: not-run", answer)
+        self.assertNotIn("late", [item[0] for item in
+                                  self.backends[1].executed_requests])
+
 
 if __name__ == "__main__":
     unittest.main()
