Do not send a request to a new owner after its caller has left

Cause: the entry node looks at the cancellation after an attempt, but not after the wait that follows it. For work with an idempotency key the next attempt is not cancellable, so it was sent and run.

Change: each round of the loop begins with the check. An earlier attempt that may have run still decides the outcome.

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -172,6 +172,10 @@
     fmt::format("{}-{}", m_context.m_nodeId, ++m_lastRequestNumber);
   routedRequest.m_deadline = aDeadline;
   for (;;) {
+    if (aCancelToken->IsCancelled()) {
+      co_return routedRequest.FinalResponse(
+        MakeRefusalResponse(NotRunRefusal(503, "caller_gone")));
+    }
     // The catalogue and the routes may have changed since the last attempt.
     auto classified = Classify(routedRequest.m_request, m_context.m_view);
     if (!classified) {
--- a/modules/node/tests/EntryHandlerTest.cpp
+++ b/modules/node/tests/EntryHandlerTest.cpp
@@ -134,6 +134,26 @@
   REQUIRE(node.m_clock.Now() - start >= Milliseconds(900));
 }
 
+// Guards against work that is sent to a new owner for a caller that has left.
+TEST_CASE(
+  "A request whose caller leaves while it waits for an owner is not sent")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_fakePeers->m_responder = [](const auto&, const auto&) {
+    return UnreachableError();
+  };
+  boost::asio::steady_timer timer(node.m_ioContext);
+  timer.expires_after(std::chrono::milliseconds(20));
+  timer.async_wait([&](auto) {
+    node.m_cancelToken->Cancel();
+    node.SetOwner(3, 11);
+  });
+  const auto response = node.HandleAtEntry(TrafficFixture::MakeOrder("k1"));
+  CHECK(StatedOutcome(response) == "not-run");
+  CHECK(node.m_fakePeers->m_requests.size() == 1);
+}
+
 // Guards against sending non-idempotent work again that may have run.
 TEST_CASE("Non-idempotent work with an unknown outcome is not sent again")
 {
