Drop queued at-most-once work when its caller leaves

Cause: such work is finished once it has begun, so that a repeated request finds the answer. The cancellation was therefore withheld from the start: the entry node did not pass it on to the owner, and the owner not to its queue.

Change: the cancellation goes along to the owner and its queue, and is dropped right before the work begins. Work that has not begun is refused as not run and its record removed, so a repeated request starts anew. The test that work which has begun is not cancelled is unchanged.

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -265,17 +265,11 @@
   request.set(header::kEpoch, std::to_string(aTarget.m_epoch));
   request.keep_alive(true);
   request.prepare_payload();
-  // A node finishes at-most-once requests even if the caller has gone, so that
-  // a repeated request finds the answer. The token is a named object because
-  // GCC 12 destroys a conditional temporary in a co_await expression twice.
-  const auto cancelToken = aRoutedRequest.m_classified.IsAtMostOnce()
-                             ? std::shared_ptr<http::CancelToken>()
-                             : aCancelToken;
   auto reply =
     co_await m_context.m_peerClient->Exchange(aTarget.m_peerAddress,
                                               std::move(request),
                                               timeLeft + kForwardTimeoutMargin,
-                                              cancelToken);
+                                              std::move(aCancelToken));
   if (!reply) {
     const http::HttpError& error = reply.error();
     LogInfo(
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -160,7 +160,8 @@
                      ->m_epoch;
   }
   if (run->m_classified.IsAtMostOnce()) {
-    co_return co_await HandleAtMostOnce(std::move(run));
+    co_return co_await HandleAtMostOnce(std::move(run),
+                                        std::move(aCancelToken));
   }
   co_return co_await RunOnBackend(std::move(run), std::move(aCancelToken));
 }
@@ -263,7 +264,8 @@
 }
 
 boost::asio::awaitable<http::Response>
-OwnerHandler::HandleAtMostOnce(std::shared_ptr<BackendRun> aRun)
+OwnerHandler::HandleAtMostOnce(std::shared_ptr<BackendRun> aRun,
+                               std::shared_ptr<http::CancelToken> aCancelToken)
 {
   const ClassifiedRequest& request = aRun->m_classified;
   const auto beginResult =
@@ -291,8 +293,9 @@
   auto atMostOnce = std::make_shared<AtMostOnceRun>(m_context.m_ioContext);
   atMostOnce->m_run = aRun;
   aRun->m_deadlineGrace = kAtMostOnceGrace;
-  boost::asio::co_spawn(
-    m_context.m_ioContext, RunAtMostOnce(atMostOnce), boost::asio::detached);
+  boost::asio::co_spawn(m_context.m_ioContext,
+                        RunAtMostOnce(atMostOnce, std::move(aCancelToken)),
+                        boost::asio::detached);
   while (!atMostOnce->m_response) {
     const Duration timeLeft =
       aRun->m_terms.m_deadline - m_context.m_clock.Now();
@@ -306,11 +309,12 @@
 }
 
 boost::asio::awaitable<void>
-OwnerHandler::RunAtMostOnce(std::shared_ptr<AtMostOnceRun> aRun)
+OwnerHandler::RunAtMostOnce(std::shared_ptr<AtMostOnceRun> aRun,
+                            std::shared_ptr<http::CancelToken> aCancelToken)
 {
   const std::shared_ptr<BackendRun> run = aRun->m_run;
   const ClassifiedRequest& request = run->m_classified;
-  http::Response response = co_await RunOnBackend(run, nullptr);
+  http::Response response = co_await RunOnBackend(run, std::move(aCancelToken));
   const Outcome outcome = OutcomeOf(response).value_or(Outcome::kUnknown);
   auto& recordTable = m_context.m_recordTable;
   switch (outcome) {
@@ -382,6 +386,16 @@
     m_context.m_admissionGate.Finish(*job, JobResult::kCancelled);
     co_return MakeRefusalResponse(started.error());
   }
+  if (request.IsAtMostOnce()) {
+    if (aCancelToken && aCancelToken->IsCancelled()) {
+      m_quarantineGate.End(*started, Outcome::kNotRun);
+      m_context.m_admissionGate.Finish(*job, JobResult::kCancelled);
+      co_return MakeRefusalResponse(NotRunRefusal(503, "caller_gone"));
+    }
+    // Once begun, the work is finished even if the caller leaves, so that a
+    // repeated request finds the answer.
+    aCancelToken.reset();
+  }
   ++m_context.m_counters.m_requestsRunning;
   JobResult result = JobResult::kCancelled;
   http::Response response =
--- a/modules/node/src/OwnerHandler.h
+++ b/modules/node/src/OwnerHandler.h
@@ -61,11 +61,13 @@
                                             const RequestTerms& aTerms);
   // Answers a repeated request from its record, else runs the request.
   boost::asio::awaitable<http::Response> HandleAtMostOnce(
-    std::shared_ptr<BackendRun> aRun);
-  // Runs the request to its end, whether or not the caller still waits, and
-  // records its outcome.
+    std::shared_ptr<BackendRun> aRun,
+    std::shared_ptr<http::CancelToken> aCancelToken);
+  // Runs the request and records its outcome. Once begun, it runs to its end
+  // whether or not the caller still waits.
   boost::asio::awaitable<void> RunAtMostOnce(
-    std::shared_ptr<AtMostOnceRun> aRun);
+    std::shared_ptr<AtMostOnceRun> aRun,
+    std::shared_ptr<http::CancelToken> aCancelToken);
   // Runs the request after the quarantine and the scheduler have admitted it.
   boost::asio::awaitable<http::Response> RunOnBackend(
     std::shared_ptr<BackendRun> aRun,
--- a/modules/node/tests/OwnerHandlerTest.cpp
+++ b/modules/node/tests/OwnerHandlerTest.cpp
@@ -301,6 +301,37 @@
   REQUIRE(node.m_fakeBackend->m_cancelTokens.at(1) == node.m_cancelToken);
 }
 
+// Guards against work that begins for a caller that has left the queue.
+TEST_CASE("Queued work does not begin after its caller has left")
+{
+  TrafficFixture node;
+  node.RunPendingWork();
+  node.m_context.m_admissionGate.SetBackend(1, false);
+  node.m_fakeBackend->m_delay = Milliseconds(60);
+  const RequestTerms terms{ "r1", node.m_clock.Now() + Milliseconds(800), 0 };
+  const auto token = std::make_shared<http::CancelToken>();
+  std::optional<http::Response> queuedResponse;
+  const auto request = GENERATE(0, 1) == 0 ? TrafficFixture::MakeOrder("k2")
+                                           : TrafficFixture::MakeBrowse();
+  boost::asio::steady_timer timer(node.m_ioContext);
+  timer.expires_after(std::chrono::milliseconds(10));
+  timer.async_wait([&](auto) {
+    boost::asio::co_spawn(node.m_ioContext,
+                          node.m_ownerHandler.Handle(request, terms, token),
+                          [&](std::exception_ptr, http::Response aResponse) {
+                            queuedResponse = std::move(aResponse);
+                          });
+    timer.expires_after(std::chrono::milliseconds(10));
+    timer.async_wait([&](auto) { token->Cancel(); });
+  });
+  node.HandleAtOwner(TrafficFixture::MakeOrder("k1"));
+  node.m_ioContext.restart();
+  node.m_ioContext.run_for(std::chrono::milliseconds(200));
+  REQUIRE(queuedResponse);
+  CHECK(StatedOutcome(*queuedResponse) == "not-run");
+  CHECK(node.m_fakeBackend->m_requests.size() == 1);
+}
+
 // Guards against passing a refusal of the token by the backend server on to the
 // caller as its answer.
 TEST_CASE("Refusals of the backend server are reported as not run")
