Count the time on the way between nodes against the deadline

A node beside a backend server ran requests of other nodes whose deadline had passed on the way.

Cause: the time that is left goes along as a number and was counted from when the receiver reads the request.

Change: as between sidecars, a node states when it sent the request, by its own clock, and the receiver takes what is above the fastest recent one off the time left, and refuses a request without time left as not run (late_arrival).

--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -8,6 +8,8 @@
 
 #include "Headers.h"
 #include "rattanloft/base/Log.h"
+#include "rattanloft/base/Random.h"
+#include "rattanloft/base/TransitDelay.h"
 
 namespace rattanloft::node {
 
@@ -110,6 +112,7 @@
   : m_context(aContext)
   , m_ownerHandler(aOwnerHandler)
   , m_targetPicker(aContext)
+  , m_senderId(RandomId())
 {
 }
 
@@ -263,6 +266,8 @@
   request.set(header::kRequestId, aRoutedRequest.m_requestId);
   request.set(header::kDeadlineMs, std::to_string(timeLeft.m_ms));
   request.set(header::kEpoch, std::to_string(aTarget.m_epoch));
+  request.set(header::kSent,
+              FormatTransitStamp({ m_senderId, m_context.m_clock.Now() }));
   request.keep_alive(true);
   request.prepare_payload();
   auto reply =
--- a/modules/node/src/EntryHandler.h
+++ b/modules/node/src/EntryHandler.h
@@ -71,6 +71,8 @@
   TrafficContext& m_context;
   OwnerHandler& m_ownerHandler;
   TargetPicker m_targetPicker;
+  // Identifies this process to the nodes that it forwards requests to.
+  const uint64_t m_senderId;
   RateLimiter m_rateLimiter;
   // Retry budgets by service name.
   std::unordered_map<std::string, routing::RetryBudget> m_retryBudgets;
--- a/modules/node/src/Headers.h
+++ b/modules/node/src/Headers.h
@@ -21,6 +21,9 @@
 // End of the lease on the boot-time clock, in milliseconds.
 constexpr std::string_view kExpires = "Rattanloft-Expires";
 constexpr std::string_view kDeadlineMs = "Rattanloft-Deadline-Ms";
+// TransitStamp of a forwarded request. Nodes of the previous release do not
+// send it.
+constexpr std::string_view kSent = "Rattanloft-Sent";
 // Set by a backend server that has refused the token of the request, or has
 // shed the request. It did not run in either case.
 constexpr std::string_view kRefused = "Rattanloft-Refused";
--- a/modules/node/src/OwnerHandler.cpp
+++ b/modules/node/src/OwnerHandler.cpp
@@ -502,6 +502,7 @@
   out.set(header::kDeadlineMs, std::to_string(aTimeLeft.m_ms));
   out.erase(header::kShard);
   out.erase(header::kEpoch);
+  out.erase(header::kSent);
   if (request.m_entry->keyed()) {
     out.set(header::kKey, request.m_key);
     out.set(header::kShard, std::to_string(*request.m_shard));
--- a/modules/node/src/TrafficServer.cpp
+++ b/modules/node/src/TrafficServer.cpp
@@ -297,9 +297,27 @@
     co_return MakeRefusalResponse(
       { 400, Outcome::kNotRun, "missing_deadline", std::nullopt });
   }
+  const TimePoint now = m_context.m_clock.Now();
+  const std::string_view sentText(aRequest[header::kSent].data(),
+                                  aRequest[header::kSent].size());
+  const auto stamp = ParseTransitStamp(sentText);
+  const Duration transitDelay =
+    stamp ? m_transitDelay.Estimate(*stamp, now) : Duration{};
+  const Duration timeLeft = Milliseconds(*timeLeftMs) - transitDelay;
+  if (timeLeft <= Duration{}) {
+    LogInfo("route",
+            "Refused a request that arrived after its deadline. request={} "
+            "transit_ms={} left_ms={}",
+            std::string_view(aRequest[header::kRequestId].data(),
+                             aRequest[header::kRequestId].size()),
+            transitDelay.m_ms,
+            timeLeft.m_ms);
+    co_return MakeRefusalResponse(
+      { 503, Outcome::kNotRun, "late_arrival", std::nullopt });
+  }
   RequestTerms terms;
   terms.m_requestId = std::string(aRequest[header::kRequestId]);
-  terms.m_deadline = m_context.m_clock.Now() + Milliseconds(*timeLeftMs);
+  terms.m_deadline = now + timeLeft;
   terms.m_epoch =
     ParseNumberHeader<uint64_t>(aRequest, header::kEpoch).value_or(0);
   co_return co_await m_ownerHandler.Handle(
--- a/modules/node/src/TrafficServer.h
+++ b/modules/node/src/TrafficServer.h
@@ -15,6 +15,7 @@
 #include "RecordService.h"
 #include "ShardTracker.h"
 #include "TrafficContext.h"
+#include "rattanloft/base/TransitDelay.h"
 #include "rattanloft/http/Server.h"
 #include "rattanloft/node/Node.h"
 
@@ -108,6 +109,8 @@
 
   TrafficContext m_context;
   Hooks m_hooks;
+  // Of the requests that other nodes have forwarded.
+  TransitDelay m_transitDelay;
   ShardTracker m_shardTracker;
   RecordService m_recordService;
   OwnerHandler m_ownerHandler;
