Do not let callers who have left use up the retry budget

Cause: the entry treats a cancelled attempt like one that failed, takes a retry for it, and finds only then that the caller has left.

Change: nothing is taken for a caller who has left. The test reads the metrics of a sidecar, whose listener the fixture now opens.

--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -355,8 +355,10 @@
     } else {
       RecordZoneResult(aState, last);
     }
-    step = policy.OnResult(
-      last, m_clock.Now(), [&] { return TryTakeRetry(aState.m_service); });
+    step = policy.OnResult(last, m_clock.Now(), [&] {
+      return !(aCancel && aCancel->IsCancelled()) &&
+             TryTakeRetry(aState.m_service);
+    });
   }
   aState.m_sidecarAttempts = policy.SidecarAttempts();
   aState.m_backendAttempts = policy.BackendAttempts();
--- a/tests/GoneCallerTest.py
+++ b/tests/GoneCallerTest.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from fleet_fixture import HOST, FleetTestCase, StandInBackend, send_bytes, wait_for
+from fleet_fixture import HOST, FleetTestCase, StandInBackend, send_bytes, send_request, wait_for
 
 SLOW_PATH = "/p/slow"
 # How long a slow request runs unless its connection is closed.
@@ -84,6 +84,18 @@
                      "the run is given up")
         self.assertEqual(self.backends[1].ended_runs, [])
 
+    # Guards against a retry budget that callers use up who have left.
+    def test_callers_that_leave_take_no_retries(self):
+        for number in range(5):
+            with self.connect() as connection:
+                connection.sendall(format_request(SLOW_PATH, f"r{number}", self.key))
+                wait_for(lambda a=f"r{number}": a in self.backends[1].started_runs, 1,
+                         "the request runs")
+        wait_for(lambda: len(self.backends[1].given_up_runs) == 5, 1,
+                 "the runs are given up")
+        self.assertIn("rattanloft_retries 0\n", send_request(
+            self.sidecars[0]["metrics"], "GET", "/metrics")[1])
+
     # Guards against requests that wait for a slot for callers that have left.
     def test_close_behind_a_further_request_empties_the_queue(self):
         with self.connect() as first:
--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -436,7 +436,7 @@
 
     def start_site(self, number):
         ip = f"127.0.0.{21 + number}"
-        listeners = ("caller", "peer", "ready", "announce", "backend")
+        listeners = ("caller", "peer", "ready", "announce", "backend", "metrics")
         ports = dict(zip(listeners, reserve_ports(len(listeners))))
         site = {name: f"{ip}:{port}" for name, port in ports.items()}
         site["arguments"] = [
