Start anew after a pause instead of refusing requests as late

Cause: the receiver compares with the fastest message of the last 10 to 20 s, from before the pause, so each later one seems late by the length of the pause.

Change: the reply states how late the request was found to be. A delay that exceeds the whole round trip is impossible; the sender then takes another id, under which receivers begin anew. So only requests on their way are refused.

Tests: a sender whose clock has stood still for 4 s is late once and not again; a delay that the round trip confirms changes nothing; a node takes another id after such a refusal and does not pass the field on to its caller. The reader of number fields of the nodes moves to their header, as both sides need it.

--- a/modules/base/include/rattanloft/base/TransitDelay.h
+++ b/modules/base/include/rattanloft/base/TransitDelay.h
@@ -26,6 +26,27 @@
 std::optional<TransitStamp>
 ParseTransitStamp(std::string_view aText);
 
+// Stamps the messages of one process.
+class TransitSender
+{
+public:
+  // aId is random.
+  explicit TransitSender(uint64_t aId)
+    : m_id(aId)
+  {
+  }
+
+  TransitStamp Stamp(TimePoint aNow) const { return { m_id, aNow }; }
+  // Takes the estimate with which a receiver replied to a message. One that
+  // exceeds the round trip shows that a clock has stood still or jumped, for
+  // instance while a virtual machine was paused. The sender then takes another
+  // id, under which receivers begin anew. Returns whether it did.
+  bool OnEstimate(Duration aDelay, Duration aRoundTrip);
+
+private:
+  uint64_t m_id;
+};
+
 // Estimates for how long messages were on their way, although the clocks of
 // sender and receiver are not synchronized: a message was delayed by as much as
 // it took longer than the fastest recent one of its sender. This is the queuing
--- a/modules/base/src/TransitDelay.cpp
+++ b/modules/base/src/TransitDelay.cpp
@@ -43,6 +43,16 @@
   return stamp;
 }
 
+bool
+TransitSender::OnEstimate(Duration aDelay, Duration aRoundTrip)
+{
+  // Both are rounded to milliseconds.
+  constexpr Duration kRounding = Milliseconds(2);
+  const bool isImpossible = aDelay > aRoundTrip + kRounding;
+  m_id += isImpossible ? 1 : 0;
+  return isImpossible;
+}
+
 Duration
 TransitDelay::Estimate(const TransitStamp& aStamp, TimePoint aNow)
 {
--- a/modules/base/tests/TransitDelayTest.cpp
+++ b/modules/base/tests/TransitDelayTest.cpp
@@ -67,6 +67,31 @@
   CHECK(last == Duration{});
 }
 
+// Guards against requests that are refused for seconds after a machine was
+// paused, whose clock has stood still.
+TEST_CASE("a sender whose clock has stood still gets a new start")
+{
+  TransitDelay delay;
+  TransitSender sender(7);
+  TimePoint now{ 900'000 };
+  CHECK(delay.Estimate(sender.Stamp(now), now) == Duration{});
+  const Duration pause = Seconds(4);
+  now = now + pause;
+  const Duration roundTrip = Milliseconds(20);
+  const Duration estimate = delay.Estimate(sender.Stamp(now - pause), now);
+  CHECK(estimate > Seconds(3));
+  CHECK(sender.OnEstimate(estimate, roundTrip));
+  CHECK(delay.Estimate(sender.Stamp(now - pause), now) == Duration{});
+}
+
+// Guards against a link whose delay is never found as its senders start anew.
+TEST_CASE("a delay that the round trip confirms changes nothing")
+{
+  TransitSender sender(7);
+  CHECK_FALSE(sender.OnEstimate(Seconds(2), Milliseconds(2100)));
+  CHECK(sender.Stamp({}).m_senderId == 7);
+}
+
 // Guards against a table that grows with each restart of a sender.
 TEST_CASE("the number of senders is bounded and old ones make room")
 {
--- a/modules/node/src/EntryHandler.cpp
+++ b/modules/node/src/EntryHandler.cpp
@@ -112,7 +112,7 @@
   : m_context(aContext)
   , m_ownerHandler(aOwnerHandler)
   , m_targetPicker(aContext)
-  , m_senderId(RandomId())
+  , m_transitSender(RandomId())
 {
 }
 
@@ -266,8 +266,8 @@
   request.set(header::kRequestId, aRoutedRequest.m_requestId);
   request.set(header::kDeadlineMs, std::to_string(timeLeft.m_ms));
   request.set(header::kEpoch, std::to_string(aTarget.m_epoch));
-  request.set(header::kSent,
-              FormatTransitStamp({ m_senderId, m_context.m_clock.Now() }));
+  const TimePoint sentAt = m_context.m_clock.Now();
+  request.set(header::kSent, FormatTransitStamp(m_transitSender.Stamp(sentAt)));
   request.keep_alive(true);
   request.prepare_payload();
   auto reply =
@@ -293,6 +293,18 @@
         timedOut ? "deadline_passed" : "connection_failed",
         kDefaultRetryAfter });
   }
+  const auto lateMs =
+    header::ParseNumberField<int64_t>(*reply, header::kLateMs);
+  reply->erase(header::kLateMs);
+  if (lateMs && m_transitSender.OnEstimate(Milliseconds(*lateMs),
+                                           m_context.m_clock.Now() - sentAt)) {
+    LogInfo("route",
+            "A clock has jumped, as a request cannot have been so late. "
+            "request={} node={} late_ms={}",
+            aRoutedRequest.m_requestId,
+            aTarget.m_nodeId,
+            *lateMs);
+  }
   if (!OutcomeOf(*reply)) {
     co_return MakeRefusalResponse(
       { 502, Outcome::kUnknown, "outcome_not_stated", kDefaultRetryAfter });
--- a/modules/node/src/EntryHandler.h
+++ b/modules/node/src/EntryHandler.h
@@ -13,6 +13,7 @@
 #include "RequestClassifier.h"
 #include "TargetPicker.h"
 #include "TrafficContext.h"
+#include "rattanloft/base/TransitDelay.h"
 #include "rattanloft/routing/RetryBudget.h"
 
 namespace rattanloft::node {
@@ -71,8 +72,8 @@
   TrafficContext& m_context;
   OwnerHandler& m_ownerHandler;
   TargetPicker m_targetPicker;
-  // Identifies this process to the nodes that it forwards requests to.
-  const uint64_t m_senderId;
+  // Stamps the requests to other nodes.
+  TransitSender m_transitSender;
   RateLimiter m_rateLimiter;
   // Retry budgets by service name.
   std::unordered_map<std::string, routing::RetryBudget> m_retryBudgets;
--- a/modules/node/src/Headers.h
+++ b/modules/node/src/Headers.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <charconv>
+#include <optional>
 #include <string_view>
+#include <system_error>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -24,6 +27,9 @@
 // TransitStamp of a forwarded request. Nodes of the previous release do not
 // send it.
 constexpr std::string_view kSent = "Rattanloft-Sent";
+// How much longer than usual a request was on its way that is refused for it,
+// in milliseconds.
+constexpr std::string_view kLateMs = "Rattanloft-Late-Ms";
 // Set by a backend server that has refused the token of the request, or has
 // shed the request. It did not run in either case.
 constexpr std::string_view kRefused = "Rattanloft-Refused";
@@ -34,4 +40,24 @@
 void
 RemoveHopByHopFields(boost::beast::http::fields& aFields);
 
+// Returns nothing if the field is missing or not a whole number.
+template<typename Number>
+std::optional<Number>
+ParseNumberField(const boost::beast::http::fields& aFields,
+                 std::string_view aName)
+{
+  const auto found = aFields.find(aName);
+  if (found == aFields.end()) {
+    return std::nullopt;
+  }
+  const auto value = found->value();
+  Number number{};
+  const auto result =
+    std::from_chars(value.data(), value.data() + value.size(), number);
+  if (result.ec != std::errc() || result.ptr != value.data() + value.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 } // namespace rattanloft::node::header
--- a/modules/node/src/TrafficServer.cpp
+++ b/modules/node/src/TrafficServer.cpp
@@ -43,24 +43,6 @@
   return view;
 }
 
-template<typename Number>
-std::optional<Number>
-ParseNumberHeader(const http::Request& aRequest, std::string_view aName)
-{
-  const auto found = aRequest.find(aName);
-  if (found == aRequest.end()) {
-    return std::nullopt;
-  }
-  const auto value = found->value();
-  Number number{};
-  const auto result =
-    std::from_chars(value.data(), value.data() + value.size(), number);
-  if (result.ec != std::errc() || result.ptr != value.data() + value.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 admission::WorkClass
 ToWorkClass(wire::WorkClass aClass)
 {
@@ -292,7 +274,7 @@
     co_return m_recordService.HandleRecordFetch(aRequest);
   }
   const auto timeLeftMs =
-    ParseNumberHeader<int64_t>(aRequest, header::kDeadlineMs);
+    header::ParseNumberField<int64_t>(aRequest, header::kDeadlineMs);
   if (!timeLeftMs || *timeLeftMs <= 0) {
     co_return MakeRefusalResponse(
       { 400, Outcome::kNotRun, "missing_deadline", std::nullopt });
@@ -312,14 +294,16 @@
                              aRequest[header::kRequestId].size()),
             transitDelay.m_ms,
             timeLeft.m_ms);
-    co_return MakeRefusalResponse(
+    http::Response refusal = MakeRefusalResponse(
       { 503, Outcome::kNotRun, "late_arrival", std::nullopt });
+    refusal.set(header::kLateMs, std::to_string(transitDelay.m_ms));
+    co_return refusal;
   }
   RequestTerms terms;
   terms.m_requestId = std::string(aRequest[header::kRequestId]);
   terms.m_deadline = now + timeLeft;
   terms.m_epoch =
-    ParseNumberHeader<uint64_t>(aRequest, header::kEpoch).value_or(0);
+    header::ParseNumberField<uint64_t>(aRequest, header::kEpoch).value_or(0);
   co_return co_await m_ownerHandler.Handle(
     std::move(aRequest), std::move(terms), std::move(aCancelToken));
 }
--- a/modules/node/tests/EntryHandlerTest.cpp
+++ b/modules/node/tests/EntryHandlerTest.cpp
@@ -154,6 +154,28 @@
   CHECK(node.m_fakePeers->m_requests.size() == 1);
 }
 
+// Guards against a node whose requests are refused as late after it was paused.
+TEST_CASE("A refusal as late that the round trip contradicts starts anew")
+{
+  TrafficFixture node;
+  node.SetOwner(2, 10);
+  node.m_fakePeers->m_responder = [](const auto&,
+                                     const auto&) -> ExchangeResult {
+    http::Response refusal = MakeNodeAnswer(503, "not-run", "late_arrival");
+    refusal.set(header::kLateMs, "5000");
+    return refusal;
+  };
+  const auto response = node.HandleAtEntry(TrafficFixture::MakeOrder("k1"));
+  CHECK(response.count(header::kLateMs) == 0);
+  node.HandleAtEntry(TrafficFixture::MakeOrder("k2"));
+  const auto senderOf = [&](size_t aIndex) {
+    const std::string text(
+      node.m_fakePeers->m_requests.at(aIndex).second[header::kSent]);
+    return text.substr(0, text.find('/'));
+  };
+  CHECK(senderOf(0) != senderOf(1));
+}
+
 // Guards against sending non-idempotent work again that may have run.
 TEST_CASE("Non-idempotent work with an unknown outcome is not sent again")
 {
--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -70,7 +70,7 @@
   , m_quarantine(aQuarantine)
   , m_loadCounter(aLoadCounter)
   , m_overloadThrottle(RandomId())
-  , m_senderId(RandomId())
+  , m_transitSender(RandomId())
 {
 }
 
@@ -471,7 +471,8 @@
   SetField(
     aRequest, kTargetMsField, std::to_string(aAttributes.m_timeToTarget.m_ms));
   SetField(aRequest, kRankField, std::to_string(aAttributes.m_rank));
-  SetField(aRequest, kSentField, FormatTransitStamp({ m_senderId, sentAt }));
+  SetField(
+    aRequest, kSentField, FormatTransitStamp(m_transitSender.Stamp(sentAt)));
   SetField(aRequest,
            m_protocol.Headers().m_deadlineMs,
            std::to_string(std::max<int64_t>(
@@ -493,6 +494,7 @@
       ParseNumberField(*response, kHandlingMsField);
     if (handlingMs) {
       aState.m_transit = now - sentAt - Milliseconds(*handlingMs);
+      CheckEstimate(*response, aState);
     }
     const wire::Endpoint* const endpoint =
       m_endpointSelector.FindEndpoint(instance);
@@ -530,6 +532,23 @@
   co_return result;
 }
 
+void
+EntryHandler::CheckEstimate(const http::Response& aResponse,
+                            const RequestState& aState)
+{
+  const std::optional<int64_t> lateMs =
+    ParseNumberField(aResponse, kLateMsField);
+  if (lateMs &&
+      m_transitSender.OnEstimate(Milliseconds(*lateMs), *aState.m_transit)) {
+    LogInfo("entry",
+            "event=clock-jump id={} instance={} late_ms={} transit_ms={}",
+            aState.m_id,
+            aState.m_instance,
+            *lateMs,
+            aState.m_transit->m_ms);
+  }
+}
+
 http::Response
 EntryHandler::MakeFinalResponse(AttemptResult aResult,
                                 const RequestState& aState)
--- a/modules/sidecar/src/EntryHandler.h
+++ b/modules/sidecar/src/EntryHandler.h
@@ -19,6 +19,7 @@
 #include "StopSchedule.h"
 #include "SyncClient.h"
 #include "rattanloft/base/Clock.h"
+#include "rattanloft/base/TransitDelay.h"
 #include "rattanloft/fleet/RequestRouter.h"
 #include "rattanloft/http/Client.h"
 #include "rattanloft/sidecar/Sidecar.h"
@@ -120,6 +121,9 @@
     const std::string& aAddress,
     const RequestAttributes& aAttributes,
     std::shared_ptr<http::CancelToken> aCancel);
+  // Compares the delay that a peer has estimated with the round trip.
+  void CheckEstimate(const http::Response& aResponse,
+                     const RequestState& aState);
   // Tells the choice of zones how the last attempt of an unkeyed request ended.
   void RecordZoneResult(RequestState& aState, const AttemptResult& aResult);
   void RecordAcceptance(const std::string& aTarget,
@@ -154,8 +158,8 @@
   fleet::TargetPicker m_targetPicker;
   std::map<std::string, FleetRetryBudget> m_retryBudgets;
   OverloadThrottle m_overloadThrottle;
-  // Identifies this process to the peers that it sends requests to.
-  const uint64_t m_senderId;
+  // Stamps the requests to peers.
+  TransitSender m_transitSender;
   EntryCounters m_counters;
   std::optional<StopSchedule> m_stopSchedule;
 };
--- a/modules/sidecar/src/PeerHeaders.cpp
+++ b/modules/sidecar/src/PeerHeaders.cpp
@@ -24,7 +24,7 @@
   kServiceField, kKindField,       kKeyedField,   kTargetMsField,
   kRankField,    kOutcomeField,    kReasonField,  kRetryAfterMsField,
   kLoadField,    kHandlingMsField, kArrivedField, kResultKindField,
-  kSentField
+  kSentField,    kLateMsField
 };
 
 beast::string_view
--- a/modules/sidecar/src/PeerHeaders.h
+++ b/modules/sidecar/src/PeerHeaders.h
@@ -41,6 +41,9 @@
 // milliseconds. The rest of the exchange is the round trip. Peers of the
 // previous release do not send it.
 constexpr std::string_view kHandlingMsField = "Rattanloft-Handling-Ms";
+// How much longer than usual the request was on its way to the peer, in
+// milliseconds, if it was.
+constexpr std::string_view kLateMsField = "Rattanloft-Late-Ms";
 // Present if the request reached the backend server, which refused it or gave
 // no usable response.
 constexpr std::string_view kArrivedField = "Rattanloft-Arrived";
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -457,6 +457,9 @@
     SetField(response,
              kHandlingMsField,
              std::to_string((m_clock.Now() - arrivedAt).m_ms));
+    if (transitDelay > Duration{}) {
+      SetField(response, kLateMsField, std::to_string(transitDelay.m_ms));
+    }
     co_return response;
   }
 
