Close the connection of a departed client without lingering

Since a session reads ahead, a client that leaves may have a further request in the buffer, for which the session lingered before it closed the connection. A client that has left reads no response, so there is nothing to linger for.

--- a/modules/http/src/ServerSession.cpp
+++ b/modules/http/src/ServerSession.cpp
@@ -310,7 +310,7 @@
     m_hasServedRequest = true;
   }
   if (m_socket.is_open()) {
-    if (m_buffer.size() > 0 || (!m_clientGone && !IsOpenWithoutInput())) {
+    if (!m_clientGone && (m_buffer.size() > 0 || !IsOpenWithoutInput())) {
       co_await LingerBeforeClose();
     }
     Close();
