Log why a backend server gets no keys, and ranges that move for long

The sidecar now logs the cause when it changes (no plan, empty plan, no lease, heartbeat not confirmed), the leader logs transfers and commands that take longer than 4 s, and both count them in metrics. No decision is changed.

--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -351,6 +351,8 @@
                        "rattanloft_storage_failed {}\n"
                        "rattanloft_configuration_version {}\n"
                        "rattanloft_sidecars {}\n"
+                       "rattanloft_pending_transfers {}\n"
+                       "rattanloft_open_assignments {}\n"
                        "rattanloft_evacuated_zones {}\n",
                        m_fleetControl->IsLeading() ? 1 : 0,
                        log.m_term,
@@ -362,6 +364,8 @@
                        log.m_storageFailed ? 1 : 0,
                        m_fleetState.CurrentChange().configuration().version(),
                        m_fleetControl->CountSidecars(),
+                       m_fleetControl->CountPendingTransfers(),
+                       m_fleetControl->CountOpenCommands(),
                        m_fleetControl->CountEvacuatedZones()) +
            http::FormatOverloadMetrics(
              *m_memoryBudget,
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -408,6 +408,18 @@
   return m_leader == nullptr ? 0 : m_leader->CountSidecars(m_clock.Now());
 }
 
+size_t
+FleetControl::CountPendingTransfers() const
+{
+  return m_leader == nullptr ? 0 : m_leader->CountPendingTransfers();
+}
+
+size_t
+FleetControl::CountOpenCommands() const
+{
+  return m_leader == nullptr ? 0 : m_leader->CountOpenCommands();
+}
+
 asio::awaitable<bool>
 FleetControl::PassReadBarrier()
 {
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -110,6 +110,9 @@
   // Returns the number of voters that are to be replaced; 0 if this replica is
   // not the leader.
   size_t CountLostVoters() const;
+  // See fleet::FleetLeader; 0 if this replica is not the leader.
+  size_t CountPendingTransfers() const;
+  size_t CountOpenCommands() const;
 
 private:
   // A sync request that waits for updates.
--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -68,6 +68,10 @@
   // Number of sidecars that have been heard from recently enough to be listed
   // as endpoints.
   size_t CountSidecars(TimePoint aNow) const;
+  // Transfers that wait for the release of their range, and proposed commands
+  // whose outcome is not known, of all services.
+  size_t CountPendingTransfers() const;
+  size_t CountOpenCommands() const;
   Duration MaxSyncHold() const { return m_timings.m_maxSyncHold; }
 
 private:
@@ -125,6 +129,8 @@
     wire::AssignRanges m_proposedCommand;
     // When a command was last returned for the service.
     TimePoint m_lastTransferAt;
+    // When long waits were last logged.
+    TimePoint m_waitsLoggedAt;
     // When the number of candidates last grew, and when it last grew from zero.
     TimePoint m_lastJoinAt;
     TimePoint m_firstJoinAt;
@@ -135,6 +141,9 @@
   bool HasReleased(const std::string& aHolder,
                    const RangeTransfer& aTransfer,
                    TimePoint aNow) const;
+  void LogLongWaits(const std::string& aServiceName,
+                    ServiceState& aService,
+                    TimePoint aNow) const;
   bool CanOwnKeys(const Sidecar& aSidecar, TimePoint aNow) const;
   double FindColdCapacity(const std::string& aService) const;
   std::vector<HolderCandidate> ListCandidates(const std::string& aService,
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -37,6 +37,10 @@
 // reflects the previous move.
 constexpr Duration kRebalancePause = Milliseconds(1000);
 
+// Transfers and commands that take longer than a lease are logged, at this
+// interval.
+constexpr Duration kLongWait = Milliseconds(4000);
+
 // Handover tokens that are kept per backend lifetime until their ranges are
 // transferred.
 constexpr size_t kMaxHandoversPerHolder = 64;
@@ -465,6 +469,7 @@
                                     TimePoint aNow)
 {
   ServiceState& service = m_services[aServiceName];
+  LogLongWaits(aServiceName, service, aNow);
   if (!service.m_proposedCommand.ranges().empty()) {
     return;
   }
@@ -513,6 +518,39 @@
   aCommands.push_back(std::move(command));
 }
 
+// Keys of a transfer, and those of a command whose outcome is not known, have
+// no owner meanwhile.
+void
+FleetLeader::LogLongWaits(const std::string& aServiceName,
+                          ServiceState& aService,
+                          TimePoint aNow) const
+{
+  const auto& pending = aService.m_pendingTransfers;
+  const bool hasOpenCommand = !aService.m_proposedCommand.ranges().empty();
+  const auto oldest =
+    std::ranges::min_element(pending, {}, &PendingTransfer::m_startedAt);
+  const bool transferWaits =
+    oldest != pending.end() && aNow - oldest->m_startedAt >= kLongWait;
+  const bool commandWaits =
+    hasOpenCommand && aNow - aService.m_lastTransferAt >= kLongWait;
+  if (aNow - aService.m_waitsLoggedAt < kLongWait ||
+      (!transferWaits && !commandWaits)) {
+    return;
+  }
+  aService.m_waitsLoggedAt = aNow;
+  LogWarning("placement",
+             "event=long-wait service={} transfers={} oldest_from={} "
+             "oldest_to={} oldest_ms={} open_command_ranges={} "
+             "command_age_ms={}",
+             aServiceName,
+             pending.size(),
+             oldest != pending.end() ? oldest->m_transfer.m_from : "",
+             oldest != pending.end() ? oldest->m_transfer.m_to : "",
+             oldest != pending.end() ? (aNow - oldest->m_startedAt).m_ms : 0,
+             aService.m_proposedCommand.ranges_size(),
+             hasOpenCommand ? (aNow - aService.m_lastTransferAt).m_ms : 0);
+}
+
 std::vector<wire::AssignRanges>
 FleetLeader::PlanAssignments(TimePoint aNow)
 {
@@ -761,6 +799,25 @@
   return reply;
 }
 
+size_t
+FleetLeader::CountPendingTransfers() const
+{
+  size_t count = 0;
+  for (const auto& [name, service] : m_services) {
+    count += service.m_pendingTransfers.size();
+  }
+  return count;
+}
+
+size_t
+FleetLeader::CountOpenCommands() const
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(m_services, [](const auto& aItem) {
+      return !aItem.second.m_proposedCommand.ranges().empty();
+    }));
+}
+
 size_t
 FleetLeader::CountSidecars(TimePoint aNow) const
 {
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -309,6 +309,7 @@
   HeartbeatResponse response;
   const Duration grantDuration = LongestGrantWithin(m_leaseEnd - aNow);
   if (grantDuration < kMinGrantDuration || !DeliversInHeartbeats()) {
+    LogWithheldGrants(response, aNow);
     return response;
   }
   response.m_hasGrants = true;
@@ -327,9 +328,58 @@
   m_offeredRanges = response.m_grantedRanges;
   m_offerEnd = aNow + OnSlowClock(grantDuration);
   m_lastPossibleHoldEnd = std::max(m_lastPossibleHoldEnd, m_offerEnd);
+  LogWithheldGrants(response, aNow);
   return response;
 }
 
+std::string_view
+LocalBackend::FindWithholdingCause(const HeartbeatResponse& aResponse) const
+{
+  if (!aResponse.m_grantedRanges.empty()) {
+    return {};
+  }
+  if (m_planTerm == 0) {
+    return "no-plan";
+  }
+  if (m_plannedRanges.empty()) {
+    return "empty-plan";
+  }
+  if (!aResponse.m_hasGrants) {
+    return "no-lease";
+  }
+  return HasRangesToOfferLater() ? "unconfirmed-heartbeat" : "no-room";
+}
+
+void
+LocalBackend::LogWithheldGrants(const HeartbeatResponse& aResponse,
+                                TimePoint aNow)
+{
+  const std::string_view cause = FindWithholdingCause(aResponse);
+  if (!DeliversInHeartbeats() || cause == m_loggedWithholdingCause) {
+    return;
+  }
+  m_loggedWithholdingCause = cause;
+  LogInfo("backend",
+          "event={} holder={} cause={} planned={} granted={} lease_left_ms={} "
+          "term={} plan={} heartbeat={} confirmed_heartbeat={}",
+          cause.empty() ? "grants-resumed" : "grants-withheld",
+          m_view.holder(),
+          cause.empty() ? "none" : cause,
+          m_plannedRanges.size(),
+          aResponse.m_grantedRanges.size(),
+          (m_leaseEnd - aNow).m_ms,
+          m_planTerm,
+          m_planNumber,
+          m_heartbeatSequence,
+          m_deliveredSequence);
+}
+
+size_t
+LocalBackend::OfferedRangeCount(TimePoint aNow) const
+{
+  return aNow < m_offerEnd ? m_offeredRanges.size() : 0;
+}
+
 void
 LocalBackend::LimitRanges(HeartbeatResponse& aResponse,
                           const ResponseFits& aFits) const
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -126,6 +126,9 @@
     return m_reportRevision + m_callDelivery.Revision();
   }
   const wire::BackendView& View() const { return m_view; }
+  // Ranges of the plan, and those that the last response granted.
+  size_t PlannedRangeCount() const { return m_plannedRanges.size(); }
+  size_t OfferedRangeCount(TimePoint aNow) const;
   Duration ColdRemaining(TimePoint aNow) const;
 
 private:
@@ -151,6 +154,11 @@
                        std::vector<wire::OwnedRange>& aParts) const;
   bool HasRangesToOfferLater() const;
   bool IsReportedHeld(const wire::OwnedRange& aRange) const;
+  // Logs why a response grants no ranges of a keyed service, and that one does
+  // again, when that changes.
+  void LogWithheldGrants(const HeartbeatResponse& aResponse, TimePoint aNow);
+  std::string_view FindWithholdingCause(
+    const HeartbeatResponse& aResponse) const;
   bool MustRelease() const;
   ServeVerdict CheckOwnership(uint32_t aKey, TimePoint aNow) const;
   void StartDrain(wire::BackendPhase aPhase, TimePoint aStartedAt);
@@ -191,6 +199,8 @@
   // After this time no grant of any response can still be in force.
   TimePoint m_lastPossibleHoldEnd;
   TimePoint m_offerEnd;
+  // Cause that was logged last; empty while ranges are granted.
+  std::string_view m_loggedWithholdingCause;
   bool m_reachable = true;
   TimePoint m_failingSince;
   // A connection has failed since the last heartbeat, so that the next process
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -679,7 +679,9 @@
       "rattanloft_backend_cold {}\n"
       "rattanloft_cold_requests_refused {}\n"
       "rattanloft_zone_evacuated {}\n"
-      "rattanloft_late_requests {}\n",
+      "rattanloft_late_requests {}\n"
+      "rattanloft_planned_ranges {}\n"
+      "rattanloft_granted_ranges {}\n",
       counters.m_requests,
       counters.m_answered,
       counters.m_notRun,
@@ -696,7 +698,9 @@
       m_workQueue.ColdStart().IsLimiting(m_clock.Now()) ? 1 : 0,
       m_workQueue.ColdStart().RefusedCount(),
       m_isZoneEvacuated ? 1 : 0,
-      m_lateRequests);
+      m_lateRequests,
+      m_localBackend.PlannedRangeCount(),
+      m_localBackend.OfferedRangeCount(m_clock.Now()));
     for (const auto& [reason, count] : counters.m_notRunByReason) {
       text += fmt::format(
         "rattanloft_not_run_by_reason{{reason=\"{}\"}} {}\n", reason, count);
