Check that all keys are held again once faults have ended

The random run checked only that no key has two holders, so a service whose keys stay without an owner passed it. The new case stops the faults and the late messages after 60 s and expects a holder for each key within the 15 s after the last fault.

--- a/modules/sidecar/tests/OwnershipRandomTest.cpp
+++ b/modules/sidecar/tests/OwnershipRandomTest.cpp
@@ -140,6 +140,32 @@
     }
   }
 
+  // Lets the faults that have begun run out. Messages are no longer late.
+  void StopFaults() { m_injectsFaults = false; }
+
+  // Returns the keys that no backend server holds by now, as text.
+  std::string DescribeUnheldKeys()
+  {
+    wire::ServiceRanges unheld;
+    unheld.add_ranges()->set_last(fleet::kLastKey);
+    std::vector<fleet::KeySpan> held;
+    for (Node& node : m_nodes) {
+      DropExpiredRows(node.m_backend);
+      for (const HeldRow& row : node.m_backend.m_heldRows) {
+        if (node.m_backend.m_running && row.m_granted) {
+          held.push_back({ row.m_first, row.m_last });
+        }
+      }
+    }
+    std::string text;
+    for (const wire::OwnedRange& range :
+         fleet::SubtractSpans(unheld, std::move(held))) {
+      text += std::to_string(range.first()) + "-" +
+              std::to_string(range.last()) + " ";
+    }
+    return text;
+  }
+
   uint64_t StepCount() const { return m_stepCount; }
   uint64_t GrantCount() const { return m_grantCount; }
 
@@ -165,16 +191,18 @@
   // Usually short, but sometimes longer than every timeout.
   int64_t RandomDelayMs()
   {
-    return m_random() % 25 == 0 ? 200 + static_cast<int64_t>(m_random() % 3000)
-                                : 1 + static_cast<int64_t>(m_random() % 8);
+    return m_injectsFaults && m_random() % 25 == 0
+             ? 200 + static_cast<int64_t>(m_random() % 3000)
+             : 1 + static_cast<int64_t>(m_random() % 8);
   }
 
   // Often seconds, so that a heartbeat may reach a later process of the
   // sidecar.
   int64_t RandomHeartbeatDelayMs()
   {
-    return m_random() % 25 == 0 ? static_cast<int64_t>(m_random() % 7000)
-                                : RandomDelayMs();
+    return m_injectsFaults && m_random() % 25 == 0
+             ? static_cast<int64_t>(m_random() % 7000)
+             : RandomDelayMs();
   }
 
   void StartBackend(Node& aNode)
@@ -352,7 +380,8 @@
     HeartbeatResponse response;
     if (isNewest) {
       // Some responses have no room for all ranges of a backend server.
-      const size_t maxRanges = m_random() % 4 == 0 ? m_random() % 8 : 1'000;
+      const size_t maxRanges =
+        m_injectsFaults && m_random() % 4 == 0 ? m_random() % 8 : 1'000;
       response = localBackend.MakeHeartbeatResponse(
         Now(), [maxRanges](const HeartbeatResponse& aResponse) {
           return aResponse.m_grantedRanges.size() <= maxRanges;
@@ -492,7 +521,7 @@
     }
     const int64_t arrivedMs = m_nowMs;
     const int64_t startedAtUnixMs = backend.m_startedAtUnixMs;
-    if (m_random() % 15 == 0) {
+    if (m_injectsFaults && m_random() % 15 == 0) {
       const int64_t lateMs = static_cast<int64_t>(m_random() % kMaxLateCallMs);
       Schedule(lateMs, [this, aNode, aCall, arrivedMs, startedAtUnixMs] {
         if (m_nodes[aNode].m_backend.m_startedAtUnixMs == startedAtUnixMs) {
@@ -781,8 +810,11 @@
         ElectLeader();
         break;
     }
-    Schedule(1000 + static_cast<int64_t>(m_random() % 3000),
-             [this] { InjectFault(); });
+    Schedule(1000 + static_cast<int64_t>(m_random() % 3000), [this] {
+      if (m_injectsFaults) {
+        InjectFault();
+      }
+    });
   }
 
   void RestartBackend(Node& aNode, int64_t aDownMs)
@@ -831,6 +863,7 @@
   fleet::FleetState m_state;
   uint64_t m_appliedIndex = 0;
   uint64_t m_term = 0;
+  bool m_injectsFaults = true;
   std::unique_ptr<fleet::FleetLeader> m_leader;
   std::vector<Node> m_nodes;
   std::map<uint32_t, std::pair<uint64_t, std::pair<size_t, int64_t>>> m_fences;
@@ -860,4 +893,22 @@
   CHECK(simulation.GrantCount() > steps / 20);
 }
 
+// Guards against a keyed service that stays without owners after faults.
+TEST_CASE("all keys are held again once faults have ended")
+{
+  const unsigned seed = GENERATE(range(1U, 21U));
+  const wire::RangeDelivery delivery = GENERATE(
+    wire::RANGE_DELIVERY_HEARTBEAT_RESPONSE, wire::RANGE_DELIVERY_CALL);
+  CAPTURE(seed, wire::RangeDelivery_Name(delivery));
+  SetLogLevel(LogLevel::kError);
+  constexpr int64_t kFaultsEndMs = 60'000;
+  // The longest fault takes 7.5 s, and keys are to be served again within 15 s.
+  constexpr int64_t kHeldAgainMs = kFaultsEndMs + 7'500 + 15'000;
+  FleetSimulation simulation(seed, delivery);
+  simulation.RunUntil(kFaultsEndMs);
+  simulation.StopFaults();
+  simulation.RunUntil(kHeldAgainMs);
+  CHECK(simulation.DescribeUnheldKeys().empty());
+}
+
 } // namespace rattanloft::sidecar
