Answer the question for a large body before its caller's deadline

A body whose caller had less than 600 ms left waited for its reservation beyond that, so that the entry took the silent peer for one that does not respond, and chose it for no request for 500 ms. The question now states the time that is left. Found by reading; LargeBodyTest and sidecar_tests pass.

--- a/modules/sidecar/src/EntryHandler.cpp
+++ b/modules/sidecar/src/EntryHandler.cpp
@@ -482,8 +482,12 @@
   request.method(boost::beast::http::verb::post);
   request.target("/");
   SetField(request, kReserveBytesField, std::to_string(aState.m_bodyBytes));
+  const Duration timeLeft = aState.m_deadline - m_clock.Now();
+  SetField(request,
+           m_protocol.Headers().m_deadlineMs,
+           std::to_string(std::max<int64_t>(0, timeLeft.m_ms)));
   const Duration timeout =
-    std::min(aState.m_deadline - m_clock.Now(), kReservationTimeout);
+    std::min(timeLeft + kResponseGracePeriod, kReservationTimeout);
   tl::expected<http::Response, http::HttpError> response =
     co_await m_peerClient.Exchange(
       std::move(aAddress), std::move(request), timeout, std::move(aCancel));
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -421,8 +421,13 @@
     const RunningRequests::Guard guard(m_runningRequests, aCancel);
     const TimePoint arrivedAt = m_clock.Now();
     if (const auto bytes = ParseNumberField(aRequest, kReserveBytesField)) {
+      const Duration timeLeft = Milliseconds(
+        ParseNumberField(aRequest, m_protocol.Headers().m_deadlineMs)
+          .value_or(kMaxReservationWait.m_ms));
       http::Response reserved = co_await ServeReservation(
-        static_cast<size_t>(std::max<int64_t>(0, *bytes)), std::move(aCancel));
+        static_cast<size_t>(std::max<int64_t>(0, *bytes)),
+        timeLeft,
+        std::move(aCancel));
       co_return reserved;
     }
     if (const auto id = ParseNumberField(aRequest, kReservationField)) {
@@ -491,13 +496,14 @@
     }
   }
 
-  // Waits until the reservation is granted, at most for kMaxReservationWait.
-  // Returns whether the sender may send the body.
+  // Waits until the reservation is granted, at most for this time. Returns
+  // whether the sender may send the body.
   asio::awaitable<bool> WaitForGrant(BodyReservations::Id aId,
+                                     Duration aMaxWait,
                                      std::shared_ptr<http::CancelToken> aCancel)
   {
     const auto timer = std::make_shared<asio::steady_timer>(
-      m_context, std::chrono::milliseconds(kMaxReservationWait.m_ms));
+      m_context, std::chrono::milliseconds(aMaxWait.m_ms));
     m_reservationTimers[aId] = timer;
     if (aCancel) {
       aCancel->SetCancelCallback([timer] { timer->cancel(); });
@@ -514,13 +520,15 @@
   // Answers a peer that asks whether it may send a large body.
   asio::awaitable<http::Response> ServeReservation(
     size_t aBytes,
+    Duration aTimeLeft,
     std::shared_ptr<http::CancelToken> aCancel)
   {
     const auto id = m_bodyReservations.Request(aBytes, m_clock.Now());
     WakeGrantedSenders();
     bool isGranted = id && m_bodyReservations.IsGranted(*id);
     if (id && !isGranted) {
-      isGranted = co_await WaitForGrant(*id, std::move(aCancel));
+      isGranted = co_await WaitForGrant(
+        *id, std::min(aTimeLeft, kMaxReservationWait), std::move(aCancel));
     }
     if (isGranted) {
       ++m_grantedBodies;
