--- a/modules/sidecar/src/BodyReservations.cpp
+++ b/modules/sidecar/src/BodyReservations.cpp
@@ -55,6 +55,7 @@
   }
   const Granted granted = found->second;
   m_granted.erase(found);
+  // Looks at how much of the window was in use, with this body.
   AdaptWindow(aNow - granted.m_at, granted.m_bytes, aNow);
   m_grantedBytes -= granted.m_bytes;
   GrantWaiting(aNow);
--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -425,7 +425,7 @@
         ParseNumberField(aRequest, m_protocol.Headers().m_deadlineMs)
           .value_or(kMaxReservationWait.m_ms));
       http::Response reserved = co_await ServeReservation(
-        static_cast<size_t>(std::max<int64_t>(0, *bytes)),
+        static_cast<size_t>(std::clamp<int64_t>(*bytes, 0, kMaxBodyBytes)),
         timeLeft,
         std::move(aCancel));
       co_return reserved;
