--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -74,9 +74,9 @@
 // connections.
 constexpr Duration kPeerIdleTimeout = Seconds(20);
 constexpr Duration kConnectTimeout = Milliseconds(250);
-// A body that is not granted within this time is refused; callers are told to
-// come back after this time as well.
+// A body that is not granted within this time is refused.
 constexpr Duration kMaxReservationWait = Milliseconds(600);
+// Retry delay that is reported with the refusal of a body.
 constexpr Duration kLinkFullRetryDelay = Milliseconds(400);
 
 class SidecarImpl final : public Sidecar
