--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,83 @@
+"""A confirmed departure is forgotten when the sidecar and the leading coordinator are
+killed at the same moment, so that a late heartbeat brings the backend server back."""
+
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from standins_2 import BOUNDS, WITHOUT_TROUBLE, CannotRun, Fleet, main  # noqa: E402
+
+# How late the heartbeat arrives.
+HEARTBEAT_DELAY_S = 3.0
+# The backend server serves on for this time after the confirmation.
+SERVES_ON_S = 9.0
+CLIENTS = 24
+
+
+def run(folder):
+    fleet = Fleet(folder, [("deposits", 4, False)])
+    try:
+        fleet.bring_up()
+        time.sleep(1)
+        site, backend = 3, fleet.backends[3]
+        leader = fleet.leader()
+        if leader is None:
+            raise CannotRun("no coordinator leads")
+        # This heartbeat is sent before the end, but arrives after it.
+        backend.heartbeats_stopped = True
+        time.sleep(1.1)
+        with backend.lock:
+            late_heartbeat = backend.make_heartbeat()
+        sent_s = time.monotonic()
+        fleet.record.write(f"backend {backend.backend_id} sends heartbeat "
+                           f"seq={late_heartbeat['seq']}, which is held up")
+        if not backend.deregister():
+            raise CannotRun("the end of the backend server was not confirmed")
+        confirmed_s = time.monotonic()
+        if not WITHOUT_TROUBLE:
+            fleet.sites[site].kill()
+            fleet.coordinators[leader].kill()
+            time.sleep(0.4)
+            fleet.coordinators[leader].start()
+            fleet.sites[site].start()
+        restarted_s = time.monotonic()
+
+        def deliver():
+            time.sleep(max(0, sent_s + HEARTBEAT_DELAY_S - time.monotonic()))
+            status, _ = backend.heartbeat_call(late_heartbeat)
+            fleet.record.write(f"the late heartbeat arrives -> {status}")
+
+        threading.Thread(target=deliver, daemon=True).start()
+        def load(client):
+            number = 0
+            while time.monotonic() < confirmed_s + SERVES_ON_S:
+                fleet.call(client % 4, "/deposits/idempotent/x",
+                           f"{client:04x}{number:012x}")
+                number += 1
+                time.sleep(0.02)
+
+        clients = [threading.Thread(target=load, args=(n,)) for n in range(CLIENTS)]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join()
+        # Machines are in touch again this long after the restart.
+        in_touch_s = restarted_s + BOUNDS["stableWindowS"]
+        late = [row for row in backend.runs
+                if row[0] > max(confirmed_s + BOUNDS["drainS"], in_touch_s)]
+        early = [row for row in backend.runs if row[0] > confirmed_s]
+        fleet.record.write(f"runs after the confirmation: {len(early)}, of these after "
+                           f"drainS and while in touch: {len(late)}")
+        if late:
+            return (f"DRAIN broken: {len(late)} requests reached the backend server "
+                    f"later than drainS after its end was confirmed, the last one "
+                    f"{late[-1][0] - confirmed_s:.1f} s after it")
+        return ""
+    finally:
+        fleet.end()
+
+
+main(run, __file__)
