--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,11 @@
-"""A confirmed departure is forgotten when the sidecar and the leading coordinator are
-killed at the same moment, so that a late heartbeat brings the backend server back."""
+"""A rolling restart of one sidecar and then of the leading coordinator makes the fleet
+forget a confirmed departure, so that a late heartbeat brings the backend server back.
+
+With VARIANT=kill both are killed at the same moment instead."""
 
 import os
+import signal
+import subprocess
 import sys
 import threading
 import time
@@ -10,11 +14,31 @@
 
 from standins_2 import BOUNDS, WITHOUT_TROUBLE, CannotRun, Fleet, main  # noqa: E402
 
-# How late the heartbeat arrives.
-HEARTBEAT_DELAY_S = 3.0
 # The backend server serves on for this time after the confirmation.
-SERVES_ON_S = 9.0
+SERVES_ON_S = 11.0
+# How late the heartbeat arrives, if nothing delays the restarts.
+HEARTBEAT_DELAY_S = 5.0
 CLIENTS = 24
+KILLS = os.environ.get("VARIANT") == "kill"
+
+
+def restart(machine):
+    """Stops the process as the platform does, and starts it again."""
+    machine.signal(signal.SIGTERM)
+    try:
+        machine.process.wait(BOUNDS["graceS"])
+    except subprocess.TimeoutExpired as error:
+        raise CannotRun(f"{machine.name} did not end in time") from error
+    machine.start()
+
+
+def kill_both(*machines):
+    """Kills both at once; they are back after 0.4 s."""
+    for machine in machines:
+        machine.kill()
+    time.sleep(0.4)
+    for machine in machines:
+        machine.start()
 
 
 def run(folder):
@@ -23,9 +47,6 @@
         fleet.bring_up()
         time.sleep(1)
         site, backend = 3, fleet.backends[3]
-        leader = fleet.leader()
-        if leader is None:
-            raise CannotRun("no coordinator leads")
         # This heartbeat is sent before the end, but arrives after it.
         backend.heartbeats_stopped = True
         time.sleep(1.1)
@@ -37,13 +58,22 @@
         if not backend.deregister():
             raise CannotRun("the end of the backend server was not confirmed")
         confirmed_s = time.monotonic()
+        restarted_s = confirmed_s
         if not WITHOUT_TROUBLE:
-            fleet.sites[site].kill()
-            fleet.coordinators[leader].kill()
-            time.sleep(0.4)
-            fleet.coordinators[leader].start()
-            fleet.sites[site].start()
-        restarted_s = time.monotonic()
+            leader = fleet.leader()
+            if not KILLS:
+                restart(fleet.sites[site])
+                leader = fleet.leader()
+            if leader is None:
+                raise CannotRun("no coordinator leads")
+            if KILLS:
+                kill_both(fleet.sites[site], fleet.coordinators[leader])
+            else:
+                restart(fleet.coordinators[leader])
+            restarted_s = time.monotonic()
+            fleet.wait(lambda: fleet.leader() is not None, 3, "a coordinator leads")
+        if time.monotonic() - sent_s > HEARTBEAT_DELAY_S:
+            raise CannotRun("the restarts took too long")
 
         def deliver():
             time.sleep(max(0, sent_s + HEARTBEAT_DELAY_S - time.monotonic()))
@@ -51,6 +81,7 @@
             fleet.record.write(f"the late heartbeat arrives -> {status}")
 
         threading.Thread(target=deliver, daemon=True).start()
+
         def load(client):
             number = 0
             while time.monotonic() < confirmed_s + SERVES_ON_S:
@@ -64,7 +95,7 @@
             client.start()
         for client in clients:
             client.join()
-        # Machines are in touch again this long after the restart.
+        # Machines are in touch again this long after the last restart.
         in_touch_s = restarted_s + BOUNDS["stableWindowS"]
         late = [row for row in backend.runs
                 if row[0] > max(confirmed_s + BOUNDS["drainS"], in_touch_s)]
