--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -64,7 +64,7 @@
         port = random.randint(12000, 31999)
         reservation = socket.socket()
         try:
-            reservation.bind(("", port))
+            reservation.bind(("127.0.0.1", port))
         except OSError:
             reservation.close()
             continue
@@ -500,6 +500,8 @@
     """Runs a case. run(folder) returns a text that says how the rule was broken, or
     an empty one; it takes care of ending what it has started."""
     folder = os.path.dirname(os.path.abspath(case_file))
+    # Lets run() end what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = run(folder)
     except (CannotRun, OSError, http.client.HTTPException, subprocess.SubprocessError,
