Keep departures of backend servers in the replicated state

What callers saw: a backend server deregistered, and the call was confirmed.

Cause: a confirmed departure was only in the memory of the sidecar and of the leader. The restarted sidecar gets it back only in the reply to a report of that lifetime, so the leader had the only copy, and the next leader answered READY for a lifetime that it had never heard of.

The leader drops it 20 s after its last report, when no late heartbeat can matter any more. The state is bounded by 4,096 departures, 16 of one instance; what has no room is not confirmed. A backend server that has not left is served from the first reply of any leader, as before.

The test "a departure outlives the process of the sidecar that reports it" expected a reply at once, before the log has committed anything, which would confirm too early. It now expects none before and one after the commit. Its check before the report held for any request, since the request lacked what the sidecar knows; the request now has it.

--- a/modules/coordinator/src/Coordinator.cpp
+++ b/modules/coordinator/src/Coordinator.cpp
@@ -353,7 +353,8 @@
                        "rattanloft_sidecars {}\n"
                        "rattanloft_pending_transfers {}\n"
                        "rattanloft_open_assignments {}\n"
-                       "rattanloft_evacuated_zones {}\n",
+                       "rattanloft_evacuated_zones {}\n"
+                       "rattanloft_departures {}\n",
                        m_fleetControl->IsLeading() ? 1 : 0,
                        log.m_term,
                        log.m_commitIndex,
@@ -366,7 +367,8 @@
                        m_fleetControl->CountSidecars(),
                        m_fleetControl->CountPendingTransfers(),
                        m_fleetControl->CountOpenCommands(),
-                       m_fleetControl->CountEvacuatedZones()) +
+                       m_fleetControl->CountEvacuatedZones(),
+                       m_fleetControl->CountDepartures()) +
            http::FormatOverloadMetrics(
              *m_memoryBudget,
              { { kOperatorListener, m_operatorServer.get() },
--- a/modules/coordinator/src/FleetControl.cpp
+++ b/modules/coordinator/src/FleetControl.cpp
@@ -112,6 +112,7 @@
   if (m_leader != nullptr && m_clock.Now() >= m_nextPlanAt) {
     m_nextPlanAt = m_clock.Now() + kPlanInterval;
     ProposeAssignments();
+    ProposeDepartures();
     ProposeMembershipChange();
   }
 }
@@ -187,10 +188,12 @@
       m_leader = std::make_unique<fleet::FleetLeader>(
         m_state, aTerm, fleet::LeaderTimings{}, m_clock.Now());
       LogInfo("control",
-              "event=leadership-gained term={} voters={} version={}",
+              "event=leadership-gained term={} voters={} version={} "
+              "departures={}",
               aTerm,
               fleet::CountVoters(status.m_config),
-              m_state.CurrentChange().configuration().version());
+              m_state.CurrentChange().configuration().version(),
+              m_state.Departures().size());
     });
   ScheduleFlush();
 }
@@ -245,6 +248,52 @@
   WakeHeldSyncs();
 }
 
+void
+FleetControl::ProposeDepartures()
+{
+  if (!CanConfirm()) {
+    return;
+  }
+  std::optional<wire::ChangeDepartures> change =
+    m_leader->PlanDepartures(m_clock.Now());
+  if (!change) {
+    return;
+  }
+  const uint64_t term = m_leaderTerm;
+  const int recordedCount = change->recorded_size();
+  const int droppedCount = change->dropped_size();
+  wire::FleetCommand command;
+  *command.mutable_change_departures() = *std::move(change);
+  m_log.Propose(
+    command.SerializeAsString(),
+    m_clock.Now(),
+    [this, term, recordedCount, droppedCount](
+      const tl::expected<uint64_t, consensus::RaftError>& aIndex) {
+      if (aIndex) {
+        LogInfo("control",
+                "event=departures index={} recorded={} dropped={} total={}",
+                *aIndex,
+                recordedCount,
+                droppedCount,
+                m_state.Departures().size());
+      } else {
+        LogWarning(
+          "control",
+          "event=departures-failed recorded={} dropped={} reason=\"{}\"",
+          recordedCount,
+          droppedCount,
+          aIndex.error().m_message);
+      }
+      if (m_leader != nullptr && m_leaderTerm == term) {
+        m_leader->OnDeparturesFinished();
+        // Those that were reported meanwhile.
+        m_nextPlanAt = m_clock.Now();
+        WakeHeldSyncs();
+      }
+    });
+  ScheduleFlush();
+}
+
 fleet::MembershipView
 FleetControl::ViewMembership() const
 {
@@ -612,6 +661,10 @@
     co_return MakeSupersededReply();
   }
   m_nextPlanAt = m_clock.Now();
+  if (!aRequest.departures().empty()) {
+    // The backend server waits for its confirmation.
+    ProposeDepartures();
+  }
   const auto previous = m_heldSyncs.find(aRequest.instance());
   if (previous != m_heldSyncs.end()) {
     previous->second->m_replaced = true;
--- a/modules/coordinator/src/FleetControl.h
+++ b/modules/coordinator/src/FleetControl.h
@@ -89,6 +89,7 @@
   boost::asio::awaitable<EvacuationResult> SetEvacuation(
     wire::SetEvacuation aOrder);
   size_t CountEvacuatedZones() const { return m_state.EvacuatedZones().size(); }
+  size_t CountDepartures() const { return m_state.Departures().size(); }
   // Returns the change that put the current configuration in force.
   const wire::ReplaceConfiguration& CurrentChange() const
   {
@@ -138,6 +139,8 @@
   void UpdateRole();
   void BecomeLeader(uint64_t aTerm);
   void ProposeAssignments();
+  // Proposes to record departures that sidecars report, and to drop old ones.
+  void ProposeDepartures();
   fleet::MembershipView ViewMembership() const;
   // Proposes the next change of one member, if one is needed.
   void ProposeMembershipChange();
--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,13 @@
   // Must be called once the outcome of a command that PlanAssignments()
   // returned is known.
   void OnAssignmentFinished(const std::string& aService);
+  // Returns the command that changes the recorded departures, if one is needed
+  // now; at most one is outstanding. Must be called after syncs and at least
+  // every 100 ms.
+  std::optional<wire::ChangeDepartures> PlanDepartures(TimePoint aNow);
+  // Must be called once the outcome of a command that PlanDepartures() returned
+  // is known.
+  void OnDeparturesFinished();
 
   // Whether the reply would tell the sidecar something new, so that the request
   // should be answered at once.
@@ -171,7 +179,12 @@
                       TimePoint aNow);
   void MarkEarlierLifetimesEnded(const std::string& aInstance,
                                  const wire::BackendView& aBackend);
+  void RecordDepartures(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  void DropDepartures(wire::ChangeDepartures& aCommand, TimePoint aNow);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  // Whether the departure is recorded and stays so.
+  bool IsRecorded(const wire::Departure& aDeparture) const;
+  bool HasRecordedDeparture(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsEndpoints(const wire::FleetSyncRequest& aRequest) const;
   bool NeedsEvacuations(const wire::FleetSyncRequest& aRequest) const;
@@ -196,6 +209,22 @@
   std::map<std::string, Holder> m_holders;
   // By service name.
   std::map<std::string, ServiceState> m_services;
+  // Phases of the lifetimes whose departures were reported since the last
+  // command and are to be recorded, by formatted HolderName. Sidecars report
+  // them again until they are recorded.
+  std::map<std::string, wire::BackendPhase> m_reportedDepartures;
+  // Reports of departures for which there is no room, since this was last
+  // logged.
+  size_t m_refusedDepartures = 0;
+  // A command of PlanDepartures() is outstanding, and the lifetimes whose
+  // departures it drops.
+  bool m_departuresProposed = false;
+  std::set<std::string> m_proposedDrops;
+  // When recorded departures were last checked for those to drop.
+  TimePoint m_departuresCheckedAt;
+  // When each recorded departure was last found necessary, by formatted
+  // HolderName.
+  std::map<std::string, TimePoint> m_departuresNeededAt;
   EndpointList m_endpoints;
   ConfigurationHistory m_configurationHistory;
   quarantine::LeaderList m_quarantine;
--- a/modules/fleet/include/rattanloft/fleet/FleetState.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetState.h
@@ -42,9 +42,27 @@
   kTooManyZones,
 };
 
+// Departures that are recorded at the same time, of all instances and of one.
+// Bounds the size of each snapshot. The bound for one instance is what its
+// sidecar reports at most, so that stray calls at one instance leave room for
+// the departures at others.
+constexpr size_t kMaxDepartures = 4096;
+constexpr size_t kMaxDeparturesPerInstance = 16;
+
+// Result of a departure that is to be recorded.
+enum class DepartureOutcome
+{
+  kChanged,
+  // The same phase or a later one is recorded.
+  kRecorded,
+  // kMaxDepartures or kMaxDeparturesPerInstance others are recorded.
+  kTooManyDepartures,
+};
+
 // The replicated state machine of a fleet: the configuration in force, the
-// versions accepted so far, the holder of each key range, and the zones under
-// evacuation. Driven by the replicated log; used on the control thread only.
+// versions accepted so far, the holder of each key range, the zones under
+// evacuation, and the departures of backend servers. Driven by the replicated
+// log; used on the control thread only.
 class FleetState final : public consensus::StateMachine
 {
 public:
@@ -83,6 +101,13 @@
   }
   // Returns the outcome that the order would have if it were applied now.
   EvacuationOutcome EvaluateEvacuation(const wire::SetEvacuation& aOrder) const;
+  // Phases of the lifetimes that have begun to leave, by formatted HolderName.
+  const std::map<std::string, wire::BackendPhase>& Departures() const
+  {
+    return m_departures;
+  }
+  // Returns the outcome that recording the departure would have now.
+  DepartureOutcome EvaluateDeparture(const wire::Departure& aDeparture) const;
   // Number of commands applied and snapshots restored by this process.
   uint64_t ChangeCount() const { return m_changeCount; }
 
@@ -91,6 +116,8 @@
                           const wire::ReplaceConfiguration& aChange);
   void ApplyRanges(uint64_t aIndex, const wire::AssignRanges& aCommand);
   void ApplyEvacuation(const wire::SetEvacuation& aOrder);
+  void ApplyDepartures(const wire::ChangeDepartures& aCommand);
+  bool HasRoomForDeparture(const std::string& aHolder) const;
 
   wire::ReplaceConfiguration m_currentChange;
   // Oldest first; the length is bounded.
@@ -98,6 +125,7 @@
   std::map<std::string, wire::ServiceRanges> m_rangesByService;
   uint64_t m_rangesIndex = 0;
   std::set<std::string> m_evacuatedZones;
+  std::map<std::string, wire::BackendPhase> m_departures;
   uint64_t m_changeCount = 0;
   std::map<uint64_t, ChangeOutcome> m_outcomesByIndex;
 };
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -1,6 +1,7 @@
 #include "rattanloft/fleet/FleetLeader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "rattanloft/base/Log.h"
 #include "rattanloft/fleet/HeartbeatDelay.h"
@@ -41,6 +42,17 @@
 // interval.
 constexpr Duration kLongWait = Milliseconds(4000);
 
+// A departure stays recorded for this time after it was last reported and after
+// the leadership began. A heartbeat that was sent before the departure may
+// arrive kMaxHeartbeatDelay later. Its sidecar uses it for 4.5 s, and needs up
+// to 2.5 s to report it.
+constexpr Duration kDepartureRetention = Seconds(20);
+// Departures to drop are collected for this time, so that one command drops
+// those of many backend servers.
+constexpr Duration kDepartureCheckInterval = Milliseconds(1000);
+// Departures that one command records or drops at most, about 30 KB.
+constexpr int kMaxDeparturesPerCommand = 512;
+
 // Handover tokens that are kept per backend lifetime until their ranges are
 // transferred.
 constexpr size_t kMaxHandoversPerHolder = 64;
@@ -103,11 +115,7 @@
   if (!backend.holder().empty()) {
     RecordLifetime(aRequest, sidecar.m_sessionStart, aNow);
   }
-  for (const wire::Departure& departure : aRequest.departures()) {
-    Holder& holder = FindOrAddHolder(departure.holder());
-    holder.m_instance = aRequest.instance();
-    holder.m_phase = std::max(holder.m_phase, departure.phase());
-  }
+  RecordDepartures(aRequest, aNow);
   RecordLoads(aRequest, aNow);
   for (const wire::QuarantineEntry& entry : aRequest.quarantine()) {
     m_quarantine.Merge(entry, aNow);
@@ -139,6 +147,10 @@
   const auto [holder, isNew] = m_holders.try_emplace(aName);
   if (isNew) {
     holder->second.m_leaseEnd = EndOfEarlierLeases();
+    if (const auto departure = m_state.Departures().find(aName);
+        departure != m_state.Departures().end()) {
+      holder->second.m_phase = departure->second;
+    }
   }
   return holder->second;
 }
@@ -194,6 +206,86 @@
   }
 }
 
+void
+FleetLeader::RecordDepartures(const wire::FleetSyncRequest& aRequest,
+                              TimePoint aNow)
+{
+  for (const wire::Departure& departure : aRequest.departures()) {
+    Holder& holder = FindOrAddHolder(departure.holder());
+    holder.m_instance = aRequest.instance();
+    holder.m_phase = std::max(holder.m_phase, departure.phase());
+    m_departuresNeededAt[departure.holder()] = aNow;
+    if (m_state.EvaluateDeparture(departure) ==
+        DepartureOutcome::kTooManyDepartures) {
+      ++m_refusedDepartures;
+    } else if (!IsRecorded(departure)) {
+      m_reportedDepartures[departure.holder()] = holder.m_phase;
+    }
+  }
+  // A backend server that only its responses say is leaving continues to send
+  // heartbeats that do not say so.
+  const std::string& current = aRequest.backend().holder();
+  if (m_state.Departures().contains(current)) {
+    m_departuresNeededAt[current] = aNow;
+  }
+}
+
+void
+FleetLeader::OnDeparturesFinished()
+{
+  m_departuresProposed = false;
+  m_proposedDrops.clear();
+}
+
+std::optional<wire::ChangeDepartures>
+FleetLeader::PlanDepartures(TimePoint aNow)
+{
+  if (m_departuresProposed) {
+    return std::nullopt;
+  }
+  wire::ChangeDepartures command;
+  while (!m_reportedDepartures.empty() &&
+         command.recorded_size() < kMaxDeparturesPerCommand) {
+    const auto reported =
+      m_reportedDepartures.extract(m_reportedDepartures.begin());
+    wire::Departure& departure = *command.add_recorded();
+    departure.set_holder(reported.key());
+    departure.set_phase(reported.mapped());
+  }
+  if (aNow - m_departuresCheckedAt >= kDepartureCheckInterval) {
+    m_departuresCheckedAt = aNow;
+    DropDepartures(command, aNow);
+  }
+  if (command.recorded().empty() && command.dropped().empty()) {
+    return std::nullopt;
+  }
+  m_departuresProposed = true;
+  m_proposedDrops = { command.dropped().begin(), command.dropped().end() };
+  return command;
+}
+
+void
+FleetLeader::DropDepartures(wire::ChangeDepartures& aCommand, TimePoint aNow)
+{
+  if (const size_t refused = std::exchange(m_refusedDepartures, 0)) {
+    LogWarning("placement",
+               "event=departures-refused reports={} recorded={}",
+               refused,
+               m_state.Departures().size());
+  }
+  for (const auto& [holder, phase] : m_state.Departures()) {
+    const auto neededAt = m_departuresNeededAt.try_emplace(holder, aNow).first;
+    if (aNow - neededAt->second >= kDepartureRetention &&
+        aCommand.dropped_size() < kMaxDeparturesPerCommand) {
+      aCommand.add_dropped(holder);
+    }
+  }
+  std::erase_if(m_departuresNeededAt, [&](const auto& aItem) {
+    return aNow - aItem.second >= kDepartureRetention &&
+           !m_state.Departures().contains(aItem.first);
+  });
+}
+
 void
 FleetLeader::RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow)
 {
@@ -651,6 +743,22 @@
          m_latestTime - m_leadershipStart >= kEndpointListDelay;
 }
 
+bool
+FleetLeader::IsRecorded(const wire::Departure& aDeparture) const
+{
+  return m_state.EvaluateDeparture(aDeparture) == DepartureOutcome::kRecorded &&
+         !m_proposedDrops.contains(aDeparture.holder());
+}
+
+bool
+FleetLeader::HasRecordedDeparture(const wire::FleetSyncRequest& aRequest) const
+{
+  return std::ranges::any_of(aRequest.departures(),
+                             [this](const wire::Departure& aDeparture) {
+                               return IsRecorded(aDeparture);
+                             });
+}
+
 bool
 FleetLeader::NeedsQuarantine(const wire::FleetSyncRequest& aRequest) const
 {
@@ -670,7 +778,7 @@
 FleetLeader::HasUpdates(const wire::FleetSyncRequest& aRequest) const
 {
   if (aRequest.stopping() || !aRequest.handovers().empty() ||
-      !aRequest.departures().empty() || aRequest.awaits_confirmation() ||
+      aRequest.awaits_confirmation() || HasRecordedDeparture(aRequest) ||
       aRequest.configuration_version() <
         m_state.CurrentChange().configuration().version() ||
       aRequest.ranges_index() < m_state.RangesIndex() ||
@@ -767,7 +875,9 @@
       m_quarantine.MakeUpdate(aRequest, m_term, aNow);
   }
   for (const wire::Departure& departure : aRequest.departures()) {
-    *reply.add_recorded_departures() = departure;
+    if (IsRecorded(departure)) {
+      *reply.add_recorded_departures() = departure;
+    }
   }
   const std::string& name = aRequest.backend().holder();
   const auto found = m_holders.find(name);
--- a/modules/fleet/src/FleetState.cpp
+++ b/modules/fleet/src/FleetState.cpp
@@ -147,6 +147,9 @@
     case wire::FleetCommand::kSetEvacuation:
       ApplyEvacuation(command.set_evacuation());
       return;
+    case wire::FleetCommand::kChangeDepartures:
+      ApplyDepartures(command.change_departures());
+      return;
     case wire::FleetCommand::COMMAND_NOT_SET:
       return;
   }
@@ -250,6 +253,50 @@
   }
 }
 
+bool
+FleetState::HasRoomForDeparture(const std::string& aHolder) const
+{
+  if (m_departures.size() >= kMaxDepartures) {
+    return false;
+  }
+  // The names of one instance are neighbours, since they begin with its name
+  // and a slash.
+  const std::string instance = aHolder.substr(0, aHolder.find('/') + 1);
+  size_t count = 0;
+  for (auto item = m_departures.lower_bound(instance);
+       item != m_departures.end() && item->first.starts_with(instance);
+       ++item) {
+    ++count;
+  }
+  return count < kMaxDeparturesPerInstance;
+}
+
+DepartureOutcome
+FleetState::EvaluateDeparture(const wire::Departure& aDeparture) const
+{
+  const auto found = m_departures.find(aDeparture.holder());
+  if (found != m_departures.end()) {
+    return found->second >= aDeparture.phase() ? DepartureOutcome::kRecorded
+                                               : DepartureOutcome::kChanged;
+  }
+  return HasRoomForDeparture(aDeparture.holder())
+           ? DepartureOutcome::kChanged
+           : DepartureOutcome::kTooManyDepartures;
+}
+
+void
+FleetState::ApplyDepartures(const wire::ChangeDepartures& aCommand)
+{
+  for (const std::string& holder : aCommand.dropped()) {
+    m_departures.erase(holder);
+  }
+  for (const wire::Departure& departure : aCommand.recorded()) {
+    if (EvaluateDeparture(departure) == DepartureOutcome::kChanged) {
+      m_departures[departure.holder()] = departure.phase();
+    }
+  }
+}
+
 std::string
 FleetState::TakeSnapshot() const
 {
@@ -265,6 +312,11 @@
   for (const std::string& zone : m_evacuatedZones) {
     snapshot.add_evacuated_zones(zone);
   }
+  for (const auto& [holder, phase] : m_departures) {
+    wire::Departure& departure = *snapshot.add_departures();
+    departure.set_holder(holder);
+    departure.set_phase(phase);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -286,6 +338,10 @@
   m_rangesIndex = snapshot.ranges_index();
   m_evacuatedZones = { snapshot.evacuated_zones().begin(),
                        snapshot.evacuated_zones().end() };
+  m_departures.clear();
+  for (const wire::Departure& departure : snapshot.departures()) {
+    m_departures[departure.holder()] = departure.phase();
+  }
   m_outcomesByIndex.clear();
   ++m_changeCount;
   return {};
--- a/modules/fleet/tests/FleetLeaderTest.cpp
+++ b/modules/fleet/tests/FleetLeaderTest.cpp
@@ -61,6 +61,17 @@
         Apply(command);
         m_leader->OnAssignmentFinished(service);
       }
+      CommitDepartures();
+    }
+  }
+
+  void CommitDepartures()
+  {
+    if (auto change = m_leader->PlanDepartures(m_now)) {
+      wire::FleetCommand command;
+      *command.mutable_change_departures() = *std::move(change);
+      Apply(command);
+      m_leader->OnDeparturesFinished();
     }
   }
 
@@ -69,6 +80,7 @@
     aRequest.set_session(1);
     aRequest.set_sequence(++m_sequence);
     REQUIRE(m_leader->OnSync(aRequest, m_now));
+    CommitDepartures();
     return m_leader->BuildReply(aRequest, m_now);
   }
 
@@ -138,6 +150,22 @@
   uint64_t m_sequence = 0;
 };
 
+// Reports that the backend server of MakeRequest() has left.
+wire::FleetSyncRequest
+MakeLeavingRequest(const std::string& aInstance)
+{
+  wire::FleetSyncRequest request;
+  request.set_instance(aInstance);
+  // There is nothing else to reply to the sidecar.
+  request.set_configuration_version(1);
+  request.set_endpoints_term(1);
+  request.set_endpoints_revision(1'000);
+  wire::Departure& departure = *request.add_departures();
+  departure.set_holder(aInstance + "/b@1");
+  departure.set_phase(wire::BACKEND_PHASE_GONE);
+  return request;
+}
+
 int
 CountRanges(const wire::FleetSyncReply& aReply)
 {
@@ -271,13 +299,10 @@
 TEST_CASE("a departure outlives the process of the sidecar that reports it")
 {
   LeaderFixture fixture;
-  wire::FleetSyncRequest leaving;
-  leaving.set_instance("n1");
-  wire::Departure& departure = *leaving.add_departures();
-  departure.set_holder("n1/b@1");
-  departure.set_phase(wire::BACKEND_PHASE_GONE);
-  CHECK(fixture.m_leader->HasUpdates(leaving));
+  const wire::FleetSyncRequest leaving = MakeLeavingRequest("n1");
+  CHECK_FALSE(fixture.m_leader->HasUpdates(leaving));
   const wire::FleetSyncReply recorded = fixture.SendSync(leaving);
+  CHECK(fixture.m_leader->HasUpdates(leaving));
   REQUIRE(recorded.recorded_departures_size() == 1);
   CHECK(recorded.recorded_departures(0).holder() == "n1/b@1");
   const wire::FleetSyncReply reply =
@@ -287,6 +312,97 @@
   CHECK(reply.endpoints(0).backend().phase() == wire::BACKEND_PHASE_GONE);
 }
 
+// Guards against a departure that is confirmed while only this leader knows it.
+TEST_CASE("a departure is confirmed once the log has committed it")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest leaving = MakeLeavingRequest("n1");
+  leaving.set_session(1);
+  leaving.set_sequence(1'000);
+  REQUIRE(fixture.m_leader->OnSync(leaving, fixture.m_now));
+  const auto command = fixture.m_leader->PlanDepartures(fixture.m_now);
+  REQUIRE(command);
+  REQUIRE(command->recorded_size() == 1);
+  CHECK_FALSE(fixture.m_leader->PlanDepartures(fixture.m_now));
+  CHECK(fixture.m_leader->BuildReply(leaving, fixture.m_now)
+          .recorded_departures()
+          .empty());
+  // The outcome was a failure, so the next report is proposed again.
+  fixture.m_leader->OnDeparturesFinished();
+  leaving.set_sequence(1'001);
+  REQUIRE(fixture.m_leader->OnSync(leaving, fixture.m_now));
+  fixture.CommitDepartures();
+  CHECK(fixture.m_leader->BuildReply(leaving, fixture.m_now)
+          .recorded_departures_size() == 1);
+}
+
+// Guards against a confirmation of a departure whose removal is on its way.
+TEST_CASE("a departure that is being dropped does not count as recorded")
+{
+  LeaderFixture fixture;
+  wire::FleetSyncRequest leaving = MakeLeavingRequest("n1");
+  fixture.SendSync(leaving);
+  fixture.m_now = fixture.m_now + Seconds(21);
+  const auto drop = fixture.m_leader->PlanDepartures(fixture.m_now);
+  REQUIRE(drop);
+  REQUIRE(drop->dropped_size() == 1);
+  CHECK(fixture.SendSync(leaving).recorded_departures().empty());
+  wire::FleetCommand command;
+  *command.mutable_change_departures() = *drop;
+  fixture.Apply(command);
+  fixture.m_leader->OnDeparturesFinished();
+  CHECK(fixture.SendSync(leaving).recorded_departures_size() == 1);
+  CHECK(fixture.m_state.Departures().size() == 1);
+}
+
+// Guards against departures that fill the state, and against one that is
+// dropped while a late heartbeat may arrive or its lifetime still reports.
+TEST_CASE("a departure is recorded for as long as it may matter")
+{
+  LeaderFixture fixture;
+  fixture.SendSync(MakeLeavingRequest("n1"));
+  fixture.SendSync(MakeLeavingRequest("n2"));
+  const auto isRecorded = [&](const std::string& aInstance) {
+    return fixture.m_state.Departures().contains(aInstance + "/b@1");
+  };
+  for (int second = 0; second < 40; ++second) {
+    // Its responses say that it leaves, its heartbeats do not.
+    fixture.SendSync(fixture.MakeRequest("n2"));
+    fixture.RunFor(Seconds(1));
+    const bool mayMatter = second < 19;
+    CHECK((isRecorded("n1") || !mayMatter));
+    CHECK(isRecorded("n2"));
+  }
+  CHECK_FALSE(isRecorded("n1"));
+
+  fixture.ElectLeader();
+  fixture.RunFor(Seconds(19));
+  CHECK(isRecorded("n2"));
+  fixture.RunFor(Seconds(3));
+  CHECK(fixture.m_state.Departures().empty());
+}
+
+// Guards against a log entry for each report, and for each backend server of a
+// service that is released.
+TEST_CASE("departures are recorded and dropped in few commands")
+{
+  LeaderFixture fixture;
+  constexpr int kLeavingCount = 500;
+  for (int i = 0; i < kLeavingCount; ++i) {
+    wire::FleetSyncRequest leaving =
+      MakeLeavingRequest("n" + std::to_string(i));
+    leaving.set_session(1);
+    leaving.set_sequence(1);
+    REQUIRE(fixture.m_leader->OnSync(leaving, fixture.m_now));
+  }
+  const uint64_t indexBefore = fixture.m_index;
+  fixture.CommitDepartures();
+  CHECK(fixture.m_state.Departures().size() == kLeavingCount);
+  fixture.RunFor(Seconds(30));
+  CHECK(fixture.m_state.Departures().empty());
+  CHECK(fixture.m_index - indexBefore == 2);
+}
+
 // Guards against a lease that counts as ended because this leader granted none.
 TEST_CASE("a new leader waits for the lease of a holder without a reply")
 {
--- a/modules/fleet/tests/FleetStateTest.cpp
+++ b/modules/fleet/tests/FleetStateTest.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace rattanloft::fleet {
 
@@ -280,4 +281,53 @@
   CHECK(setEvacuation("d", true) == EvacuationOutcome::kChanged);
 }
 
+// Guards against a departure that is lost with a snapshot or taken back, and
+// against one instance that leaves no room for the departures at others.
+TEST_CASE("departures are final, bounded and part of the snapshot")
+{
+  FleetState state;
+  uint64_t index = 0;
+  const auto record = [&](const std::string& aHolder,
+                          wire::BackendPhase aPhase) {
+    wire::FleetCommand command;
+    wire::Departure& departure =
+      *command.mutable_change_departures()->add_recorded();
+    departure.set_holder(aHolder);
+    departure.set_phase(aPhase);
+    const DepartureOutcome outcome = state.EvaluateDeparture(departure);
+    state.Apply(++index, command.SerializeAsString());
+    return outcome;
+  };
+  using Outcome = DepartureOutcome;
+  constexpr auto kDraining = wire::BACKEND_PHASE_DRAINING;
+  constexpr auto kGone = wire::BACKEND_PHASE_GONE;
+  CHECK(record("n1/a@1", kDraining) == Outcome::kChanged);
+  CHECK(record("n1/a@1", kGone) == Outcome::kChanged);
+  CHECK(record("n1/a@1", kDraining) == Outcome::kRecorded);
+  CHECK(state.Departures().at("n1/a@1") == kGone);
+  FleetState copy;
+  REQUIRE(copy.RestoreSnapshot(state.TakeSnapshot()));
+  CHECK(copy.Departures() == state.Departures());
+  CHECK(copy.TakeSnapshot() == state.TakeSnapshot());
+  REQUIRE(copy.RestoreSnapshot(FleetState().TakeSnapshot()));
+  CHECK(copy.Departures().empty());
+
+  for (size_t i = 1; i < kMaxDeparturesPerInstance; ++i) {
+    CHECK(record(fmt::format("n1/b@{}", i), kGone) == Outcome::kChanged);
+  }
+  CHECK(record("n1/c@1", kGone) == Outcome::kTooManyDepartures);
+  CHECK(record("n10/c@1", kGone) == Outcome::kChanged);
+  for (size_t i = 0; state.Departures().size() < kMaxDepartures; ++i) {
+    record(fmt::format("m{}/b@1", i), kGone);
+  }
+  CHECK(record("n2/c@1", kGone) == Outcome::kTooManyDepartures);
+  CHECK(record("n10/c@1", kGone) == Outcome::kRecorded);
+  CHECK(state.Departures().size() == kMaxDepartures);
+
+  wire::FleetCommand command;
+  command.mutable_change_departures()->add_dropped("n1/a@1");
+  state.Apply(++index, command.SerializeAsString());
+  CHECK(record("n2/c@1", kGone) == Outcome::kChanged);
+}
+
 } // namespace rattanloft::fleet
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -105,7 +105,7 @@
   ++m_reportRevision;
   const auto departed = FindDeparture(m_view.holder());
   if (departed != m_departures.end()) {
-    StartDrain(departed->m_departure.phase(), EarlierDrainStart(aNow));
+    StartDrain(departed->m_departure.phase(), EarlierDrainStart(aNow), aNow);
   }
 }
 
@@ -214,7 +214,8 @@
   if (aHeartbeat.m_draining) {
     // The drain may have begun before this sidecar was restarted.
     StartDrain(wire::BACKEND_PHASE_DRAINING,
-               isNewLifetime ? EarlierDrainStart(aNow) : aNow);
+               isNewLifetime ? EarlierDrainStart(aNow) : aNow,
+               aNow);
   }
   const size_t reportedBefore = m_reportedRanges.size();
   if (aHeartbeat.m_listsHolds) {
@@ -458,7 +459,9 @@
 }
 
 void
-LocalBackend::StartDrain(wire::BackendPhase aPhase, TimePoint aStartedAt)
+LocalBackend::StartDrain(wire::BackendPhase aPhase,
+                         TimePoint aStartedAt,
+                         TimePoint aNow)
 {
   if (m_view.phase() >= aPhase) {
     return;
@@ -471,12 +474,13 @@
           m_view.holder(),
           aPhase == wire::BACKEND_PHASE_GONE ? "gone" : "draining");
   m_view.set_phase(aPhase);
-  AddDeparture(m_view.holder(), aPhase);
+  AddDeparture(m_view.holder(), aPhase, aNow);
 }
 
 void
 LocalBackend::AddDeparture(const std::string& aHolder,
-                           wire::BackendPhase aPhase)
+                           wire::BackendPhase aPhase,
+                           TimePoint aNow)
 {
   ++m_reportRevision;
   wire::Departure departure;
@@ -485,11 +489,11 @@
   const auto known = FindDeparture(aHolder);
   if (known != m_departures.end()) {
     if (known->m_departure.phase() < aPhase) {
-      *known = { std::move(departure) };
+      *known = { std::move(departure), aNow };
     }
     return;
   }
-  m_departures.push_back({ std::move(departure) });
+  m_departures.push_back({ std::move(departure), aNow });
   if (m_departures.size() > kMaxDepartures) {
     LogWarning("backend",
                "event=departure-dropped holder={} recorded={}",
@@ -516,14 +520,19 @@
 }
 
 void
-LocalBackend::OnDeparturesRecorded(const wire::FleetSyncReply& aReply)
+LocalBackend::OnDeparturesRecorded(const wire::FleetSyncReply& aReply,
+                                   TimePoint aNow)
 {
-  // The next leader has not recorded what was told to the one before.
+  // A leader of the previous release has only remembered what was told to it.
+  // Older departures matter no more, and every sidecar would report them.
   if (aReply.term() > m_departuresTerm) {
     m_departuresTerm = aReply.term();
     for (LocalDeparture& item : m_departures) {
-      item.m_isRecorded = false;
-      ++m_reportRevision;
+      if (item.m_departure.holder() == m_view.holder() ||
+          aNow - item.m_addedAt <= fleet::kMaxHeartbeatDelay) {
+        item.m_isRecorded = false;
+        ++m_reportRevision;
+      }
     }
   }
   for (LocalDeparture& item : m_departures) {
@@ -544,7 +553,7 @@
 void
 LocalBackend::OnLeavingAnnounced(TimePoint aNow)
 {
-  StartDrain(wire::BACKEND_PHASE_DRAINING, aNow);
+  StartDrain(wire::BACKEND_PHASE_DRAINING, aNow, aNow);
 }
 
 std::string
@@ -561,7 +570,7 @@
   std::string holder = fleet::FormatHolderName(
     { m_instance, std::string(aBackendId), aStartedAtUnixMs });
   if (holder == m_view.holder()) {
-    StartDrain(wire::BACKEND_PHASE_GONE, aNow);
+    StartDrain(wire::BACKEND_PHASE_GONE, aNow, aNow);
   } else {
     // Its first heartbeat may still be on its way, if this process has just
     // started.
@@ -569,7 +578,7 @@
             "event=leaving-unknown holder={} current={}",
             holder,
             m_view.holder());
-    AddDeparture(holder, wire::BACKEND_PHASE_GONE);
+    AddDeparture(holder, wire::BACKEND_PHASE_GONE, aNow);
   }
   return holder;
 }
@@ -577,13 +586,13 @@
 void
 LocalBackend::OnSyncReply(const wire::FleetSyncReply& aReply, TimePoint aSentAt)
 {
-  OnDeparturesRecorded(aReply);
+  OnDeparturesRecorded(aReply, aSentAt);
   if (aReply.holder().empty() || aReply.holder() != m_view.holder()) {
     return;
   }
   m_startupTrust.OnLeaderView(aReply);
   // A process of this sidecar before its restart has reported the phase.
-  StartDrain(aReply.backend_phase(), EarlierDrainStart(aSentAt));
+  StartDrain(aReply.backend_phase(), EarlierDrainStart(aSentAt), aSentAt);
   if (aReply.term() < m_planTerm ||
       (aReply.term() == m_planTerm && aReply.plan() < m_planNumber)) {
     return;
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -84,9 +84,9 @@
   std::string OnDeregistration(std::string_view aBackendId,
                                int64_t aStartedAtUnixMs,
                                TimePoint aNow);
-  // Whether a sidecar that starts now would learn from the leader all that is
-  // known here about the end of the lifetime. Until then the end must not be
-  // confirmed to the backend server.
+  // Whether the replicated state contains all that is known here about the end
+  // of the lifetime, so that no restart makes it forgotten. Until then the end
+  // must not be confirmed to the backend server.
   bool IsDepartureRecorded(std::string_view aHolder) const;
 
   // Applies the lease and the plan of a sync reply. aSentAt is the time at
@@ -135,6 +135,7 @@
   struct LocalDeparture
   {
     wire::Departure m_departure;
+    TimePoint m_addedAt;
     bool m_isRecorded = false;
   };
 
@@ -161,10 +162,14 @@
     const HeartbeatResponse& aResponse) const;
   bool MustRelease() const;
   ServeVerdict CheckOwnership(uint32_t aKey, TimePoint aNow) const;
-  void StartDrain(wire::BackendPhase aPhase, TimePoint aStartedAt);
+  void StartDrain(wire::BackendPhase aPhase,
+                  TimePoint aStartedAt,
+                  TimePoint aNow);
   std::vector<LocalDeparture>::iterator FindDeparture(std::string_view aHolder);
-  void AddDeparture(const std::string& aHolder, wire::BackendPhase aPhase);
-  void OnDeparturesRecorded(const wire::FleetSyncReply& aReply);
+  void AddDeparture(const std::string& aHolder,
+                    wire::BackendPhase aPhase,
+                    TimePoint aNow);
+  void OnDeparturesRecorded(const wire::FleetSyncReply& aReply, TimePoint aNow);
   // Returns a start of the drain after which nothing is served any more.
   TimePoint EarlierDrainStart(TimePoint aNow) const;
 
@@ -209,7 +214,7 @@
   std::vector<wire::HandedOver> m_pendingHandovers;
   // Lifetimes that have begun to leave, oldest first; bounded.
   std::vector<LocalDeparture> m_departures;
-  // Term of the leader that has recorded them.
+  // Latest term in which a leader has replied.
   uint64_t m_departuresTerm = 0;
   std::optional<wire::RangeDelivery> m_delivery;
   CallDelivery m_callDelivery;
