Confirm a drain only once it is recorded

What callers would see: a backend server reports its drain while no coordinator can reply, and gets 200 after 850 ms. If its sidecar is then restarted before a leader has heard of the drain, a late heartbeat makes the fleet use the server again.

Cause: the response to a heartbeat that states a drain waited for the record of the departure, but was given in any case. It confirms the drain all the same.

Why this works: the heartbeat is answered with 503 unless the replicated state has the departure, as a deregistration already was, and the next heartbeat asks again. The sidecar drains the backend server in either case. The response renews no grants; without a leader the lease is not renewed either.

--- a/modules/sidecar/src/Sidecar.cpp
+++ b/modules/sidecar/src/Sidecar.cpp
@@ -32,6 +32,7 @@
 #include "rattanloft/base/Log.h"
 #include "rattanloft/base/Random.h"
 #include "rattanloft/base/TransitDelay.h"
+#include "rattanloft/fleet/HolderName.h"
 #include "rattanloft/http/Endpoint.h"
 #include "rattanloft/http/OverloadReport.h"
 #include "rattanloft/http/Server.h"
@@ -60,7 +61,8 @@
 constexpr Duration kNextRangesHold = Milliseconds(150);
 // Interval at which a held response checks for new ranges.
 constexpr Duration kHeartbeatPollInterval = Milliseconds(15);
-// Interval at which a deregistration checks whether the leader has recorded it.
+// Interval at which a call that states a departure checks whether that is
+// recorded.
 constexpr Duration kDeparturePollInterval = Milliseconds(5);
 // A heartbeat with as many ranges as are accepted takes less.
 constexpr uint64_t kMaxBackendCallBytes = 256 * 1024;
@@ -623,7 +625,7 @@
     co_return response;
   }
 
-  // Returns whether the leader has recorded the departure before aEnd.
+  // Returns whether the departure was recorded before aEnd.
   asio::awaitable<bool> WaitUntilDepartureRecorded(std::string aHolder,
                                                    TimePoint aEnd)
   {
@@ -662,14 +664,26 @@
     m_localBackend.SetRangeDelivery(FindRangeDelivery());
     m_workQueue.SetSlots(std::max(1U, m_localBackend.View().slots()));
     OnRangesChanged();
+    if (heartbeat->m_draining) {
+      // The response confirms the drain. The next heartbeat states it again.
+      const std::string holder =
+        fleet::FormatHolderName({ m_options.m_instance,
+                                  heartbeat->m_backendId,
+                                  heartbeat->m_startedAtUnixMs });
+      const bool isRecorded = co_await WaitUntilDepartureRecorded(holder, end);
+      if (!isRecorded) {
+        LogWarning("backend",
+                   "event=drain-unconfirmed holder={} accepted={} "
+                   "leader_age_ms={}",
+                   holder,
+                   isAccepted,
+                   m_directory.TimeSinceLastReply(m_clock.Now()).m_ms);
+        response.result(status::service_unavailable);
+        co_return response;
+      }
+    }
     HeartbeatResponse heartbeatResponse;
     if (isAccepted) {
-      if (heartbeat->m_draining) {
-        // The drain is repeated in each heartbeat, so that the renewal of the
-        // grants is not held back longer than this.
-        co_await WaitUntilDepartureRecorded(m_localBackend.View().holder(),
-                                            end);
-      }
       co_await WaitForRanges(end);
       const bool isNewest =
         m_localBackend.HeartbeatSequence() == heartbeat->m_sequence &&
--- a/tests/DepartureTest.py
+++ b/tests/DepartureTest.py
@@ -120,6 +120,20 @@
         time.sleep(DRAIN_TIME_S)
         self.check_late_heartbeat_changes_nothing()
 
+    # Guards against a drain that is confirmed while it is only in the memory of the
+    # sidecar, which may be restarted before it has told any leader.
+    def test_a_drain_is_confirmed_only_once_it_is_recorded(self):
+        leader = self.find_leader()
+        others = [number for number in range(3) if number != leader]
+        for number in others:
+            self.stop_coordinator(number, signal.SIGKILL)
+        self.assertEqual(self.report_drain(), 503)
+        self.assertEqual(self.report_drain(), 503)
+        for number in others:
+            self.restart_coordinator(number)
+        wait_for(lambda: self.report_drain() == 200, 10, "the drain is confirmed")
+        self.assertEqual(self.report_drain(), 200)
+
 
 if __name__ == "__main__":
     unittest.main()
