--- a/modules/fleet/include/rattanloft/fleet/FleetLeader.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetLeader.h
@@ -179,7 +179,9 @@
                       TimePoint aNow);
   void MarkEarlierLifetimesEnded(const std::string& aInstance,
                                  const wire::BackendView& aBackend);
-  void RecordDepartures(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
+  void AdoptReportedDepartures(const wire::FleetSyncRequest& aRequest,
+                               TimePoint aNow);
+  // Adds the departures that no longer matter to the command, to be dropped.
   void DropDepartures(wire::ChangeDepartures& aCommand, TimePoint aNow);
   void RecordLoads(const wire::FleetSyncRequest& aRequest, TimePoint aNow);
   // Whether the departure is recorded and stays so.
--- a/modules/fleet/include/rattanloft/fleet/FleetState.h
+++ b/modules/fleet/include/rattanloft/fleet/FleetState.h
@@ -43,9 +43,9 @@
 };
 
 // Departures that are recorded at the same time, of all instances and of one.
-// Bounds the size of each snapshot. The bound for one instance is what its
-// sidecar reports at most, so that stray calls at one instance leave room for
-// the departures at others.
+// The first bounds the size of each snapshot. The second is also what a sidecar
+// keeps: the lifetimes at one instance that end while their late heartbeats may
+// arrive. With it, stray calls at one instance leave room for others.
 constexpr size_t kMaxDepartures = 4096;
 constexpr size_t kMaxDeparturesPerInstance = 16;
 
--- a/modules/fleet/src/FleetLeader.cpp
+++ b/modules/fleet/src/FleetLeader.cpp
@@ -115,7 +115,7 @@
   if (!backend.holder().empty()) {
     RecordLifetime(aRequest, sidecar.m_sessionStart, aNow);
   }
-  RecordDepartures(aRequest, aNow);
+  AdoptReportedDepartures(aRequest, aNow);
   RecordLoads(aRequest, aNow);
   for (const wire::QuarantineEntry& entry : aRequest.quarantine()) {
     m_quarantine.Merge(entry, aNow);
@@ -207,8 +207,8 @@
 }
 
 void
-FleetLeader::RecordDepartures(const wire::FleetSyncRequest& aRequest,
-                              TimePoint aNow)
+FleetLeader::AdoptReportedDepartures(const wire::FleetSyncRequest& aRequest,
+                                     TimePoint aNow)
 {
   for (const wire::Departure& departure : aRequest.departures()) {
     Holder& holder = FindOrAddHolder(departure.holder());
--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -23,8 +23,6 @@
 // keys while they move to other owners.
 constexpr int64_t kDrainServePercent = 60;
 constexpr size_t kMaxPendingHandovers = 64;
-// Lifetimes of one instance that end while their late heartbeats may arrive.
-constexpr size_t kMaxDepartures = 16;
 
 bool
 ContainsKey(const std::vector<wire::OwnedRange>& aRanges, uint32_t aKey)
@@ -494,7 +492,7 @@
     return;
   }
   m_departures.push_back({ std::move(departure), aNow });
-  if (m_departures.size() > kMaxDepartures) {
+  if (m_departures.size() > fleet::kMaxDeparturesPerInstance) {
     LogWarning("backend",
                "event=departure-dropped holder={} recorded={}",
                m_departures.front().m_departure.holder(),
