--- a/tests/DepartureTest.py
+++ b/tests/DepartureTest.py
@@ -71,10 +71,16 @@
         wait_for(lambda: send_request(self.sidecars[1]["ready"], "GET",
                                       "/v1/ready")[0] == 200, 10, "ready again")
 
-    def check_late_heartbeat_changes_nothing(self):
-        self.call_sidecar("PUT", self.late_heartbeat)
-        arrived_before = len(self.leaving.arrival_times)
-        end, statuses = time.time() + HEARTBEAT_TIMEOUT_S, []
+    def kill_sidecar_and_leader(self):
+        leader = self.find_leader()
+        self.stop_coordinator(leader, signal.SIGKILL)
+        self.restart_sidecar(1)
+        self.restart_coordinator(leader)
+        self.wait_until_ready()
+
+    def send_load(self, duration_s):
+        """Returns the statuses of the answers."""
+        end, statuses = time.time() + duration_s, []
 
         def send_all(client):
             for number in itertools.count():
@@ -89,9 +95,17 @@
             client.start()
         for client in clients:
             client.join()
-        self.assertIn(200, statuses)
+        return statuses
+
+    def check_unused(self):
+        arrived_before = len(self.leaving.arrival_times)
+        self.assertIn(200, self.send_load(HEARTBEAT_TIMEOUT_S))
         self.assertEqual(len(self.leaving.arrival_times), arrived_before)
 
+    def check_late_heartbeat_changes_nothing(self):
+        self.call_sidecar("PUT", self.late_heartbeat)
+        self.check_unused()
+
     # Guards against a departure that is kept only in the memory of the sidecar and of
     # the leading coordinator, and is lost when both are restarted as planned.
     def test_a_rolling_restart_does_not_bring_back_a_server_that_has_left(self):
@@ -112,14 +126,24 @@
     # The same for a drain, and for processes that are killed at the same moment.
     def test_kills_do_not_bring_back_a_server_that_drains(self):
         self.assertEqual(self.report_drain(), 200)
-        leader = self.find_leader()
-        self.stop_coordinator(leader, signal.SIGKILL)
-        self.restart_sidecar(1)
-        self.restart_coordinator(leader)
-        self.wait_until_ready()
+        self.kill_sidecar_and_leader()
         time.sleep(DRAIN_TIME_S)
         self.check_late_heartbeat_changes_nothing()
 
+    # The same for a server whose answers say that it leaves while its heartbeats do
+    # not, so that each of them could bring it back.
+    def test_kills_do_not_bring_back_a_server_whose_answers_announce_its_end(self):
+        self.leaving.stopped = False
+        threading.Thread(target=self.leaving.send_heartbeats, daemon=True).start()
+        self.leaving.answer_headers = {"Server-Leaving": "1"}
+        self.send_load(1)
+        self.assertGreater(len(self.leaving.arrival_times), 0)
+        wait_for(lambda: self.has_metrics(self.find_leader(), "rattanloft_departures 1"),
+                 5, "the departure is recorded")
+        self.kill_sidecar_and_leader()
+        time.sleep(DRAIN_TIME_S)
+        self.check_unused()
+
     # Guards against a drain that is confirmed while it is only in the memory of the
     # sidecar, which may be restarted before it has told any leader.
     def test_a_drain_is_confirmed_only_once_it_is_recorded(self):
