--- a/tests/fleet_fixture.py
+++ b/tests/fleet_fixture.py
@@ -119,7 +119,11 @@
         self.server.shutdown()
         self.server.server_close()
         for connection in list(self.connections):
-            connection.shutdown(socket.SHUT_RDWR)
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # Its caller has closed it.
+                pass
         threading.Timer(down_time_s, self.start_again).start()
 
     def start_again(self):
