Do not let other departures displace one that was confirmed

What callers would see: after 16 further departures at one instance within seconds, as stray calls can state them, the sidecar has dropped one that it has confirmed, and a late heartbeat makes it use that lifetime again.

Cause: the sidecar dropped the oldest of its 16 departures, confirmed or not.

Why this works: only departures that were not confirmed, or for which no late heartbeat can arrive any more, make room. If there is none, the new departure is not remembered, and so not confirmed.

--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -491,14 +491,33 @@
     }
     return;
   }
+  if (m_departures.size() >= fleet::kMaxDeparturesPerInstance &&
+      !DropDeparture(aNow)) {
+    LogWarning("backend", "event=departure-refused holder={}", aHolder);
+    return;
+  }
   m_departures.push_back({ std::move(departure), aNow });
-  if (m_departures.size() > fleet::kMaxDeparturesPerInstance) {
-    LogWarning("backend",
-               "event=departure-dropped holder={} recorded={}",
-               m_departures.front().m_departure.holder(),
-               m_departures.front().m_isRecorded);
-    m_departures.erase(m_departures.begin());
+}
+
+// Drops the oldest departure that was not confirmed, or of which no late
+// heartbeat can arrive any more. Returns false if there is none.
+bool
+LocalBackend::DropDeparture(TimePoint aNow)
+{
+  const auto item =
+    std::ranges::find_if(m_departures, [&](const LocalDeparture& aItem) {
+      return !aItem.m_isRecorded ||
+             aNow - aItem.m_addedAt > fleet::kMaxHeartbeatDelay;
+    });
+  if (item == m_departures.end()) {
+    return false;
   }
+  LogWarning("backend",
+             "event=departure-dropped holder={} recorded={}",
+             item->m_departure.holder(),
+             item->m_isRecorded);
+  m_departures.erase(item);
+  return true;
 }
 
 std::vector<LocalBackend::LocalDeparture>::iterator
--- a/modules/sidecar/src/LocalBackend.h
+++ b/modules/sidecar/src/LocalBackend.h
@@ -169,6 +169,7 @@
   void AddDeparture(const std::string& aHolder,
                     wire::BackendPhase aPhase,
                     TimePoint aNow);
+  bool DropDeparture(TimePoint aNow);
   void OnDeparturesRecorded(const wire::FleetSyncReply& aReply, TimePoint aNow);
   // Returns a start of the drain after which nothing is served any more.
   TimePoint EarlierDrainStart(TimePoint aNow) const;
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -238,6 +238,31 @@
   CHECK_FALSE(backend.IsDepartureRecorded(holder));
 }
 
+// Guards against stray calls that make the sidecar forget a departure that was
+// confirmed, so that a late heartbeat brings its lifetime back.
+TEST_CASE("other departures do not displace one that was confirmed")
+{
+  LocalBackend backend = MakeLocalBackend();
+  const auto record = [&](const std::string& aBackendId, TimePoint aNow) {
+    backend.OnDeregistration(aBackendId, 500, aNow);
+    const wire::FleetSyncRequest report = MakeReport(backend, aNow);
+    wire::FleetSyncReply reply;
+    *reply.mutable_recorded_departures() = report.departures();
+    backend.OnSyncReply(reply, aNow);
+  };
+  record("i-1", kStart);
+  for (int i = 0; i < 20; ++i) {
+    record("stray-" + std::to_string(i), kStart);
+  }
+  CHECK_FALSE(backend.IsDepartureRecorded("n1/stray-19@500"));
+  const TimePoint later = kStart + Seconds(9);
+  CHECK(backend.OnHeartbeat(MakeHeartbeat(1), later));
+  CHECK(backend.CheckServable({}, false, later) == ServeVerdict::kDraining);
+
+  record("i-2", kStart + Seconds(11));
+  CHECK(backend.IsDepartureRecorded("n1/i-2@500"));
+}
+
 // Guards against a confirmation that binds a lifetime which nobody knows.
 TEST_CASE("a deregistration without its start needs a known lifetime")
 {
