Keep confirmed departures at a sidecar across a change of leader

Cause: since a sidecar with 16 departures makes room by dropping one that is not recorded. After a change of leader every recent departure counts as not recorded until the new leader has replied, so a confirmed one could be dropped and a late heartbeat of its lifetime be used. Found by reading the change once more.

Change: only the age decides. A departure makes room once no late heartbeat of its lifetime can arrive any more; until then a further departure is not remembered, and so not confirmed.

Result: "other departures do not displace one that was confirmed" now includes a change of leader.

--- a/modules/sidecar/src/LocalBackend.cpp
+++ b/modules/sidecar/src/LocalBackend.cpp
@@ -499,17 +499,15 @@
   m_departures.push_back({ std::move(departure), aNow });
 }
 
-// Drops the oldest departure that was not confirmed, or of which no late
-// heartbeat can arrive any more. Returns false if there is none.
+// Drops the oldest departure if no late heartbeat of its lifetime can arrive
+// any more. Returns whether it was dropped.
 bool
 LocalBackend::DropDeparture(TimePoint aNow)
 {
   const auto item =
-    std::ranges::find_if(m_departures, [&](const LocalDeparture& aItem) {
-      return !aItem.m_isRecorded ||
-             aNow - aItem.m_addedAt > fleet::kMaxHeartbeatDelay;
-    });
-  if (item == m_departures.end()) {
+    std::ranges::min_element(m_departures, {}, &LocalDeparture::m_addedAt);
+  if (item == m_departures.end() ||
+      aNow - item->m_addedAt <= fleet::kMaxHeartbeatDelay) {
     return false;
   }
   LogWarning("backend",
--- a/modules/sidecar/tests/LocalBackendTest.cpp
+++ b/modules/sidecar/tests/LocalBackendTest.cpp
@@ -255,6 +255,11 @@
     record("stray-" + std::to_string(i), kStart);
   }
   CHECK_FALSE(backend.IsDepartureRecorded("n1/stray-19@500"));
+  // A new leader has to record them again, but they stay confirmed.
+  wire::FleetSyncReply nextLeaderReply;
+  nextLeaderReply.set_term(2);
+  backend.OnSyncReply(nextLeaderReply, kStart);
+  backend.OnDeregistration("stray-20", 500, kStart);
   const TimePoint later = kStart + Seconds(9);
   CHECK(backend.OnHeartbeat(MakeHeartbeat(1), later));
   CHECK(backend.CheckServable({}, false, later) == ServeVerdict::kDraining);
